Add the network layer, core types and the build

Cause: nothing existed yet; every part needs typed errors, the loop, links between processes and HTTP on both sides. Weighed: websocketpp with its own transport (rejected: the task would not own its socket) and one libmicrohttpd daemon (rejected: it walks all suspended connections after each resume).

--- /dev/null
+++ b/cmake/compiler_settings.cmake
@@ -0,0 +1,21 @@
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+
+option(BAMBOOGATE_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
+add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers)
+if(BAMBOOGATE_SANITIZE)
+    add_compile_options(-fsanitize=address,undefined
+        -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
+
+find_program(BAMBOOGATE_CCACHE ccache)
+if(BAMBOOGATE_CCACHE)
+    set(CMAKE_CXX_COMPILER_LAUNCHER "${BAMBOOGATE_CCACHE}")
+endif()
--- /dev/null
+++ b/lib/include/bamboogate/net/event_loop.hpp
@@ -0,0 +1,116 @@
+#ifndef BAMBOOGATE_NET_EVENT_LOOP_HPP
+#define BAMBOOGATE_NET_EVENT_LOOP_HPP
+
+#include <bamboogate/core/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+struct ev_loop;
+
+namespace bamboogate::net {
+
+/// The libev loop of a process. All members must be called from the thread
+/// that runs the loop.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// @brief Runs until `stop` is called or no watcher is left.
+    void run();
+
+    /// @brief Handles the events that are ready now, without waiting.
+    void run_once();
+
+    /// @brief Makes `run` return after the current event.
+    void stop();
+
+    /// @brief Runs a function in the next turn of the loop, in posting order.
+    void post(std::function<void()> function);
+
+    /// @brief Calls the handler when the process receives the signal.
+    void on_signal(int signal, std::function<void()> handler);
+
+    /// @brief Reads the monotonic clock.
+    [[nodiscard]] time_point now() const noexcept
+    {
+        return monotonic_clock::now();
+    }
+
+    /// The libev handle, for the watchers of this module.
+    [[nodiscard]] struct ::ev_loop* native() noexcept;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// A timer that calls its function once or periodically.
+/// Destruction stops it. Not thread safe.
+class timer
+{
+public:
+    /// @param loop must outlive the timer
+    timer(event_loop& loop, std::function<void()> function);
+    ~timer();
+    timer(const timer&) = delete;
+    timer& operator=(const timer&) = delete;
+
+    /// @brief Fires once after the delay; replaces an earlier schedule.
+    void start_once(duration delay);
+
+    /// @brief Fires every period, first after one period.
+    /// @pre period > 0
+    void start_periodic(duration period);
+
+    /// @brief Cancels the schedule. The timer can be started again.
+    void stop();
+
+    [[nodiscard]] bool active() const noexcept;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// Readiness of a descriptor; values can be combined.
+enum class io_event : std::uint8_t
+{
+    none = 0,
+    read = 1,
+    write = 2,
+    read_write = 3,
+};
+
+[[nodiscard]] constexpr bool has(io_event set, io_event flag) noexcept
+{
+    return (static_cast<int>(set) & static_cast<int>(flag)) != 0;
+}
+
+/// Watches a descriptor that the caller owns. Destruction stops watching.
+/// Not thread safe.
+class io_watcher
+{
+public:
+    io_watcher(event_loop& loop, int descriptor,
+               std::function<void(io_event)> function);
+    ~io_watcher();
+    io_watcher(const io_watcher&) = delete;
+    io_watcher& operator=(const io_watcher&) = delete;
+
+    /// @brief Replaces the set of awaited events; `none` stops watching.
+    void await(io_event events);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace bamboogate::net
+
+#endif
--- /dev/null
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -0,0 +1,196 @@
+#ifndef BAMBOOGATE_NET_LINK_HUB_HPP
+#define BAMBOOGATE_NET_LINK_HUB_HPP
+
+#include <bamboogate/core/ids.hpp>
+#include <bamboogate/core/json.hpp>
+#include <bamboogate/core/secret.hpp>
+#include <bamboogate/core/time.hpp>
+#include <bamboogate/net/address.hpp>
+#include <bamboogate/net/event_loop.hpp>
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <utility>
+
+namespace bamboogate::net {
+
+/// A message between processes: a struct with a type name and the conversion
+/// functions of nlohmann's library.
+template <typename T>
+concept LinkMessage = requires(const T& message, json& document)
+{
+    {
+        T::type
+        } -> std::convertible_to<std::string_view>;
+    to_json(document, message);
+};
+
+/// What a peer said of itself when the link came up.
+struct peer_info
+{
+    node_id node;
+    bamboogate::incarnation incarnation;
+    failure_domain_id failure_domain;
+};
+
+/// All authenticated links of a process to its peers.
+///
+/// Both ends prove knowledge of the shared secret by an HMAC-SHA256 over both
+/// nonces. A link sends a heartbeat when it has been idle for
+/// `heartbeat_interval` and is closed after `silence_limit` without input, so
+/// that a connection that some middle box has forgotten is replaced at once.
+/// Not thread safe: all calls come from the loop's thread.
+class link_hub
+{
+public:
+    struct options
+    {
+        peer_info self;
+        secret shared_secret;
+        duration heartbeat_interval = std::chrono::milliseconds(250);
+        duration silence_limit = std::chrono::seconds(1);
+        duration redial_interval = std::chrono::milliseconds(200);
+        std::size_t max_frame_bytes = 16u << 20;
+        /// Output queued on a link above this closes it: the peer is stuck.
+        std::size_t max_queued_bytes = 64u << 20;
+    };
+
+    /// Totals since the start, for metrics and the capacity figures.
+    struct traffic
+    {
+        std::uint64_t messages_sent = 0;
+        std::uint64_t messages_received = 0;
+        std::uint64_t bytes_sent = 0;
+        std::uint64_t bytes_received = 0;
+        std::uint64_t links_closed_silent = 0;
+        std::uint64_t links_refused = 0;
+    };
+
+    link_hub(event_loop& loop, options settings);
+    ~link_hub();
+    link_hub(const link_hub&) = delete;
+    link_hub& operator=(const link_hub&) = delete;
+
+    /// @brief Accepts links on an address. @return the bound address.
+    [[nodiscard]] result<address> listen(const address& where);
+
+    /// @brief Keeps a link to a peer open, dialling again when it breaks.
+    void dial(const node_id& peer, const address& where);
+
+    /// @brief Stops dialling a peer and closes its links.
+    void forget(const node_id& peer);
+
+    /// @brief Sends a one-way message.
+    /// @return false when no link to the peer is up; delivery is not assured
+    ///     otherwise either
+    template <LinkMessage Message>
+    bool send(const node_id& peer, const Message& message)
+    {
+        return send_envelope(peer, Message::type, message_kind::one_way, 0,
+                             json(message));
+    }
+
+    /// @brief Handles a one-way message type. One handler per type.
+    template <LinkMessage Message>
+    void on(std::function<void(const peer_info&, Message)> handler)
+    {
+        add_handler(Message::type, [handler = std::move(handler)](
+                                       const peer_info& peer, const json& body,
+                                       const reply_sink&) {
+            auto message = from_document<Message>(body);
+            if (message) {
+                handler(peer, std::move(message).value());
+            }
+        });
+    }
+
+    /// Sends the reply to one request; call it exactly once.
+    template <LinkMessage Response>
+    using reply_function = std::function<void(result<Response>)>;
+
+    /// @brief Answers a request type; the reply may be given later.
+    template <LinkMessage Request, LinkMessage Response>
+    void serve(
+        std::function<void(const peer_info&, Request, reply_function<Response>)>
+            handler)
+    {
+        add_handler(Request::type, [handler = std::move(handler)](
+                                       const peer_info& peer, const json& body,
+                                       const reply_sink& sink) {
+            auto request = from_document<Request>(body);
+            if (!request) {
+                sink(std::move(request).error());
+                return;
+            }
+            handler(peer, std::move(request).value(),
+                    [sink](result<Response> response) {
+                        if (!response) {
+                            sink(std::move(response).error());
+                            return;
+                        }
+                        sink(json(response.value()));
+                    });
+        });
+    }
+
+    /// @brief Sends a request and waits for its reply.
+    /// @param deadline time allowed from now
+    /// @param callback called exactly once, never from inside `call`:
+    ///     the reply, the peer's error, `connection_failed` (no link, not
+    ///     sent), `connection_lost` or `deadline_exceeded`
+    template <LinkMessage Request, LinkMessage Response>
+    void call(const node_id& peer, const Request& request, duration deadline,
+              std::function<void(result<Response>)> callback)
+    {
+        call_document(peer, Request::type, json(request), deadline,
+                      [callback = std::move(callback)](result<json> reply) {
+                          if (!reply) {
+                              callback(std::move(reply).error());
+                              return;
+                          }
+                          callback(from_document<Response>(reply.value()));
+                      });
+    }
+
+    /// @brief Observes peers that become reachable or unreachable.
+    void on_peer_state(std::function<void(const peer_info&, bool up)> handler);
+
+    [[nodiscard]] bool is_up(const node_id& peer) const;
+
+    /// @brief Peers with a link that is up, by node id.
+    [[nodiscard]] std::vector<peer_info> peers_up() const;
+
+    [[nodiscard]] const peer_info& self() const noexcept;
+    [[nodiscard]] traffic totals() const noexcept;
+
+    /// @brief Bytes queued for a peer that its socket has not taken yet.
+    [[nodiscard]] std::size_t queued_bytes(const node_id& peer) const;
+
+private:
+    enum class message_kind : std::uint8_t
+    {
+        one_way = 0,
+        request = 1,
+        reply = 2,
+        error_reply = 3,
+    };
+    using reply_sink = std::function<void(result<json>)>;
+    using handler =
+        std::function<void(const peer_info&, const json&, const reply_sink&)>;
+
+    void add_handler(std::string_view type, handler function);
+    bool send_envelope(const node_id& peer, std::string_view type,
+                       message_kind kind, std::uint64_t call_id, json body);
+    void call_document(const node_id& peer, std::string_view type, json body,
+                       duration deadline, reply_sink callback);
+
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace bamboogate::net
+
+#endif
--- /dev/null
+++ b/lib/source/net/event_loop.cpp
@@ -0,0 +1,202 @@
+#include <bamboogate/net/event_loop.hpp>
+
+#include <ev.h>
+
+#include <utility>
+#include <vector>
+
+namespace bamboogate::net {
+
+// libev's watcher macros cast between its watcher types.
+#pragma GCC diagnostic ignored "-Wstrict-aliasing"
+
+struct event_loop::impl
+{
+    struct signal_watcher
+    {
+        ev_signal watcher{};
+        std::function<void()> handler;
+    };
+
+    struct ::ev_loop* loop = ev_loop_new(EVBACKEND_EPOLL);
+    ev_async wake{};
+    std::vector<std::function<void()>> posted;
+    std::vector<std::unique_ptr<signal_watcher>> signals;
+
+    static void on_wake(struct ::ev_loop*, ev_async* watcher, int)
+    {
+        auto* self = static_cast<impl*>(watcher->data);
+        auto ready = std::exchange(self->posted, {});
+        for (auto& function : ready) {
+            function();
+        }
+    }
+
+    static void on_signal(struct ::ev_loop*, ev_signal* watcher, int)
+    {
+        static_cast<signal_watcher*>(watcher->data)->handler();
+    }
+};
+
+event_loop::event_loop() : impl_(std::make_unique<impl>())
+{
+    ev_async_init(&impl_->wake, &impl::on_wake);
+    impl_->wake.data = impl_.get();
+    ev_async_start(impl_->loop, &impl_->wake);
+    ev_unref(impl_->loop);
+}
+
+event_loop::~event_loop()
+{
+    for (auto& signal : impl_->signals) {
+        ev_ref(impl_->loop);
+        ev_signal_stop(impl_->loop, &signal->watcher);
+    }
+    ev_ref(impl_->loop);
+    ev_async_stop(impl_->loop, &impl_->wake);
+    ev_loop_destroy(impl_->loop);
+}
+
+void event_loop::run()
+{
+    ev_run(impl_->loop, 0);
+}
+
+void event_loop::run_once()
+{
+    ev_run(impl_->loop, EVRUN_NOWAIT);
+}
+
+void event_loop::stop()
+{
+    ev_break(impl_->loop, EVBREAK_ALL);
+}
+
+void event_loop::post(std::function<void()> function)
+{
+    impl_->posted.push_back(std::move(function));
+    ev_async_send(impl_->loop, &impl_->wake);
+}
+
+void event_loop::on_signal(int signal, std::function<void()> handler)
+{
+    auto entry = std::make_unique<impl::signal_watcher>();
+    entry->handler = std::move(handler);
+    ev_signal_init(&entry->watcher, &impl::on_signal, signal);
+    entry->watcher.data = entry.get();
+    ev_signal_start(impl_->loop, &entry->watcher);
+    ev_unref(impl_->loop);
+    impl_->signals.push_back(std::move(entry));
+}
+
+struct ::ev_loop* event_loop::native() noexcept
+{
+    return impl_->loop;
+}
+
+struct timer::impl
+{
+    struct ::ev_loop* loop;
+    ev_timer watcher{};
+    std::function<void()> function;
+
+    static void on_timeout(struct ::ev_loop*, ev_timer* watcher, int)
+    {
+        // The function may destroy the timer, so it runs from a copy.
+        auto function = static_cast<impl*>(watcher->data)->function;
+        function();
+    }
+
+    void start(duration delay, duration period)
+    {
+        ev_timer_stop(loop, &watcher);
+        // The loop's cached time is stale after a long callback.
+        ev_now_update(loop);
+        ev_timer_set(&watcher, to_seconds(delay), to_seconds(period));
+        ev_timer_start(loop, &watcher);
+    }
+};
+
+timer::timer(event_loop& loop, std::function<void()> function)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->loop = loop.native();
+    impl_->function = std::move(function);
+    ev_timer_init(&impl_->watcher, &impl::on_timeout, 0., 0.);
+    impl_->watcher.data = impl_.get();
+}
+
+timer::~timer()
+{
+    ev_timer_stop(impl_->loop, &impl_->watcher);
+}
+
+void timer::start_once(duration delay)
+{
+    impl_->start(delay, duration::zero());
+}
+
+void timer::start_periodic(duration period)
+{
+    impl_->start(period, period);
+}
+
+void timer::stop()
+{
+    ev_timer_stop(impl_->loop, &impl_->watcher);
+}
+
+bool timer::active() const noexcept
+{
+    return ev_is_active(&impl_->watcher);
+}
+
+struct io_watcher::impl
+{
+    struct ::ev_loop* loop;
+    int descriptor;
+    ev_io watcher{};
+    std::function<void(io_event)> function;
+
+    static void on_ready(struct ::ev_loop*, ev_io* watcher, int events)
+    {
+        auto function = static_cast<impl*>(watcher->data)->function;
+        const int ready = ((events & EV_READ) != 0 ? 1 : 0) |
+                          ((events & EV_WRITE) != 0 ? 2 : 0);
+        function(static_cast<io_event>(ready));
+    }
+};
+
+io_watcher::io_watcher(event_loop& loop, int descriptor,
+                       std::function<void(io_event)> function)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->loop = loop.native();
+    impl_->descriptor = descriptor;
+    impl_->function = std::move(function);
+    ev_io_init(&impl_->watcher, &impl::on_ready, descriptor, 0);
+    impl_->watcher.data = impl_.get();
+}
+
+io_watcher::~io_watcher()
+{
+    ev_io_stop(impl_->loop, &impl_->watcher);
+}
+
+void io_watcher::await(io_event events)
+{
+    const int wanted = (has(events, io_event::read) ? EV_READ : 0) |
+                       (has(events, io_event::write) ? EV_WRITE : 0);
+    if (ev_is_active(&impl_->watcher) &&
+        (impl_->watcher.events & (EV_READ | EV_WRITE)) == wanted) {
+        return;
+    }
+    ev_io_stop(impl_->loop, &impl_->watcher);
+    if (wanted == 0) {
+        return;
+    }
+    ev_io_set(&impl_->watcher, impl_->descriptor, wanted);
+    ev_io_start(impl_->loop, &impl_->watcher);
+}
+
+} // namespace bamboogate::net
--- /dev/null
+++ b/lib/source/net/link_hub.cpp
@@ -0,0 +1,434 @@
+#include <bamboogate/net/link.hpp>
+#include <bamboogate/net/link_hub.hpp>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboogate::net {
+
+struct link_hub::impl
+{
+    struct target
+    {
+        address where;
+        std::unique_ptr<timer> redial;
+        link* current = nullptr;
+    };
+
+    struct pending_call
+    {
+        node_id peer;
+        link* via = nullptr;
+        std::unique_ptr<timer> deadline;
+        reply_sink callback;
+    };
+
+    event_loop& loop;
+    options settings;
+    int listener = -1;
+    std::unique_ptr<io_watcher> accept_watcher;
+    std::vector<std::unique_ptr<link>> links;
+    /// Links that are up, oldest first, so that messages keep their order
+    /// while the first link lives.
+    std::map<node_id, std::vector<link*>> by_peer;
+    std::map<node_id, target> targets;
+    std::unordered_map<std::string, handler> handlers;
+    std::unordered_map<std::uint64_t, pending_call> calls;
+    std::uint64_t next_call = 1;
+    std::vector<std::function<void(const peer_info&, bool)>> observers;
+    traffic closed_totals;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    impl(event_loop& l, options o) : loop(l), settings(std::move(o)) {}
+
+    link* add_link(link::side side, int descriptor, const node_id& dialled)
+    {
+        auto slot = std::make_shared<link*>(nullptr);
+        auto created = std::make_unique<link>(
+            loop, settings, side, descriptor,
+            link::callbacks{
+                .on_up = [this, slot] { on_up(*slot); },
+                .on_message =
+                    [this, slot](std::string_view m) { on_message(*slot, m); },
+                .on_closed =
+                    [this, slot, dialled](link::close_reason why) {
+                        on_closed(*slot, why, dialled);
+                    }});
+        *slot = created.get();
+        links.push_back(std::move(created));
+        return links.back().get();
+    }
+
+    void accept_links()
+    {
+        for (;;) {
+            const int fd = accept4(listener, nullptr, nullptr,
+                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (fd < 0) {
+                return;
+            }
+            set_no_delay(fd);
+            add_link(link::side::acceptor, fd, {});
+        }
+    }
+
+    void dial_now(const node_id& peer)
+    {
+        const auto found = targets.find(peer);
+        if (found == targets.end() || found->second.current != nullptr) {
+            return;
+        }
+        auto fd = start_connect(found->second.where);
+        if (!fd) {
+            found->second.redial->start_once(settings.redial_interval);
+            return;
+        }
+        found->second.current = add_link(link::side::dialer, fd.value(), peer);
+    }
+
+    void on_up(link* which)
+    {
+        const peer_info peer = which->peer();
+        auto& up = by_peer[peer.node];
+        // A peer that restarted makes links to its earlier life useless.
+        std::vector<link*> stale;
+        for (link* other : up) {
+            if (other->peer().incarnation < peer.incarnation) {
+                stale.push_back(other);
+            }
+        }
+        for (link* other : stale) {
+            other->close(link::close_reason::dropped);
+        }
+        auto& current = by_peer[peer.node];
+        current.push_back(which);
+        if (current.size() == 1) {
+            notify(peer, true);
+        }
+    }
+
+    void notify(const peer_info& peer, bool up)
+    {
+        for (const auto& observer : observers) {
+            observer(peer, up);
+        }
+    }
+
+    void on_closed(link* which, link::close_reason why, const node_id& dialled)
+    {
+        closed_totals.bytes_sent += which->bytes_sent();
+        closed_totals.bytes_received += which->bytes_received();
+        closed_totals.links_closed_silent +=
+            why == link::close_reason::silent ? 1 : 0;
+        closed_totals.links_refused +=
+            why == link::close_reason::refused ? 1 : 0;
+        remove_from_peer(which);
+        fail_calls(which);
+        if (const auto found = targets.find(dialled);
+            found != targets.end() && found->second.current == which) {
+            found->second.current = nullptr;
+            found->second.redial->start_once(settings.redial_interval);
+        }
+        // The link is on the call stack, so it is destroyed later.
+        loop.post([this, which, guard = alive] {
+            if (*guard) {
+                std::erase_if(links,
+                              [which](auto& l) { return l.get() == which; });
+            }
+        });
+    }
+
+    void remove_from_peer(link* which)
+    {
+        const peer_info peer = which->peer();
+        const auto found = by_peer.find(peer.node);
+        if (found == by_peer.end()) {
+            return;
+        }
+        if (std::erase(found->second, which) == 0 || !found->second.empty()) {
+            return;
+        }
+        by_peer.erase(found);
+        notify(peer, false);
+    }
+
+    void fail_calls(link* which)
+    {
+        std::vector<std::uint64_t> lost;
+        for (const auto& [id, call] : calls) {
+            if (call.via == which) {
+                lost.push_back(id);
+            }
+        }
+        for (const auto id : lost) {
+            loop.post([this, id, guard = alive] {
+                if (*guard) {
+                    finish_call(id, fail(errc::connection_lost,
+                                         "link closed before the reply"));
+                }
+            });
+        }
+    }
+
+    void finish_call(std::uint64_t id, result<json> reply)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            return;
+        }
+        auto callback = std::move(found->second.callback);
+        calls.erase(found);
+        callback(std::move(reply));
+    }
+
+    link* link_to(const node_id& peer)
+    {
+        const auto found = by_peer.find(peer);
+        return found == by_peer.end() ? nullptr : found->second.front();
+    }
+
+    bool send_on(link* which, std::string_view type, message_kind kind,
+                 std::uint64_t call_id, json body)
+    {
+        json envelope = json::array();
+        envelope.push_back(type);
+        envelope.push_back(static_cast<int>(kind));
+        envelope.push_back(call_id);
+        envelope.push_back(std::move(body));
+        if (!which->send(encode_cbor(envelope))) {
+            return false;
+        }
+        ++closed_totals.messages_sent;
+        return true;
+    }
+
+    void on_message(link* which, std::string_view bytes)
+    {
+        ++closed_totals.messages_received;
+        auto decoded =
+            decode_cbor(bytes, {.max_bytes = settings.max_frame_bytes});
+        if (!decoded) {
+            which->close(link::close_reason::refused);
+            return;
+        }
+        const json& envelope = decoded.value();
+        const bool well_formed = envelope.is_array() && envelope.size() == 4 &&
+                                 envelope[0].is_string() &&
+                                 envelope[1].is_number_unsigned() &&
+                                 envelope[2].is_number_unsigned();
+        if (!well_formed) {
+            which->close(link::close_reason::refused);
+            return;
+        }
+        const auto kind = envelope[1].get<unsigned>();
+        const auto call_id = envelope[2].get<std::uint64_t>();
+        if (kind == static_cast<unsigned>(message_kind::reply)) {
+            finish_call(call_id, envelope[3]);
+            return;
+        }
+        if (kind == static_cast<unsigned>(message_kind::error_reply)) {
+            finish_call(call_id, read_error(envelope[3]));
+            return;
+        }
+        dispatch(which, envelope[0].get_ref<const std::string&>(), kind,
+                 call_id, envelope[3]);
+    }
+
+    static result<json> read_error(const json& body)
+    {
+        if (!body.is_array() || body.size() != 2 ||
+            !body[0].is_number_unsigned() || !body[1].is_string() ||
+            body[0].get<unsigned>() > static_cast<unsigned>(errc::internal)) {
+            return fail(errc::malformed_input, "error reply");
+        }
+        return fail(static_cast<errc>(body[0].get<std::uint16_t>()),
+                    body[1].get<std::string>());
+    }
+
+    void dispatch(link* which, const std::string& type, unsigned kind,
+                  std::uint64_t call_id, const json& body)
+    {
+        const auto found = handlers.find(type);
+        const bool wants_reply =
+            kind == static_cast<unsigned>(message_kind::request);
+        reply_sink sink = [](const result<json>&) {};
+        if (wants_reply) {
+            sink = [this, which, call_id, guard = alive](result<json> reply) {
+                if (*guard) {
+                    send_reply(which, call_id, std::move(reply));
+                }
+            };
+        }
+        if (found == handlers.end()) {
+            sink(fail(errc::not_found, "no handler for " + type));
+            return;
+        }
+        // The handler may close the link that holds the peer's description.
+        const peer_info peer = which->peer();
+        found->second(peer, body, sink);
+    }
+
+    void send_reply(link* which, std::uint64_t call_id, result<json> reply)
+    {
+        const bool exists =
+            std::any_of(links.begin(), links.end(), [which](const auto& l) {
+                return l.get() == which && l->up();
+            });
+        if (!exists) {
+            return;
+        }
+        if (reply) {
+            send_on(which, "", message_kind::reply, call_id,
+                    std::move(reply).value());
+            return;
+        }
+        send_on(which, "", message_kind::error_reply, call_id,
+                json::array({static_cast<unsigned>(reply.error().code),
+                             reply.error().detail}));
+    }
+};
+
+link_hub::link_hub(event_loop& loop, options settings)
+    : impl_(std::make_unique<impl>(loop, std::move(settings)))
+{}
+
+link_hub::~link_hub()
+{
+    *impl_->alive = false;
+    impl_->observers.clear();
+    impl_->targets.clear();
+    impl_->links.clear();
+    if (impl_->listener >= 0) {
+        impl_->accept_watcher.reset();
+        ::close(impl_->listener);
+    }
+}
+
+result<address> link_hub::listen(const address& where)
+{
+    BOOST_OUTCOME_TRY(descriptor, listen_on(where));
+    impl_->listener = descriptor;
+    impl_->accept_watcher = std::make_unique<io_watcher>(
+        impl_->loop, impl_->listener,
+        [this](io_event) { impl_->accept_links(); });
+    impl_->accept_watcher->await(io_event::read);
+    return local_address(impl_->listener);
+}
+
+void link_hub::dial(const node_id& peer, const address& where)
+{
+    auto [entry, added] = impl_->targets.try_emplace(peer);
+    if (!added && entry->second.where == where) {
+        return;
+    }
+    entry->second.where = where;
+    if (added) {
+        entry->second.redial = std::make_unique<timer>(
+            impl_->loop, [this, peer] { impl_->dial_now(peer); });
+    }
+    impl_->dial_now(peer);
+}
+
+void link_hub::forget(const node_id& peer)
+{
+    impl_->targets.erase(peer);
+    const auto found = impl_->by_peer.find(peer);
+    if (found == impl_->by_peer.end()) {
+        return;
+    }
+    const auto links = found->second;
+    for (link* each : links) {
+        each->close(link::close_reason::dropped);
+    }
+}
+
+void link_hub::on_peer_state(
+    std::function<void(const peer_info&, bool up)> handler)
+{
+    impl_->observers.push_back(std::move(handler));
+}
+
+bool link_hub::is_up(const node_id& peer) const
+{
+    return impl_->by_peer.contains(peer);
+}
+
+std::vector<peer_info> link_hub::peers_up() const
+{
+    std::vector<peer_info> out;
+    out.reserve(impl_->by_peer.size());
+    for (const auto& [node, links] : impl_->by_peer) {
+        out.push_back(links.front()->peer());
+    }
+    return out;
+}
+
+const peer_info& link_hub::self() const noexcept
+{
+    return impl_->settings.self;
+}
+
+link_hub::traffic link_hub::totals() const noexcept
+{
+    traffic out = impl_->closed_totals;
+    for (const auto& each : impl_->links) {
+        if (each->closed()) {
+            continue;
+        }
+        out.bytes_sent += each->bytes_sent();
+        out.bytes_received += each->bytes_received();
+    }
+    return out;
+}
+
+std::size_t link_hub::queued_bytes(const node_id& peer) const
+{
+    link* found = impl_->link_to(peer);
+    return found == nullptr ? 0 : found->queued_bytes();
+}
+
+void link_hub::add_handler(std::string_view type, handler function)
+{
+    impl_->handlers.insert_or_assign(std::string(type), std::move(function));
+}
+
+bool link_hub::send_envelope(const node_id& peer, std::string_view type,
+                             message_kind kind, std::uint64_t call_id,
+                             json body)
+{
+    link* found = impl_->link_to(peer);
+    return found != nullptr &&
+           impl_->send_on(found, type, kind, call_id, std::move(body));
+}
+
+void link_hub::call_document(const node_id& peer, std::string_view type,
+                             json body, duration deadline, reply_sink callback)
+{
+    link* via = impl_->link_to(peer);
+    const std::uint64_t id = impl_->next_call++;
+    auto& call = impl_->calls[id];
+    call.peer = peer;
+    call.via = via;
+    call.callback = std::move(callback);
+    call.deadline = std::make_unique<timer>(impl_->loop, [this, id] {
+        impl_->finish_call(
+            id, fail(errc::deadline_exceeded, "no reply within the deadline"));
+    });
+    call.deadline->start_once(deadline);
+    if (via == nullptr || !impl_->send_on(via, type, message_kind::request, id,
+                                          std::move(body))) {
+        impl_->loop.post([this, id, guard = impl_->alive] {
+            if (*guard) {
+                impl_->finish_call(
+                    id, fail(errc::connection_failed, "no link to the peer"));
+            }
+        });
+    }
+}
+
+} // namespace bamboogate::net
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,200 @@
+#include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/http_server.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace bamboogate;
+using namespace bamboogate::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+class http_fixture
+{
+public:
+    event_loop loop;
+    http_client client{loop};
+    std::unique_ptr<http_server> server;
+
+    void serve(http_server::handler handler, http_server::options settings = {})
+    {
+        settings.where = {"127.0.0.1", 0};
+        auto started = http_server::start(loop, settings, std::move(handler));
+        REQUIRE(started);
+        server = std::move(started).value();
+    }
+
+    [[nodiscard]] std::string url(const std::string& path) const
+    {
+        return "http://" + server->where().text() + path;
+    }
+
+    http_client::outcome_type fetch(http_client::request what)
+    {
+        std::optional<http_client::outcome_type> end;
+        const auto transfer = client.start(
+            std::move(what), {.on_headers = {},
+                              .on_data = {},
+                              .on_done = [&](http_client::outcome_type r) {
+                                  end.emplace(std::move(r));
+                              }});
+        REQUIRE(run_until([&] { return end.has_value(); }));
+        return *end;
+    }
+
+    template <typename Condition>
+    bool run_until(Condition condition, duration limit = 5s)
+    {
+        timer tick(loop, [] {});
+        tick.start_periodic(1ms);
+        const time_point end = loop.now() + limit;
+        while (!condition() && loop.now() < end) {
+            loop.run_once();
+        }
+        return condition();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_whole_answer_arrives")
+{
+    serve(
+        [](const http_request& request, const std::shared_ptr<responder>& out) {
+            CHECK(request.method == "POST");
+            CHECK(request.path == "/echo");
+            CHECK(request.query == "q=1");
+            out->respond(201, {{"x-seen", "yes"}}, request.body);
+        });
+    const auto end = fetch({.method = "POST",
+                            .url = url("/echo?q=1"),
+                            .body = std::string(100'000, 'b')});
+    REQUIRE(end);
+    CHECK(end.value().status == 201);
+    CHECK(end.value().body.size() == 100'000);
+    CHECK(end.value().headers.find("x-seen") == "yes");
+}
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_stream_delivers_in_pieces")
+{
+    std::shared_ptr<responder> held;
+    serve([&](const http_request&, const std::shared_ptr<responder>& out) {
+        held = out;
+        out->begin_stream(200, {{"content-type", "text/event-stream"}});
+    });
+    std::string received;
+    bool done = false;
+    const auto transfer = client.start(
+        {.url = url("/stream")},
+        {.on_headers = {},
+         .on_data = [&](std::string_view bytes) { received.append(bytes); },
+         .on_done =
+             [&](http_client::outcome_type r) {
+                 CHECK(r);
+                 done = true;
+             }});
+    REQUIRE(run_until([&] { return held != nullptr; }));
+    for (int i = 0; i < 10; ++i) {
+        held->write("piece;");
+        const std::size_t expected = 6 * (static_cast<std::size_t>(i) + 1);
+        REQUIRE(run_until([&] { return received.size() == expected; }));
+    }
+    held->finish();
+    CHECK(run_until([&] { return done; }));
+}
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_aborted_stream_is_seen_as_cut")
+{
+    serve([&](const http_request&, const std::shared_ptr<responder>& out) {
+        out->begin_stream(200, {});
+        out->write("half");
+        loop.post([out] { out->abort(); });
+    });
+    const auto end = fetch({.url = url("/")});
+    REQUIRE_FALSE(end);
+    CHECK(end.error().bytes_may_have_left);
+}
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_oversized_body_is_refused")
+{
+    bool called = false;
+    serve([&](const http_request&,
+              const std::shared_ptr<responder>&) { called = true; },
+          {.max_body_bytes = 1000});
+    const auto end = fetch(
+        {.method = "POST", .url = url("/"), .body = std::string(50'000, 'b')});
+    REQUIRE(end);
+    CHECK(end.value().status == 413);
+    CHECK_FALSE(called);
+}
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_header_flood_is_refused")
+{
+    bool called = false;
+    serve([&](const http_request&, const std::shared_ptr<responder>&) {
+        called = true;
+    });
+    http_headers many;
+    for (int i = 0; i < 500; ++i) {
+        many.add("x-flood-" + std::to_string(i), std::string(100, 'h'));
+    }
+    const auto end = fetch({.url = url("/"), .headers = many});
+    CHECK_FALSE(called);
+    if (end) {
+        CHECK(end.value().status == 431);
+    }
+}
+
+TEST_CASE_FIXTURE(http_fixture, "http_server_caller_leaves_handler_is_told")
+{
+    std::shared_ptr<responder> held;
+    bool closed = false;
+    serve([&](const http_request&, const std::shared_ptr<responder>& out) {
+        held = out;
+        out->begin_stream(200, {});
+        out->write("start");
+        out->on_closed([&](bool complete) {
+            CHECK_FALSE(complete);
+            closed = true;
+        });
+    });
+    bool some = false;
+    auto transfer = client.start(
+        {.url = url("/")}, {.on_headers = {},
+                            .on_data = [&](std::string_view) { some = true; },
+                            .on_done = {}});
+    REQUIRE(run_until([&] { return some; }));
+    transfer.reset();
+    timer ping(loop, [&] { held->write(":\n\n"); });
+    ping.start_periodic(5ms);
+    CHECK(run_until([&] { return closed; }));
+    CHECK(held->closed());
+}
+
+// Guards I4: only a failed connect proves that no byte has left.
+TEST_CASE_FIXTURE(http_fixture, "http_client_connect_refused_sent_nothing")
+{
+    const auto socket = listen_on({"127.0.0.1", 0});
+    REQUIRE(socket);
+    const auto where = local_address(socket.value());
+    // A bound port without a listener is refused at once.
+    serve([](const http_request&, const std::shared_ptr<responder>&) {});
+    const auto free_port = server->where();
+    server.reset();
+    const auto end = fetch({.url = "http://" + free_port.text() + "/"});
+    REQUIRE_FALSE(end);
+    CHECK(end.error().reason.code == errc::connection_failed);
+    CHECK_FALSE(end.error().bytes_may_have_left);
+
+    // This socket accepts in the kernel and never answers.
+    const auto silent =
+        fetch({.url = "http://" + where.text() + "/", .total_timeout = 100ms});
+    REQUIRE_FALSE(silent);
+    CHECK(silent.error().reason.code == errc::deadline_exceeded);
+    CHECK(silent.error().bytes_may_have_left);
+}
--- /dev/null
+++ b/tests/net/link_hub_test.cpp
@@ -0,0 +1,146 @@
+#include <bamboogate/net/link_hub.hpp>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace bamboogate;
+using namespace bamboogate::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct note
+{
+    static constexpr std::string_view type = "note";
+    std::string text;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(note, text)
+};
+
+struct question
+{
+    static constexpr std::string_view type = "question";
+    int number = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(question, number)
+};
+
+struct answer
+{
+    static constexpr std::string_view type = "answer";
+    int number = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(answer, number)
+};
+
+class link_fixture
+{
+public:
+    event_loop loop;
+
+    std::unique_ptr<link_hub> make_hub(const std::string& name,
+                                       const std::string& key = "shared")
+    {
+        return std::make_unique<link_hub>(
+            loop, link_hub::options{.self = {node_id(name), incarnation{1},
+                                             failure_domain_id("south")},
+                                    .shared_secret = secret(key),
+                                    .heartbeat_interval = 20ms,
+                                    .silence_limit = 150ms,
+                                    .redial_interval = 10ms});
+    }
+
+    /// Runs the loop until the condition holds; false after the limit.
+    template <typename Condition>
+    bool run_until(Condition condition, duration limit = 3s)
+    {
+        timer tick(loop, [] {});
+        tick.start_periodic(1ms);
+        const time_point end = loop.now() + limit;
+        while (!condition() && loop.now() < end) {
+            loop.run_once();
+        }
+        return condition();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(link_fixture, "link_hub_same_secret_exchanges_messages")
+{
+    auto a = make_hub("a");
+    auto b = make_hub("b");
+    const auto where = b->listen({"127.0.0.1", 0});
+    REQUIRE(where);
+    std::vector<std::string> received;
+    b->on<note>([&](const peer_info& peer, const note& message) {
+        CHECK(peer.node == node_id("a"));
+        received.push_back(message.text);
+    });
+    b->serve<question, answer>(
+        [](const peer_info&, const question& q,
+           const link_hub::reply_function<answer>& reply) {
+            if (q.number < 0) {
+                reply(fail(errc::invalid_argument, "negative"));
+                return;
+            }
+            reply(answer{q.number * 2});
+        });
+    a->dial(node_id("b"), where.value());
+    REQUIRE(run_until([&] { return a->is_up(node_id("b")); }));
+    REQUIRE(run_until([&] { return b->is_up(node_id("a")); }));
+
+    CHECK(a->send(node_id("b"), note{"first"}));
+    CHECK(a->send(node_id("b"), note{std::string(1u << 20, 'x')}));
+    REQUIRE(run_until([&] { return received.size() == 2; }));
+    CHECK(received[0] == "first");
+    CHECK(received[1].size() == 1u << 20);
+
+    int doubled = 0;
+    errc refused = errc::internal;
+    a->call<question, answer>(node_id("b"), question{21}, 1s,
+                              [&](result<answer> r) {
+                                  REQUIRE(r);
+                                  doubled = r.value().number;
+                              });
+    a->call<question, answer>(node_id("b"), question{-1}, 1s,
+                              [&](result<answer> r) {
+                                  REQUIRE_FALSE(r);
+                                  refused = r.error().code;
+                              });
+    CHECK(run_until(
+        [&] { return doubled == 42 && refused == errc::invalid_argument; }));
+}
+
+// Guards against a process without the secret joining the system.
+TEST_CASE_FIXTURE(link_fixture, "link_hub_wrong_secret_never_comes_up")
+{
+    auto a = make_hub("a", "wrong");
+    auto b = make_hub("b");
+    const auto where = b->listen({"127.0.0.1", 0});
+    REQUIRE(where);
+    a->dial(node_id("b"), where.value());
+    CHECK(run_until([&] { return b->totals().links_refused > 1; }));
+    CHECK_FALSE(a->is_up(node_id("b")));
+    CHECK_FALSE(b->is_up(node_id("a")));
+}
+
+// Guards against a connection that a middle box has forgotten: it must be
+// closed and replaced although no reset ever arrives.
+TEST_CASE_FIXTURE(link_fixture, "link_hub_peer_stops_reading_link_closes")
+{
+    auto a = make_hub("a");
+    const auto silent = listen_on({"127.0.0.1", 0});
+    REQUIRE(silent);
+    a->dial(node_id("b"), local_address(silent.value()));
+    CHECK(run_until([&] { return a->totals().links_closed_silent >= 2; }));
+}
+
+TEST_CASE_FIXTURE(link_fixture, "link_hub_call_without_link_reports_failure")
+{
+    auto a = make_hub("a");
+    errc code = errc::internal;
+    a->call<question, answer>(node_id("nobody"), question{1}, 1s,
+                              [&](result<answer> r) { code = r.error().code; });
+    CHECK(run_until([&] { return code == errc::connection_failed; }));
+}
