Add the network layer, core types and the build

The shared types of declarations, replicated state and log events are fixed here so that parts can be built side by side. Weighed: websocketpp with its own transport (rejected: the task would not own its socket) and one libmicrohttpd daemon (rejected: it walks all suspended connections after each resume).

--- /dev/null
+++ b/lib/include/bamboogate/observability/logger.hpp
@@ -0,0 +1,65 @@
+#ifndef BAMBOOGATE_OBSERVABILITY_LOGGER_HPP
+#define BAMBOOGATE_OBSERVABILITY_LOGGER_HPP
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace bamboogate::observability {
+
+enum class severity : std::uint8_t
+{
+    debug,
+    info,
+    warning,
+    error,
+};
+
+[[nodiscard]] std::string_view name_of(severity level) noexcept;
+
+/// A numbered kind of log line. Every area defines its own as constants in
+/// `<area>/log_events.hpp`; `docs/events.md` lists all of them. Numbers:
+/// net 100, consensus 200, control 300, routing 400, scheduling 500,
+/// streaming 600, orders 700, gate 800, config 900.
+struct log_event
+{
+    unsigned number;
+    severity level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// One `key=value` of a log line.
+struct log_field
+{
+    template <typename T>
+    log_field(std::string_view field_key, const T& field_value)
+        : key(field_key), value(fmt::format("{}", field_value))
+    {}
+
+    std::string_view key;
+    std::string value;
+};
+
+/// @brief Drops events below this severity from now on. Default: info.
+void set_log_level(severity level) noexcept;
+
+/// @brief Names the process in every following line.
+void set_log_source(std::string_view source);
+
+/// @brief Writes one line to standard error: time, level, source, event
+///     number and name, then the fields. Values with spaces, quotes or
+///     control characters are quoted and escaped. Thread safe.
+void log(const log_event& event, std::initializer_list<log_field> fields = {});
+
+/// @brief The line that `log` would write, without the time.
+[[nodiscard]] std::string
+format_log_line(const log_event& event,
+                std::initializer_list<log_field> fields);
+
+} // namespace bamboogate::observability
+
+#endif
--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -160,8 +160,9 @@
                              static_cast<curl_off_t>(request_.body.size()));
         }
         for (const auto& [name, value] : request_.headers) {
-            header_list_ =
-                curl_slist_append(header_list_, (name + ": " + value).c_str());
+            std::string line = name;
+            line.append(": ").append(value);
+            header_list_ = curl_slist_append(header_list_, line.c_str());
         }
         // Without this the library waits for "100 Continue" on large bodies.
         header_list_ = curl_slist_append(header_list_, "Expect:");
