--- a/lib/source/observability/logger.cpp
+++ b/lib/source/observability/logger.cpp
@@ -29,7 +29,7 @@
     return false;
 }
 
-std::string quoted(std::string_view value)
+std::string escaped(std::string_view value)
 {
     std::string out = "\"";
     for (const char c : value) {
@@ -82,7 +82,7 @@
                                    event.number, event.name);
     for (const auto& field : fields) {
         line += fmt::format(" {}={}", field.key,
-                            needs_quotes(field.value) ? quoted(field.value)
+                            needs_quotes(field.value) ? escaped(field.value)
                                                       : field.value);
     }
     return line;
