--- a/lib/include/bamboogate/core/error.hpp
+++ b/lib/include/bamboogate/core/error.hpp
@@ -21,6 +21,7 @@
     in_progress, ///< the first call with this idempotency key still runs
     not_run,     ///< the request was certainly not run
     outcome_unknown,
+    generation_not_found, ///< no live gate holds it; it may have run
     not_leader,
     no_quorum,
     lease_expired,
--- a/lib/source/core/error.cpp
+++ b/lib/source/core/error.cpp
@@ -27,6 +27,8 @@
         return "not_run";
     case errc::outcome_unknown:
         return "outcome_unknown";
+    case errc::generation_not_found:
+        return "generation_not_found";
     case errc::not_leader:
         return "not_leader";
     case errc::no_quorum:
--- a/lib/source/net/http_server.cpp
+++ b/lib/source/net/http_server.cpp
@@ -14,7 +14,24 @@
 namespace {
 
 constexpr std::string_view too_large_body =
-    R"({"error":{"type":"limit_exceeded","message":"request body too large"}})";
+    R"({"error":{"type":"limit_exceeded","outcome":"refused",)"
+    R"("message":"request body too large"}})";
+constexpr std::string_view ambiguous_length_body =
+    R"({"error":{"type":"malformed_input","outcome":"refused",)"
+    R"("message":"the length of the body is ambiguous"}})";
+
+/// A request whose length two parties could read differently lets one sender
+/// smuggle a second request past the load balancer.
+bool length_is_ambiguous(const http_headers& headers)
+{
+    const auto count = [&headers](std::string_view name) {
+        return std::count_if(
+            headers.begin(), headers.end(),
+            [name](const auto& field) { return field.first == name; });
+    };
+    const auto lengths = count("content-length");
+    return lengths > 1 || (lengths == 1 && count("transfer-encoding") > 0);
+}
 
 /// One daemon of the library with its share of the connections.
 struct daemon_slot
@@ -291,6 +308,13 @@
                     std::string(too_large_body));
             return;
         }
+        if (length_is_ambiguous(request.headers)) {
+            respond(
+                MHD_HTTP_BAD_REQUEST,
+                {{"content-type", "application/json"}, {"connection", "close"}},
+                std::string(ambiguous_length_body));
+            return;
+        }
         server_->function(request, shared_from_this());
         request.body = {};
     }
--- /dev/null
+++ b/tests/net/http_fault_test.cpp
@@ -0,0 +1,135 @@
+#include <bamboogate/net/http_server.hpp>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "support/loop_runner.hpp"
+#include "support/raw_client.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::net;
+using bamboogate::tests::raw_client;
+using namespace std::chrono_literals;
+
+namespace {
+
+class raw_http_fixture
+{
+public:
+    raw_http_fixture()
+    {
+        auto started =
+            http_server::start(loop,
+                               {.where = {"127.0.0.1", 0},
+                                .max_body_bytes = 10'000,
+                                .idle_timeout = 1s},
+                               [this](const http_request& request,
+                                      const std::shared_ptr<responder>& out) {
+                                   ++handled;
+                                   out->respond(200, {}, request.body);
+                               });
+        REQUIRE(started);
+        server = std::move(started).value();
+    }
+
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    int handled = 0;
+};
+
+} // namespace
+
+// Guards against input that hangs or crashes the server, or that reaches the
+// handler although it is not a whole request.
+TEST_CASE_FIXTURE(raw_http_fixture, "http_server_bad_input_is_refused")
+{
+    struct fault
+    {
+        const char* name;
+        std::string input;
+        const char* status; ///< empty: the connection is closed unanswered
+    };
+    const fault faults[] = {
+        {"not HTTP", "\x16\x03\x01\x02\x00\r\n\r\n", ""},
+        {"no method", " / HTTP/1.1\r\n\r\n", ""},
+        {"two content lengths",
+         "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n"
+         "content-length: abc\r\n\r\nabc",
+         "400"},
+        {"length and chunks",
+         "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n"
+         "transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"negative content length",
+         "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -5\r\n\r\n", "400"},
+        {"huge content length",
+         "POST / HTTP/1.1\r\nhost: x\r\n"
+         "content-length: 99999999999999999999999\r\n\r\n",
+         "413"},
+        {"bad chunk size",
+         "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+         "zz\r\nabc\r\n0\r\n\r\n",
+         "400"},
+        {"long request line",
+         "GET /" + std::string(40'000, 'a') + " HTTP/1.1\r\n\r\n", "414"},
+        {"long header",
+         "GET / HTTP/1.1\r\nhost: x\r\nx: " + std::string(40'000, 'h') +
+             "\r\n\r\n",
+         "431"},
+    };
+    for (const auto& each : faults) {
+        CAPTURE(each.name);
+        raw_client client(loop, server->where());
+        client.send(each.input);
+        REQUIRE(tests::run_until(
+            loop, [&] { return client.closed() || !client.received().empty(); },
+            4s));
+        if (*each.status == '\0') {
+            CHECK(client.closed());
+            CHECK(client.received().empty());
+            continue;
+        }
+        const std::string expected = std::string("HTTP/1.1 ") + each.status;
+        CHECK(client.received().substr(0, expected.size()) == expected);
+    }
+    CHECK(handled == 0);
+}
+
+// Guards against senders that hold connections open without ending a request.
+TEST_CASE_FIXTURE(raw_http_fixture, "http_server_slow_sender_is_closed")
+{
+    raw_client client(loop, server->where());
+    client.send("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc");
+    CHECK(tests::run_until(
+        loop, [&] { return client.closed(); }, 5s));
+    CHECK(handled == 0);
+}
+
+TEST_CASE_FIXTURE(raw_http_fixture, "http_server_split_request_is_assembled")
+{
+    raw_client client(loop, server->where());
+    const std::string whole = "POST /p HTTP/1.1\r\nhost: x\r\n"
+                              "content-length: 4\r\n\r\nbody";
+    for (const char c : whole) {
+        client.send(std::string(1, c));
+        tests::run_until(
+            loop, [] { return false; }, 1ms);
+    }
+    CHECK(tests::run_until(loop, [&] { return handled == 1; }));
+    CHECK(tests::run_until(loop, [&] {
+        return client.received().find("body") != std::string::npos;
+    }));
+}
+
+TEST_CASE_FIXTURE(raw_http_fixture, "http_server_pipelined_requests_all_run")
+{
+    raw_client client(loop, server->where());
+    std::string input;
+    for (int i = 0; i < 5; ++i) {
+        input += "GET /p HTTP/1.1\r\nhost: x\r\n\r\n";
+    }
+    client.send(input);
+    CHECK(tests::run_until(loop, [&] { return handled == 5; }));
+}
