--- /dev/null
+++ b/lib/include/bamboogate/control/messages.hpp
@@ -0,0 +1,160 @@
+#ifndef BAMBOOGATE_CONTROL_MESSAGES_HPP
+#define BAMBOOGATE_CONTROL_MESSAGES_HPP
+
+#include <bamboogate/control/declarations.hpp>
+#include <bamboogate/core/ids.hpp>
+#include <bamboogate/core/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bamboogate::control {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// Gate to leader: asks for a new configuration lease.
+struct gate_renew
+{
+    static constexpr std::string_view type = "gate_renew";
+    node_id gate;
+    bamboogate::incarnation incarnation;
+    bamboogate::revision applied_revision;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gate_renew, gate, incarnation,
+                                   applied_revision)
+};
+
+/// Leader to gate: the lease runs from the time the renewal was sent.
+struct gate_grant
+{
+    static constexpr std::string_view type = "gate_grant";
+    bamboogate::revision revision;
+    std::uint64_t lease_ms = 0;
+    /// The wire form of a `configuration`, or null when the gate has it.
+    json configuration;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gate_grant, revision, lease_ms,
+                                   configuration)
+};
+
+/// Leader to gate, right after a commit; grants no lease.
+struct config_push
+{
+    static constexpr std::string_view type = "config_push";
+    json configuration;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(config_push, configuration)
+};
+
+/// Gate to leader: a pushed revision is applied.
+struct config_applied
+{
+    static constexpr std::string_view type = "config_applied";
+    node_id gate;
+    bamboogate::incarnation incarnation;
+    bamboogate::revision revision;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(config_applied, gate, incarnation, revision)
+};
+
+/// Names one attempt of a gate to run a non-idempotent call. `control_client`
+/// fills gate, incarnation and `call_number` of a `call_begin`; take the whole
+/// value from the begun call for the messages that follow.
+struct call_ticket
+{
+    client_account_id account;
+    std::string idempotency_key;
+    node_id gate;
+    bamboogate::incarnation gate_incarnation;
+    /// Differs between calls of one gate, and is the same in the resends of
+    /// one call: a resend gets `run` again, another call does not.
+    std::uint64_t call_number = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_ticket, account, idempotency_key, gate,
+                                   gate_incarnation, call_number)
+};
+
+/// Gate to leader: asks for the right to dispatch a non-idempotent call.
+struct call_begin
+{
+    static constexpr std::string_view type = "call_begin";
+    call_ticket ticket;
+    service_id service;
+    /// SHA-256 of method, path and body, in lower-case hexadecimal.
+    std::string body_digest;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_begin, ticket, service, body_digest)
+};
+
+enum class decision_kind : std::uint8_t
+{
+    run,         ///< the asking gate alone may dispatch, once
+    answered,    ///< the stored answer follows
+    in_progress, ///< another call with this key has not ended
+    unknown,     ///< it may have run; it is never sent again
+    key_reused,  ///< the key was used with another body
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(decision_kind,
+                             {{decision_kind::unknown, "unknown"},
+                              {decision_kind::run, "run"},
+                              {decision_kind::answered, "answered"},
+                              {decision_kind::in_progress, "in_progress"},
+                              {decision_kind::key_reused, "key_reused"}})
+
+/// The stored answer of a plain service.
+struct stored_answer
+{
+    unsigned status = 0;
+    header_list headers;
+    std::string body;
+
+    bool operator==(const stored_answer&) const = default;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(stored_answer, status, headers, body)
+};
+
+/// Leader to gate: what to do with a call.
+struct call_decision
+{
+    static constexpr std::string_view type = "call_decision";
+    decision_kind kind = decision_kind::unknown;
+    /// Set with `run`: goes into the messages that end this call.
+    call_ticket ticket;
+    /// Set with `answered`.
+    stored_answer answer;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_decision, kind, ticket, answer)
+};
+
+/// Gate to leader: the service has answered.
+struct call_complete
+{
+    static constexpr std::string_view type = "call_complete";
+    call_ticket ticket;
+    stored_answer answer;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_complete, ticket, answer)
+};
+
+/// Gate to leader: bytes may have left, and no answer came.
+struct call_unknown
+{
+    static constexpr std::string_view type = "call_unknown";
+    call_ticket ticket;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_unknown, ticket)
+};
+
+/// Gate to leader: certainly no byte left, and none will.
+struct call_abort
+{
+    static constexpr std::string_view type = "call_abort";
+    call_ticket ticket;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_abort, ticket)
+};
+
+/// Leader to gate: the end of a call is committed.
+struct call_recorded
+{
+    static constexpr std::string_view type = "call_recorded";
+    bool recorded = true;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_recorded, recorded)
+};
+
+} // namespace bamboogate::control
+
+#endif
