Run calls to plain services; stop the HTTP server with open requests

Cause: the failure table of service calls ended the process: libmicrohttpd aborts when it is stopped while connections are suspended. Ruled out: waiting for open requests in the destructor, because a silent upstream can keep one open for good. Change: the server breaks open exchanges before it stops.

--- a/lib/source/net/http_server.cpp
+++ b/lib/source/net/http_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <set>
 #include <vector>
 
 namespace bamboogate::net {
@@ -60,6 +61,7 @@
     timer housekeeping;
     timer flush_timer;
     std::vector<std::shared_ptr<exchange>> to_resume;
+    std::set<exchange*> open_exchanges;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     impl(event_loop& l, const options& o, handler f)
@@ -189,7 +191,7 @@
             *upload_size = 0;
             return MHD_YES;
         }
-        if (!dispatched_) {
+        if (!dispatched_ && server_ != nullptr) {
             dispatched_ = true;
             dispatch();
         }
@@ -226,7 +228,14 @@
         }
     }
 
-    void server_gone() { server_ = nullptr; }
+    /// Breaks the connection now and forgets the server.
+    void server_stopping()
+    {
+        aborted_ = true;
+        finished_ = true;
+        resume();
+        server_ = nullptr;
+    }
 
     http_request request;
 
@@ -257,7 +266,7 @@
             output_.clear();
             output_offset_ = 0;
         }
-        if (on_drained_) {
+        if (on_drained_ && server_ != nullptr) {
             // Answering code may call back into this object.
             server_->loop.post([self = shared_from_this()] {
                 if (self->on_drained_) {
@@ -286,7 +295,7 @@
 
     void collect_body(const char* bytes, std::size_t size)
     {
-        if (too_large_) {
+        if (too_large_ || server_ == nullptr) {
             return;
         }
         if (request.body.size() + size > server_->settings.max_body_bytes) {
@@ -386,12 +395,16 @@
         ::close(listener);
         listener = -1;
     }
-    for (auto& each : std::exchange(to_resume, {})) {
-        each->resume();
+    to_resume.clear();
+    // The library ends the process when it is stopped with suspended
+    // connections.
+    for (exchange* each : open_exchanges) {
+        each->server_stopping();
     }
     for (auto& slot : daemons) {
         slot.watcher.reset();
         if (slot.daemon != nullptr) {
+            MHD_run(slot.daemon);
             MHD_stop_daemon(slot.daemon);
         }
     }
@@ -513,11 +526,12 @@
             return MHD_YES;
         },
         &created->request);
+    self->open_exchanges.insert(created.get());
     *state = new std::shared_ptr<exchange>(std::move(created));
     return MHD_YES;
 }
 
-void http_server::impl::on_completed(void*, MHD_Connection*, void** state,
+void http_server::impl::on_completed(void* cls, MHD_Connection*, void** state,
                                      MHD_RequestTerminationCode code)
 {
     auto* holder = static_cast<std::shared_ptr<exchange>*>(*state);
@@ -525,6 +539,7 @@
         return;
     }
     *state = nullptr;
+    static_cast<impl*>(cls)->open_exchanges.erase(holder->get());
     (*holder)->connection_ended(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     delete holder;
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace bamboogate;
 using namespace bamboogate::net;
@@ -198,3 +199,35 @@
     CHECK(silent.error().reason.code == errc::deadline_exceeded);
     CHECK(silent.error().bytes_may_have_left);
 }
+
+// Guards against libmicrohttpd ending the process when the server is stopped
+// while requests wait for their answer.
+TEST_CASE_FIXTURE(http_fixture, "http_server_destroyed_open_requests_are_cut")
+{
+    std::vector<std::shared_ptr<responder>> held;
+    serve([&](const http_request& request,
+              const std::shared_ptr<responder>& out) {
+        held.push_back(out);
+        if (request.path == "/stream") {
+            out->begin_stream(200, {});
+            out->write("start");
+        }
+    });
+    int cut = 0;
+    std::vector<std::unique_ptr<http_transfer>> transfers;
+    for (const char* path : {"/stream", "/waiting"}) {
+        transfers.push_back(client.start(
+            {.url = url(path)}, {.on_headers = {},
+                                 .on_data = {},
+                                 .on_done = [&](http_client::outcome_type end) {
+                                     cut += end ? 0 : 1;
+                                 }}));
+    }
+    REQUIRE(run_until([&] { return held.size() == 2; }));
+    server.reset();
+    CHECK(run_until([&] { return cut == 2; }));
+    for (const auto& each : held) {
+        CHECK(each->closed());
+        each->write("late");
+    }
+}
--- /dev/null
+++ b/tests/orders/service_call_test.cpp
@@ -0,0 +1,281 @@
+#include <bamboogate/net/http_server.hpp>
+#include <bamboogate/orders/at_most_once_call.hpp>
+#include <bamboogate/orders/idempotent_call.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "support/loop_runner.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::orders;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A journal in memory with one answer prepared for each step.
+struct scripted_journal
+{
+    net::event_loop& loop;
+    result<control::call_decision> decision =
+        control::call_decision{control::decision_kind::run, {}, {}};
+    result<void> recorded = outcome::success();
+    std::vector<std::string> steps;
+
+    void begin_call(const control::call_begin&, duration,
+                    std::function<void(result<control::call_decision>)> done)
+    {
+        steps.emplace_back("begin");
+        loop.post([this, done] { done(decision); });
+    }
+    void complete_call(const control::call_complete&, duration,
+                       std::function<void(result<void>)> done)
+    {
+        record("complete", done);
+    }
+    void mark_unknown(const control::call_unknown&, duration,
+                      std::function<void(result<void>)> done)
+    {
+        record("unknown", done);
+    }
+    void abort_call(const control::call_abort&, duration,
+                    std::function<void(result<void>)> done)
+    {
+        record("abort", done);
+    }
+
+private:
+    void record(const char* step, std::function<void(result<void>)> done)
+    {
+        steps.emplace_back(step);
+        loop.post([this, done] { done(recorded); });
+    }
+};
+
+enum class behaviour
+{
+    answer,
+    close_unanswered, ///< runs the call, then closes the connection
+    refuse,           ///< nobody listens
+    silent,           ///< runs the call and never answers
+};
+
+class service_fixture
+{
+public:
+    net::event_loop loop;
+    net::http_client client{loop};
+    scripted_journal journal{.loop = loop};
+    int runs = 0;
+    std::vector<std::unique_ptr<net::http_server>> servers;
+    std::vector<std::shared_ptr<net::responder>> held;
+    std::map<std::string, std::string> addresses;
+
+    void add_upstream(const std::string& name, behaviour how)
+    {
+        auto started = net::http_server::start(
+            loop, {.where = {"127.0.0.1", 0}, .daemons = 1},
+            [this, how](const net::http_request&,
+                        const std::shared_ptr<net::responder>& out) {
+                ++runs;
+                if (how == behaviour::answer) {
+                    out->respond(201, {{"content-type", "text/plain"}},
+                                 "booked");
+                } else if (how == behaviour::close_unanswered) {
+                    out->abort();
+                } else {
+                    held.push_back(out);
+                }
+            });
+        REQUIRE(started);
+        addresses[name] = started.value()->where().text();
+        if (how == behaviour::refuse) {
+            started.value().reset();
+            return;
+        }
+        servers.push_back(std::move(started).value());
+    }
+
+    [[nodiscard]] service_directory directory() const
+    {
+        return [this](const service_id&, std::span<const upstream_id> excluded)
+                   -> std::optional<service_target> {
+            for (const auto& [name, where] : addresses) {
+                const upstream_id id(name);
+                if (std::find(excluded.begin(), excluded.end(), id) ==
+                    excluded.end()) {
+                    return service_target{id, where};
+                }
+            }
+            return std::nullopt;
+        };
+    }
+
+    static service_request request()
+    {
+        return {.account = client_account_id("north"),
+                .idempotency_key = "k1",
+                .service = service_id("bookings"),
+                .method = "POST",
+                .path = "/book",
+                .headers = {{"authorization", "Bearer caller"}},
+                .body = "mule string 4",
+                .timeout = 300ms};
+    }
+
+    result<service_answer> run_once()
+    {
+        std::optional<result<service_answer>> end;
+        at_most_once_call<scripted_journal>::run(
+            journal, client, directory(), request(), {},
+            [&](result<service_answer> r) { end.emplace(std::move(r)); });
+        REQUIRE(tests::run_until(loop, [&] { return end.has_value(); }));
+        return *end;
+    }
+
+    result<service_answer> run_idempotent(int budget)
+    {
+        std::optional<result<service_answer>> end;
+        run_idempotent_call(
+            client, directory(), request(), [&] { return budget-- > 0; }, 3,
+            [&](result<service_answer> r) { end.emplace(std::move(r)); });
+        REQUIRE(tests::run_until(loop, [&] { return end.has_value(); }));
+        return *end;
+    }
+};
+
+} // namespace
+
+// Guards I4 and I5: at most one run at the service whatever its connection
+// does, and "not run" only when it did not run.
+TEST_CASE_FIXTURE(service_fixture, "at_most_once_call_service_faults_one_run")
+{
+    struct fault_case
+    {
+        const char* name;
+        std::vector<behaviour> upstreams;
+        std::optional<errc> failure;
+        int runs;
+        std::vector<std::string> steps;
+    };
+    const fault_case cases[] = {
+        {"answers",
+         {behaviour::answer},
+         std::nullopt,
+         1,
+         {"begin", "complete"}},
+        {"no upstream", {}, errc::not_run, 0, {"begin", "abort"}},
+        {"refused, then another answers",
+         {behaviour::refuse, behaviour::answer},
+         std::nullopt,
+         1,
+         {"begin", "complete"}},
+        {"all refuse",
+         {behaviour::refuse, behaviour::refuse},
+         errc::not_run,
+         0,
+         {"begin", "abort"}},
+        {"closes after running it",
+         {behaviour::close_unanswered, behaviour::answer},
+         errc::outcome_unknown,
+         1,
+         {"begin", "unknown"}},
+        {"never answers",
+         {behaviour::silent, behaviour::answer},
+         errc::outcome_unknown,
+         1,
+         {"begin", "unknown"}},
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        addresses.clear();
+        runs = 0;
+        journal.steps.clear();
+        int number = 0;
+        for (const auto how : each.upstreams) {
+            add_upstream("u" + std::to_string(number++), how);
+        }
+        const auto end = run_once();
+        CHECK(end.has_value() == !each.failure.has_value());
+        if (each.failure && !end) {
+            CHECK(end.error().code == *each.failure);
+        }
+        CHECK(runs == each.runs);
+        CHECK(journal.steps == each.steps);
+    }
+}
+
+// Guards against a dispatch that the journal did not allow.
+TEST_CASE_FIXTURE(service_fixture, "at_most_once_call_no_run_decision_no_run")
+{
+    add_upstream("u0", behaviour::answer);
+    using control::decision_kind;
+    const std::pair<decision_kind, errc> decisions[] = {
+        {decision_kind::in_progress, errc::in_progress},
+        {decision_kind::unknown, errc::outcome_unknown},
+        {decision_kind::key_reused, errc::key_reused},
+    };
+    for (const auto& [kind, code] : decisions) {
+        journal.decision = control::call_decision{kind, {}, {}};
+        const auto end = run_once();
+        REQUIRE_FALSE(end);
+        CHECK(end.error().code == code);
+    }
+    journal.decision = fail(errc::deadline_exceeded);
+    const auto undecided = run_once();
+    REQUIRE_FALSE(undecided);
+    CHECK(undecided.error().code == errc::outcome_unknown);
+
+    journal.decision = control::call_decision{
+        decision_kind::answered, {}, {200, {}, "first answer"}};
+    const auto replay = run_once();
+    REQUIRE(replay);
+    CHECK(replay.value().replayed);
+    CHECK(replay.value().answer.body == "first answer");
+    CHECK(runs == 0);
+}
+
+TEST_CASE_FIXTURE(service_fixture, "at_most_once_call_unrecorded_answer_kept")
+{
+    add_upstream("u0", behaviour::answer);
+    journal.recorded = fail(errc::deadline_exceeded);
+    const auto end = run_once();
+    REQUIRE(end);
+    CHECK(end.value().answer.body == "booked");
+}
+
+TEST_CASE_FIXTURE(service_fixture, "idempotent_call_failed_upstream_retried")
+{
+    add_upstream("u0", behaviour::close_unanswered);
+    add_upstream("u1", behaviour::answer);
+    const auto end = run_idempotent(1);
+    REQUIRE(end);
+    CHECK(end.value().answer.status == 201);
+    CHECK(runs == 2);
+}
+
+// Guards against retries that turn a failure into a flood.
+TEST_CASE_FIXTURE(service_fixture, "idempotent_call_empty_budget_no_retry")
+{
+    add_upstream("u0", behaviour::close_unanswered);
+    add_upstream("u1", behaviour::answer);
+    const auto end = run_idempotent(0);
+    REQUIRE_FALSE(end);
+    CHECK(end.error().code == errc::upstream_failed);
+    CHECK(runs == 1);
+}
+
+TEST_CASE("request_digest_shifted_bytes_differ")
+{
+    service_request a = service_fixture::request();
+    service_request b = a;
+    a.path = "/bookx";
+    b.body = "x" + b.body;
+    CHECK(request_digest(a) != request_digest(b));
+}
