--- /dev/null
+++ b/tests/fakes/token_source.hpp
@@ -0,0 +1,150 @@
+#ifndef BAMBOOGATE_TESTS_FAKES_TOKEN_SOURCE_HPP
+#define BAMBOOGATE_TESTS_FAKES_TOKEN_SOURCE_HPP
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <charconv>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboogate::fakes {
+
+enum class token_mode : std::uint8_t
+{
+    prefix,  ///< a token follows from the prompt and the tokens before it
+    sampled, ///< additionally from a seed that changes with every attempt
+};
+
+/// The deterministic generator of the engine stand-in. Tests compute the
+/// expected answer with the same code.
+class token_source
+{
+public:
+    explicit token_source(std::string_view prompt)
+        : state_(XXH3_64bits(prompt.data(), prompt.size()))
+    {}
+
+    /// @brief Goes on after a token that exists already.
+    void accept(std::string_view token)
+    {
+        state_ = XXH3_64bits_withSeed(token.data(), token.size(), state_);
+    }
+
+    /// @brief The next token in mode `prefix`; does not accept it.
+    [[nodiscard]] std::string next() const
+    {
+        return fmt::format("t{:x} ", state_ & 0xfffffu);
+    }
+
+    /// @brief The next token in mode `sampled`; carries its seed.
+    [[nodiscard]] std::string next(std::uint64_t seed) const
+    {
+        const std::uint64_t mixed =
+            XXH3_64bits_withSeed(&seed, sizeof seed, state_);
+        return fmt::format("s{:x}.{:x} ", seed, mixed & 0xfffffu);
+    }
+
+    /// @brief Checks that a token of mode `sampled` continues the prefix.
+    [[nodiscard]] bool continues(std::string_view token) const
+    {
+        if (!token.starts_with('s')) {
+            return false;
+        }
+        std::uint64_t seed = 0;
+        const auto [end, problem] = std::from_chars(
+            token.data() + 1, token.data() + token.size(), seed, 16);
+        return problem == std::errc{} && next(seed) == token;
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+/// @brief Length of the whole answer before `max_tokens` is applied: the
+///     number after `tokens=` in the prompt, or 16 to 143 by its hash.
+[[nodiscard]] inline std::size_t natural_length(std::string_view prompt)
+{
+    constexpr std::string_view key = "tokens=";
+    if (const auto found = prompt.find(key); found != prompt.npos) {
+        std::size_t length = 0;
+        const auto digits = prompt.substr(found + key.size());
+        const auto [end, problem] = std::from_chars(
+            digits.data(), digits.data() + digits.size(), length);
+        if (problem == std::errc{}) {
+            return length;
+        }
+    }
+    return 16 + XXH3_64bits(prompt.data(), prompt.size()) % 128;
+}
+
+/// @param max_tokens 0 means without limit
+[[nodiscard]] inline std::size_t answer_length(std::string_view prompt,
+                                               std::size_t max_tokens)
+{
+    const std::size_t length = natural_length(prompt);
+    return max_tokens == 0 || length < max_tokens ? length : max_tokens;
+}
+
+/// @brief The whole answer in mode `prefix`.
+[[nodiscard]] inline std::vector<std::string>
+expected_answer(std::string_view prompt, std::size_t max_tokens)
+{
+    token_source source(prompt);
+    std::vector<std::string> tokens(answer_length(prompt, max_tokens));
+    for (auto& token : tokens) {
+        token = source.next();
+        source.accept(token);
+    }
+    return tokens;
+}
+
+/// @brief Checks an answer of either mode, token by token and in length.
+[[nodiscard]] inline bool is_valid_answer(std::string_view prompt,
+                                          std::size_t max_tokens,
+                                          std::span<const std::string> answer,
+                                          token_mode mode)
+{
+    if (answer.size() != answer_length(prompt, max_tokens)) {
+        return false;
+    }
+    token_source source(prompt);
+    for (const auto& token : answer) {
+        const bool valid = mode == token_mode::prefix ? token == source.next()
+                                                      : source.continues(token);
+        if (!valid) {
+            return false;
+        }
+        source.accept(token);
+    }
+    return true;
+}
+
+/// @brief Size of a text in tokens, for the time that prefill takes.
+[[nodiscard]] inline std::size_t estimated_tokens(std::string_view text)
+{
+    constexpr std::size_t bytes_per_token = 4;
+    return text.size() / bytes_per_token + 1;
+}
+
+constexpr std::size_t prefix_block_bytes = 64;
+
+/// @brief Hashes of the whole blocks at the start of a prompt; hash k covers
+///     the first (k + 1) * 64 bytes. Engines publish these as cache events.
+[[nodiscard]] inline std::vector<std::uint64_t>
+prefix_hashes(std::string_view prompt)
+{
+    std::vector<std::uint64_t> out;
+    for (std::size_t end = prefix_block_bytes; end <= prompt.size();
+         end += prefix_block_bytes) {
+        out.push_back(XXH64(prompt.data(), end, 0));
+    }
+    return out;
+}
+
+} // namespace bamboogate::fakes
+
+#endif
