Add the interface of the streaming area

Cause: the gate daemon and routing build on generation_service, token_sink and engine_directory while the implementation is written. Change: headers only.

--- /dev/null
+++ b/lib/include/bamboogate/streaming/generation_service.hpp
@@ -0,0 +1,168 @@
+#ifndef BAMBOOGATE_STREAMING_GENERATION_SERVICE_HPP
+#define BAMBOOGATE_STREAMING_GENERATION_SERVICE_HPP
+
+#include <bamboogate/core/result.hpp>
+#include <bamboogate/net/event_loop.hpp>
+#include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/link_hub.hpp>
+#include <bamboogate/streaming/engine_directory.hpp>
+#include <bamboogate/streaming/generation_request.hpp>
+#include <bamboogate/streaming/silence_detector.hpp>
+#include <bamboogate/streaming/token_sink.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace bamboogate::streaming {
+
+/// Told of the course of generations, for scheduling and metrics. Each
+/// function is optional and must not destroy the service.
+struct generation_observers
+{
+    std::function<void(const request_id&)> on_first_token;
+    /// Tokens that an engine has generated since the last call.
+    std::function<void(const request_id&, std::uint64_t count)> on_tokens;
+    /// The generation ended at this gate: its outcome, or the failure.
+    std::function<void(const request_id&, const result<finish_info>&)>
+        on_finished;
+    /// A generation of another gate goes on here.
+    std::function<void(const request_id&, const generation_request&)>
+        on_taken_over;
+    /// An attempt ended without finishing: index reached so far.
+    std::function<void(const request_id&, attempt_outcome, std::uint64_t)>
+        on_attempt_lost;
+};
+
+struct generation_options
+{
+    silence_detector::options silence;
+    /// Attempts of one generation that may follow a failed one.
+    unsigned max_retries = 8;
+    /// Asked before each retry; false ends the generation. Optional.
+    std::function<bool(const request_id&, const generation_request&)> may_retry;
+    /// Time without any engine to choose before the generation fails.
+    duration no_engine_limit = std::chrono::seconds(5);
+    duration choose_interval = std::chrono::milliseconds(50);
+    /// The buddy is replaced when it has not acknowledged for this long.
+    duration buddy_ack_limit = std::chrono::milliseconds(400);
+    duration resend_interval = std::chrono::milliseconds(150);
+    /// After the loss of the last buddy tokens wait this long for another one,
+    /// so that a gate that was frozen learns first whether it was superseded.
+    duration alone_grace = std::chrono::seconds(2);
+    /// A generation whose caller is away this long ends.
+    duration absence_limit = std::chrono::seconds(30);
+    /// An ended generation can be read again for this long.
+    duration retention = std::chrono::seconds(30);
+    duration attach_deadline = std::chrono::milliseconds(300);
+    /// Search for the owner or a copy before a return fails.
+    duration attach_limit = std::chrono::seconds(4);
+    /// Tokens that no sink has taken; above, the engine stream is paused.
+    std::size_t max_unreleased_tokens = 4096;
+    std::size_t max_copies_bytes = 512u << 20;
+    /// False releases tokens before the buddy holds them (benchmark baseline;
+    /// unsafe under the loss of a gate).
+    bool release_after_copy = true;
+    /// False resumes from the beginning (benchmark baseline).
+    bool resume_from_prefix = true;
+    /// Peers that are gates; empty takes all peers.
+    std::function<bool(const node_id&)> is_gate;
+    generation_observers observers;
+};
+
+/// Totals since the start.
+struct generation_counters
+{
+    std::uint64_t started = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t superseded = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t attempts_reset = 0;
+    std::uint64_t attempts_silent = 0;
+    std::uint64_t attempts_refused = 0;
+    std::uint64_t attempts_malformed = 0;
+    std::uint64_t preempted = 0;
+    std::uint64_t tokens_generated = 0;
+    std::uint64_t tokens_released = 0;
+    /// Tokens released while no other gate was alive.
+    std::uint64_t tokens_without_copy = 0;
+    std::uint64_t takeovers = 0;
+    std::uint64_t buddy_changes = 0;
+    std::uint64_t copies_held = 0;
+    std::uint64_t copies_bytes = 0;
+    std::uint64_t copies_refused = 0;
+    std::uint64_t stale_events_dropped = 0;
+};
+
+/// Where a returning caller continues.
+struct attach_point
+{
+    std::uint64_t from_index = 0; ///< tokens that the caller has
+    std::uint64_t epoch = 0;      ///< last `token_sink::epoch`; 0 is unknown
+};
+
+/// All generations of a gate: engine attempts, copies at buddy gates, return
+/// of callers, takeover. Not thread safe.
+class generation_service
+{
+public:
+    /// All references must outlive the service. Registers its handlers with
+    /// the hub; one service per hub.
+    generation_service(net::event_loop& loop, net::link_hub& hub,
+                       net::http_client& client, engine_directory& directory,
+                       generation_options settings);
+    ~generation_service();
+    generation_service(const generation_service&) = delete;
+    generation_service& operator=(const generation_service&) = delete;
+
+    /// @brief Starts a generation.
+    /// @return its id for the caller, or `not_run` while draining
+    [[nodiscard]] result<request_id> start(generation_request request,
+                                           std::shared_ptr<token_sink> sink);
+
+    /// @brief Continues a generation for a returning caller: here, through the
+    ///     owner gate, or by takeover. Answers through the sink; an earlier
+    ///     sink of the generation fails with `superseded`.
+    void attach(const request_id& id, attach_point from,
+                std::shared_ptr<token_sink> sink);
+    void attach(const request_id& id, std::uint64_t from_index,
+                std::shared_ptr<token_sink> sink)
+    {
+        attach(id, attach_point{.from_index = from_index}, std::move(sink));
+    }
+
+    /// @brief The caller's connection has ended; the generation waits for its
+    ///     return. Ignored unless the sink is the current one.
+    void detach(const request_id& id, const token_sink* sink);
+
+    /// @brief The sink takes tokens again.
+    void sink_ready(const request_id& id);
+
+    /// @brief Ends a generation for good. The sink fails with `cancelled`.
+    void cancel(const request_id& id);
+
+    /// @brief Cancels the running attempt and keeps the tokens.
+    /// @return false when the generation does not run here
+    bool preempt(const request_id& id);
+
+    /// @brief Goes on from the prefix after `preempt`.
+    bool resume(const request_id& id);
+
+    /// @brief Generations that have not ended, and forwarded streams.
+    [[nodiscard]] std::size_t running() const;
+
+    /// @brief Refuses new generations and calls back once none is running.
+    void drain(std::function<void()> when_idle);
+
+    [[nodiscard]] generation_counters totals() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace bamboogate::streaming
+
+#endif
