--- /dev/null
+++ b/lib/include/bamboogate/routing/selector.hpp
@@ -0,0 +1,141 @@
+#ifndef BAMBOOGATE_ROUTING_SELECTOR_HPP
+#define BAMBOOGATE_ROUTING_SELECTOR_HPP
+
+#include <bamboogate/core/result.hpp>
+#include <bamboogate/core/time.hpp>
+#include <bamboogate/routing/circuit_breaker.hpp>
+#include <bamboogate/routing/prefix_index.hpp>
+#include <bamboogate/routing/upstream_table.hpp>
+
+#include <deque>
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboogate::routing {
+
+/// What a new attempt needs from an engine.
+struct engine_request
+{
+    model_id model;
+    std::uint64_t tokens = 0;                  ///< prompt and answer, estimated
+    std::span<const std::uint64_t> prefix{};   ///< from `prefix_hashes`
+    std::span<const upstream_id> exclusions{}; ///< engines already tried
+    failure_domain_id preferred_domain;        ///< may be empty
+};
+
+struct engine_choice
+{
+    upstream_id engine;
+    net::address address;
+    bamboogate::incarnation incarnation;
+    std::size_t cached_blocks = 0;
+};
+
+/// Chooses engines and upstreams of plain services.
+///
+/// An engine's load is this gate's own outstanding tokens plus what its last
+/// report says beyond those that the report already contained. Among many
+/// candidates a random sample and the holders of the cached prefix are
+/// compared. Pure: time and random bits are arguments. Not thread safe.
+class selector
+{
+public:
+    struct options
+    {
+        /// Streams of this gate per engine; 0 means the engine's slots.
+        unsigned max_streams_per_upstream = 0;
+        duration slow_start = std::chrono::seconds(10);
+        /// Age of the state in a report when it arrives.
+        duration report_lag = std::chrono::milliseconds(200);
+        /// Value of one cached block, in tokens (256 bytes are about 64).
+        double cached_block_tokens = 64.0;
+        /// Cost of a choice outside the preferred domain, in tokens.
+        double remote_domain_tokens = 200.0;
+        /// Candidates that are compared when there are more than this.
+        std::size_t sample = 24;
+        bool use_prefix = true;
+        bool subtract_own = true;
+        circuit_breaker::options breaker{};
+        prefix_index::options index{};
+    };
+
+    selector() : selector(options{}) {}
+    explicit selector(options settings);
+    ~selector();
+    selector(const selector&) = delete;
+    selector& operator=(const selector&) = delete;
+
+    /// @brief Takes a change of the table; wire it to
+    ///     `upstream_table::on_event`.
+    void on_table_event(table_event event, const upstream_record& record,
+                        time_point now);
+
+    /// @brief Chooses an engine.
+    /// @param random uniform bits
+    /// @return the choice, `not_found` (no engine has the model) or
+    ///     `overloaded` (all are full, excluded, draining or tripped)
+    [[nodiscard]] result<engine_choice>
+    choose_engine(const engine_request& request, time_point now,
+                  std::uint64_t random) const;
+
+    /// @brief Chooses an upstream of a plain service.
+    /// @return the choice, `not_found` or `overloaded` (all tripped)
+    [[nodiscard]] result<engine_choice>
+    choose_service(const service_id& service,
+                   std::span<const upstream_id> exclusions, time_point now,
+                   std::uint64_t random) const;
+
+    /// @brief Notes that an attempt or call was sent.
+    void started(const upstream_id& id, std::uint64_t tokens, time_point now);
+
+    /// @brief Notes tokens that arrived; they are no longer outstanding.
+    void progressed(const upstream_id& id, std::uint64_t tokens,
+                    time_point now);
+
+    /// How an attempt ended, from the upstream's point of view.
+    enum class attempt_end : std::uint8_t
+    {
+        succeeded,
+        failed,    ///< reset, silence or an error answer
+        cancelled, ///< by us: says nothing about the upstream
+    };
+    /// @brief Notes the end of an attempt.
+    /// @param unused estimated tokens that did not arrive
+    void finished(const upstream_id& id, std::uint64_t unused, attempt_end end,
+                  time_point now);
+
+    /// @brief Streams of this gate at an upstream.
+    [[nodiscard]] unsigned streams(const upstream_id& id) const noexcept;
+
+    /// @brief Slots of all engines with a model that accept work.
+    [[nodiscard]] unsigned slots_of(const model_id& model) const noexcept;
+
+    /// @brief Tokens that the engine is estimated to have outstanding.
+    [[nodiscard]] double load(const upstream_id& id) const noexcept;
+
+private:
+    struct upstream;
+    struct sample_result;
+
+    [[nodiscard]] upstream* lookup(const upstream_id& id) const noexcept;
+    [[nodiscard]] bool usable(const upstream& candidate, time_point now) const;
+    [[nodiscard]] unsigned stream_limit(const upstream& candidate,
+                                        time_point now) const;
+    [[nodiscard]] double cost(const upstream& candidate,
+                              const engine_request& request,
+                              std::size_t cached_blocks) const;
+    void enlist(upstream& entry);
+    void delist(upstream& entry);
+
+    options settings_;
+    prefix_index index_;
+    std::unordered_map<upstream_id, std::unique_ptr<upstream>> upstreams_;
+    std::unordered_map<model_id, std::vector<upstream*>> by_model_;
+    std::unordered_map<service_id, std::vector<upstream*>> by_service_;
+};
+
+} // namespace bamboogate::routing
+
+#endif
