Add the gate daemon's parts: caller, upstream and own routes

Ruled out: unescaping of paths by libmicrohttpd, because a path with an escaped slash would change on its way to a plain service; and a look-up of the owner of a generation at each return, because a code in the caller's token proves the account at every gate without state. Change: routes, sinks for event streams and documents, caller tokens, authentication. Drain waits for open requests rather than for connections, since kept-alive connections would delay it by the idle timeout.

--- /dev/null
+++ b/lib/include/bamboogate/gate/completion_sinks.hpp
@@ -0,0 +1,102 @@
+#ifndef BAMBOOGATE_GATE_COMPLETION_SINKS_HPP
+#define BAMBOOGATE_GATE_COMPLETION_SINKS_HPP
+
+#include <bamboogate/core/ids.hpp>
+#include <bamboogate/core/time.hpp>
+#include <bamboogate/net/http_server.hpp>
+#include <bamboogate/streaming/token_sink.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bamboogate::gate {
+
+/// Writes a generation to its caller as server-sent events.
+class sse_sink : public streaming::token_sink
+{
+public:
+    struct options
+    {
+        std::string caller_token;
+        model_id model;
+        /// Above this many unsent bytes the sink takes no tokens.
+        std::size_t max_buffered_bytes = 64u << 10;
+    };
+
+    sse_sink(std::shared_ptr<net::responder> out, options settings);
+
+    /// @brief Sends the header section, with the generation's name.
+    void begin();
+
+    /// @brief Sends a comment when nothing was sent for a while, so that
+    ///     neither end takes the stream for dead.
+    void ping(time_point now, duration idle_limit);
+
+    [[nodiscard]] const std::shared_ptr<net::responder>& out() const noexcept
+    {
+        return out_;
+    }
+
+    void token(std::uint64_t index, std::string_view text) override;
+    void finished(const streaming::finish_info& info) override;
+    void failed(const error& reason) override;
+    [[nodiscard]] bool ready() const override;
+
+private:
+    std::shared_ptr<net::responder> out_;
+    options settings_;
+    std::string event_prefix_;
+    std::string scratch_;
+    bool begun_ = false;
+    time_point last_write_;
+};
+
+/// Stands in for a sink that can only be made once the generation has its
+/// name. Nothing may reach it before `become`.
+class deferred_sink : public streaming::token_sink
+{
+public:
+    void become(std::shared_ptr<streaming::token_sink> target)
+    {
+        target_ = std::move(target);
+    }
+
+    void epoch(std::uint64_t number) override { target_->epoch(number); }
+    void token(std::uint64_t index, std::string_view text) override
+    {
+        target_->token(index, text);
+    }
+    void finished(const streaming::finish_info& info) override
+    {
+        target_->finished(info);
+    }
+    void failed(const error& reason) override { target_->failed(reason); }
+    [[nodiscard]] bool ready() const override { return target_->ready(); }
+
+private:
+    std::shared_ptr<streaming::token_sink> target_;
+};
+
+/// Collects a generation into one JSON answer.
+class document_sink : public streaming::token_sink
+{
+public:
+    document_sink(std::shared_ptr<net::responder> out, std::string caller_token,
+                  model_id model);
+
+    void token(std::uint64_t index, std::string_view text) override;
+    void finished(const streaming::finish_info& info) override;
+    void failed(const error& reason) override;
+    [[nodiscard]] bool ready() const override { return true; }
+
+private:
+    std::shared_ptr<net::responder> out_;
+    std::string caller_token_;
+    model_id model_;
+    std::string text_;
+};
+
+} // namespace bamboogate::gate
+
+#endif
--- /dev/null
+++ b/lib/include/bamboogate/net/http_router.hpp
@@ -0,0 +1,59 @@
+#ifndef BAMBOOGATE_NET_HTTP_ROUTER_HPP
+#define BAMBOOGATE_NET_HTTP_ROUTER_HPP
+
+#include <bamboogate/net/http_server.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboogate::net {
+
+/// Values of the named segments of a route.
+using path_values = std::map<std::string, std::string, std::less<>>;
+
+/// The registry of a server's routes. A pattern is a path whose segments may
+/// be `{name}`, which takes one segment; a last segment `{name...}` takes the
+/// rest of the path, also an empty one. Not thread safe.
+class http_router
+{
+public:
+    using handler =
+        std::function<void(const http_request&, const path_values& values,
+                           const std::shared_ptr<responder>&)>;
+    /// Answers what no route takes.
+    using fallback = std::function<void(const http_request&, bool path_known,
+                                        const std::shared_ptr<responder>&)>;
+
+    explicit http_router(fallback otherwise);
+
+    /// @brief Adds a route; earlier routes go first.
+    /// @param method or `*` for any
+    void add(std::string method, std::string_view pattern, handler function);
+
+    /// @brief Passes a request to the first route that takes it.
+    void route(const http_request& request,
+               const std::shared_ptr<responder>& out) const;
+
+private:
+    struct entry
+    {
+        std::string method;
+        std::vector<std::string> segments;
+        handler function;
+    };
+
+    std::vector<entry> entries_;
+    fallback otherwise_;
+};
+
+/// @brief The value of a query parameter, or an empty view.
+[[nodiscard]] std::string_view query_value(std::string_view query,
+                                           std::string_view name);
+
+} // namespace bamboogate::net
+
+#endif
--- a/lib/include/bamboogate/net/http_server.hpp
+++ b/lib/include/bamboogate/net/http_server.hpp
@@ -19,7 +19,7 @@
 struct http_request
 {
     std::string method;
-    std::string path;  ///< without the query
+    std::string path;  ///< without the query, still encoded
     std::string query; ///< without the question mark, still encoded
     http_headers headers;
     std::string body;
@@ -109,6 +109,8 @@
 
     [[nodiscard]] const address& where() const noexcept;
     [[nodiscard]] unsigned open_connections() const noexcept;
+    /// @brief Requests whose answer has not been sent in full.
+    [[nodiscard]] std::size_t open_requests() const noexcept;
     [[nodiscard]] counters totals() const noexcept;
 
     /// @brief Accepts no further connections; open ones go on.
--- a/lib/source/config/exit_code.cpp
+++ b/lib/source/config/exit_code.cpp
@@ -35,6 +35,7 @@
     case errc::internal:
         return exit_code::software;
     case errc::not_found:
+    case errc::generation_not_found:
     case errc::not_run:
     case errc::superseded:
     case errc::cancelled:
--- /dev/null
+++ b/lib/source/gate/gate.cpp
@@ -0,0 +1,281 @@
+#include <bamboogate/control/control_client.hpp>
+#include <bamboogate/gate/api_error.hpp>
+#include <bamboogate/gate/caller_api.hpp>
+#include <bamboogate/gate/gate.hpp>
+#include <bamboogate/gate/log_events.hpp>
+#include <bamboogate/gate/upstream_api.hpp>
+#include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/http_server.hpp>
+#include <bamboogate/net/link_hub.hpp>
+#include <bamboogate/routing/membership_exchange.hpp>
+#include <bamboogate/routing/retry_budget.hpp>
+#include <bamboogate/routing/selector.hpp>
+#include <bamboogate/routing/upstream_table.hpp>
+#include <bamboogate/streaming/generation_service.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+namespace bamboogate::gate {
+
+namespace {
+
+constexpr duration ping_interval = std::chrono::seconds(1);
+constexpr duration drain_check_interval = std::chrono::milliseconds(20);
+
+/// The wall clock orders the lives of one process; it only has to grow from
+/// start to start.
+incarnation new_incarnation()
+{
+    const auto since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return incarnation{static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+            .count())};
+}
+
+std::vector<node_id> all_gates(const config::gate_settings& settings)
+{
+    std::vector<node_id> out{settings.node};
+    for (const auto& peer : settings.gates) {
+        out.push_back(peer.node);
+    }
+    return out;
+}
+
+std::vector<node_id> replica_ids(const config::gate_settings& settings)
+{
+    std::vector<node_id> out;
+    for (const auto& peer : settings.control_replicas) {
+        out.push_back(peer.node);
+    }
+    return out;
+}
+
+} // namespace
+
+struct gate::impl
+{
+    net::event_loop& loop;
+    config::gate_settings settings;
+    std::set<node_id> gate_ids;
+    net::link_hub hub;
+    net::http_client client;
+    routing::upstream_table table;
+    routing::selector selector;
+    routing::retry_budget retries;
+    routing::membership_exchange membership;
+    control::control_client control;
+    authenticator keys;
+    routing_directory directory;
+    streaming::generation_service generations;
+    completion_scheduler scheduler;
+    caller_api callers;
+    upstream_api upstreams;
+    net::http_router router;
+    std::unique_ptr<net::http_server> server;
+    net::timer ping_timer;
+    net::timer drain_timer;
+    time_point drain_started;
+    std::function<void()> drained;
+    bool was_ready = false;
+
+    impl(net::event_loop& l, config::gate_settings s)
+        : loop(l), settings(std::move(s)),
+          hub(l, {.self = {settings.node, new_incarnation(),
+                           settings.failure_domain},
+                  .shared_secret = settings.shared_secret}),
+          client(l),
+          table({.self = settings.node, .gates = all_gates(settings)}),
+          membership(l, hub, table, {}),
+          control(l, hub, {.replicas = replica_ids(settings)}),
+          directory(table, selector, random_u64()),
+          generations(l, hub, client, directory, generation_settings()),
+          scheduler(l), callers(caller_dependencies()),
+          upstreams(membership, settings.upstream_key),
+          router(&impl::answer_unrouted), ping_timer(l, [this] { on_tick(); }),
+          drain_timer(l, [this] { check_drained(); })
+    {
+        const auto ids = all_gates(settings);
+        gate_ids.insert(ids.begin(), ids.end());
+        table.on_event([this](routing::table_event event,
+                              const routing::upstream_record& record) {
+            selector.on_table_event(event, record, monotonic_clock::now());
+        });
+        control.on_configuration(
+            [this](const control::configuration& c) { apply(c); });
+        callers.add_routes(router);
+        upstreams.add_routes(router);
+        add_own_routes();
+    }
+
+    streaming::generation_options generation_settings()
+    {
+        streaming::generation_options out;
+        out.release_after_copy = settings.buddy;
+        out.is_gate = [this](const node_id& node) {
+            return gate_ids.contains(node);
+        };
+        out.may_retry = [this](const request_id&,
+                               const streaming::generation_request& request) {
+            return retries.take_retry(request.service_class);
+        };
+        out.observers.on_tokens = [this](const request_id& request,
+                                         std::uint64_t count) {
+            directory.tokens_arrived(request, count);
+        };
+        return out;
+    }
+
+    caller_api::dependencies caller_dependencies()
+    {
+        return {.loop = loop,
+                .client = client,
+                .generations = generations,
+                .scheduler = scheduler,
+                .control = control,
+                .keys = keys,
+                .directory = directory,
+                .retries = retries,
+                .shared_secret = settings.shared_secret,
+                .failure_domain = settings.failure_domain,
+                .serve_without_lease =
+                    settings.stale == config::stale_policy::serve};
+    }
+
+    result<void> open()
+    {
+        BOOST_OUTCOME_TRY(hub.listen(settings.link_address));
+        for (const auto& peer : settings.gates) {
+            // One side dials, so that two gates share one link.
+            if (settings.node < peer.node) {
+                hub.dial(peer.node, peer.where);
+            }
+        }
+        for (const auto& peer : settings.control_replicas) {
+            hub.dial(peer.node, peer.where);
+        }
+        net::http_server::options http;
+        http.where = settings.http_address;
+        http.max_connections = settings.max_connections;
+        http.max_body_bytes = settings.body_limit;
+        BOOST_OUTCOME_TRY(
+            started, net::http_server::start(
+                         loop, http,
+                         [this](const net::http_request& request,
+                                const std::shared_ptr<net::responder>& out) {
+                             router.route(request, out);
+                         }));
+        server = std::move(started);
+        ping_timer.start_periodic(ping_interval);
+        observability::log(events::gate_started,
+                           {{"http", server->where().text()},
+                            {"links", settings.link_address.text()}});
+        return outcome::success();
+    }
+
+    void apply(const control::configuration& configuration)
+    {
+        keys.apply(configuration.declared);
+        for (const auto& each : configuration.declared.presets) {
+            if (each.id == configuration.preset_in_force) {
+                retries.set_ratio(each.retry_budget);
+            }
+        }
+        observability::log(events::configuration_applied,
+                           {{"revision", configuration.revision.value},
+                            {"preset", configuration.preset_in_force.value()}});
+    }
+
+    void add_own_routes()
+    {
+        router.add("GET", "/healthz",
+                   [](const net::http_request&, const net::path_values&,
+                      const std::shared_ptr<net::responder>& out) {
+                       out->respond(200, {}, "ok\n");
+                   });
+        router.add("GET", "/readyz",
+                   [this](const net::http_request&, const net::path_values&,
+                          const std::shared_ptr<net::responder>& out) {
+                       const auto accepts = callers.accepts_new_work();
+                       if (!accepts) {
+                           respond_error(*out, accepts.error());
+                           return;
+                       }
+                       out->respond(200, {}, "ready\n");
+                   });
+    }
+
+    static void answer_unrouted(const net::http_request&, bool path_known,
+                                const std::shared_ptr<net::responder>& out)
+    {
+        respond_error(*out, path_known
+                                ? error{errc::invalid_argument,
+                                        "the path does not take this method"}
+                                : error{errc::not_found, "no such path"});
+    }
+
+    void on_tick()
+    {
+        callers.ping_streams();
+        const bool ready = callers.accepts_new_work().has_value();
+        if (ready != was_ready) {
+            was_ready = ready;
+            observability::log(events::readiness_changed, {{"ready", ready}});
+        }
+    }
+
+    void start_drain(std::function<void()> done)
+    {
+        drained = std::move(done);
+        drain_started = loop.now();
+        callers.stop_new_work();
+        generations.drain([] {});
+        observability::log(events::drain_started,
+                           {{"generations", generations.running()},
+                            {"calls", callers.open_calls()}});
+        drain_timer.start_periodic(drain_check_interval);
+    }
+
+    void check_drained()
+    {
+        const bool idle = generations.running() == 0 &&
+                          callers.open_calls() == 0 &&
+                          server->open_requests() == 0;
+        const bool late = loop.now() - drain_started > settings.drain_limit;
+        if (!idle && !late) {
+            return;
+        }
+        drain_timer.stop();
+        observability::log(idle ? events::drain_finished
+                                : events::drain_limit_reached,
+                           {{"generations", generations.running()}});
+        drained();
+    }
+};
+
+gate::gate(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+
+gate::~gate() = default;
+
+result<std::unique_ptr<gate>> gate::start(net::event_loop& loop,
+                                          config::gate_settings settings)
+{
+    std::unique_ptr<gate> out(
+        new gate(std::make_unique<impl>(loop, std::move(settings))));
+    BOOST_OUTCOME_TRY(out->impl_->open());
+    return out;
+}
+
+void gate::drain(std::function<void()> done)
+{
+    impl_->start_drain(std::move(done));
+}
+
+net::address gate::http_address() const
+{
+    return impl_->server->where();
+}
+
+} // namespace bamboogate::gate
--- a/lib/source/net/http_server.cpp
+++ b/lib/source/net/http_server.cpp
@@ -82,6 +82,11 @@
                                 const char* url, const char* method,
                                 const char* version, const char* upload,
                                 std::size_t* upload_size, void** state);
+    /// Paths are forwarded to upstreams, so they stay as the caller wrote them.
+    static std::size_t keep_escapes(void*, MHD_Connection*, char* text)
+    {
+        return std::strlen(text);
+    }
     static void on_completed(void* cls, MHD_Connection* connection,
                              void** state, MHD_RequestTerminationCode code);
     static void on_connection(void* cls, MHD_Connection* connection,
@@ -367,6 +372,7 @@
             MHD_OPTION_CONNECTION_MEMORY_LIMIT,
             settings.connection_memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT,
             static_cast<unsigned>(to_seconds(settings.idle_timeout)),
+            MHD_OPTION_UNESCAPE_CALLBACK, &impl::keep_escapes, nullptr,
             MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, this,
             MHD_OPTION_NOTIFY_CONNECTION, &impl::on_connection, this,
             MHD_OPTION_END);
@@ -582,6 +588,11 @@
     return impl_->open_connections;
 }
 
+std::size_t http_server::open_requests() const noexcept
+{
+    return impl_->open_exchanges.size();
+}
+
 http_server::counters http_server::totals() const noexcept
 {
     return impl_->totals;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -81,6 +81,22 @@
     CHECK(end.value().headers.find("x-seen") == "yes");
 }
 
+// Guards against a path that changes on its way to an upstream.
+TEST_CASE_FIXTURE(http_fixture, "http_server_encoded_path_stays_encoded")
+{
+    std::string path;
+    std::string query;
+    serve([&](const http_request& request,
+              const std::shared_ptr<responder>& out) {
+        path = request.path;
+        query = request.query;
+        out->respond(204, {}, {});
+    });
+    REQUIRE(fetch({.url = url("/a%20b/c%2Fd?q=%26x&q=2")}));
+    CHECK(path == "/a%20b/c%2Fd");
+    CHECK(query == "q=%26x&q=2");
+}
+
 TEST_CASE_FIXTURE(http_fixture, "http_server_stream_delivers_in_pieces")
 {
     std::shared_ptr<responder> held;
