--- a/lib/include/bamboogate/control/declarations.hpp
+++ b/lib/include/bamboogate/control/declarations.hpp
@@ -91,6 +91,26 @@
     bool operator==(const operator_account&) const = default;
 };
 
+/// Bounds of the replicated state. They are declared, so that every replica
+/// applies the same ones.
+struct state_limits
+{
+    /// First answers kept for resends of accepted changes.
+    std::size_t operations = 4096;
+    /// First answers kept for resends of refused changes. Counted apart, so
+    /// that refusals never displace the answers of accepted changes.
+    std::size_t refused_operations = 1024;
+    std::size_t history = 4096;
+    /// Calls in the idempotency journal; new calls are refused above it.
+    std::size_t journal_entries = 50'000;
+    /// A larger answer is passed on but not kept.
+    std::size_t answer_bytes = 64u << 10;
+    /// New calls are refused while the answers kept exceed this.
+    std::size_t total_answer_bytes = 8u << 20;
+
+    bool operator==(const state_limits&) const = default;
+};
+
 /// Everything that operators keep under version control.
 struct declarations
 {
@@ -99,6 +119,7 @@
     std::vector<client_account> client_accounts;
     std::vector<plain_service> services;
     std::vector<operator_account> operators;
+    state_limits limits;
 
     bool operator==(const declarations&) const = default;
 };
