--- a/lib/include/bamboogate/control/declaration_json.hpp
+++ b/lib/include/bamboogate/control/declaration_json.hpp
@@ -53,6 +53,11 @@
 [[nodiscard]] result<declarations> declarations_from(const json& document);
 [[nodiscard]] result<configuration> configuration_from(const json& document);
 
+/// @brief The wire form: one binary value, so that a document which goes to
+///     every gate is encoded only once.
+[[nodiscard]] json pack_configuration(const configuration& applied);
+[[nodiscard]] result<configuration> unpack_configuration(const json& packed);
+
 } // namespace bamboogate::control
 
 #endif
--- a/lib/include/bamboogate/control/messages.hpp
+++ b/lib/include/bamboogate/control/messages.hpp
@@ -32,7 +32,7 @@
     static constexpr std::string_view type = "gate_grant";
     bamboogate::revision revision;
     std::uint64_t lease_ms = 0;
-    /// The wire form of a `configuration`, or null when the gate has it.
+    /// See `pack_configuration`; null when the gate has it.
     json configuration;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(gate_grant, revision, lease_ms,
                                    configuration)
@@ -46,6 +46,14 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(config_push, configuration)
 };
 
+/// Leader to a gate that an operator drains: begin a planned stop.
+struct drain_request
+{
+    static constexpr std::string_view type = "drain_request";
+    std::string operator_id;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(drain_request, operator_id)
+};
+
 /// Gate to leader: a pushed revision is applied.
 struct config_applied
 {
--- a/lib/source/control/declaration_diff.cpp
+++ b/lib/source/control/declaration_diff.cpp
@@ -1,11 +1,11 @@
 #include <bamboogate/control/declaration_diff.hpp>
 
-#include "declaration_reader.hpp"
-
 #include <fmt/format.h>
 
 #include <map>
 
+#include "declaration_reader.hpp"
+
 namespace bamboogate::control {
 
 namespace {
--- a/lib/source/control/declaration_json.cpp
+++ b/lib/source/control/declaration_json.cpp
@@ -1,9 +1,9 @@
 #include <bamboogate/control/declaration_json.hpp>
 
-#include "declaration_reader.hpp"
-
 #include <fmt/format.h>
 
+#include "declaration_reader.hpp"
+
 namespace bamboogate::control {
 
 namespace {
@@ -103,9 +103,8 @@
         out["presets"].push_back(preset_document(each));
     }
     for (const auto& each : declared.service_classes) {
-        out["service_classes"].push_back({{"id", each.id},
-                                          {"rank", each.rank},
-                                          {"models", each.models}});
+        out["service_classes"].push_back(
+            {{"id", each.id}, {"rank", each.rank}, {"models", each.models}});
     }
     for (const auto& each : declared.client_accounts) {
         out["client_accounts"].push_back(
@@ -172,17 +171,15 @@
                    part.texts("idempotent_methods", item.idempotent_methods);
                    part.duration_ms("timeout_ms", item.timeout, 1, 3'600'000);
                    part.duration_ms("answer_retention_ms",
-                                    item.answer_retention, 60'000,
-                                    90 * day_ms);
+                                    item.answer_retention, 60'000, 90 * day_ms);
                });
     in.objects("operators", out.operators,
                [](object_reader& part, operator_account& item) {
                    part.required_text("id", item.id);
                    part.key_digest("key_sha256", item.key_sha256);
                });
-    in.object("limits", [&out](object_reader& part) {
-        read_limits(part, out.limits);
-    });
+    in.object("limits",
+              [&out](object_reader& part) { read_limits(part, out.limits); });
     in.finish();
 }
 
@@ -214,4 +211,23 @@
     return out;
 }
 
+json pack_configuration(const configuration& applied)
+{
+    const std::string bytes = encode_cbor(to_document(applied));
+    return json::binary({bytes.begin(), bytes.end()});
+}
+
+result<configuration> unpack_configuration(const json& packed)
+{
+    if (!packed.is_binary()) {
+        return fail(errc::malformed_input, "configuration is not binary");
+    }
+    const auto& bytes = packed.get_binary();
+    BOOST_OUTCOME_TRY(
+        document,
+        decode_cbor({reinterpret_cast<const char*>(bytes.data()), bytes.size()},
+                    {.max_bytes = 16u << 20}));
+    return configuration_from(document);
+}
+
 } // namespace bamboogate::control
--- a/lib/source/control/declaration_parser.cpp
+++ b/lib/source/control/declaration_parser.cpp
@@ -60,8 +60,8 @@
         } else if (text_[at_] == '"') {
             quoted();
         } else {
-            at_ = std::min(text_.find_first_of(",]} \t\r\n", at_),
-                           text_.size());
+            at_ =
+                std::min(text_.find_first_of(",]} \t\r\n", at_), text_.size());
         }
     }
 
@@ -122,9 +122,8 @@
     }
 }
 
-constexpr const char* list_names[] = {"presets", "service_classes",
-                                      "client_accounts", "services",
-                                      "operators"};
+constexpr const char* list_names[] = {
+    "presets", "service_classes", "client_accounts", "services", "operators"};
 
 std::size_t list_size(const declarations& declared, std::string_view name)
 {
@@ -174,8 +173,8 @@
             if (index >= range.begin && index < range.end) {
                 const auto& file = files_[range.file];
                 fault.file = file.name;
-                fault.path = fmt::format("/{}/{}{}", list, index - range.begin,
-                                         rest);
+                fault.path =
+                    fmt::format("/{}/{}{}", list, index - range.begin, rest);
                 fault.line = line_of(file.lines, fault.path);
             }
         }
@@ -237,13 +236,13 @@
         std::vector<declaration_fault> faults;
         read_declarations(document.value(), unknown_fields::refuse, part,
                           faults);
-        const bool has_limits = document.value().is_object() &&
-                                document.value().contains("limits");
+        const bool has_limits =
+            document.value().is_object() && document.value().contains("limits");
         if (has_limits && !limits_file.empty()) {
-            faults.push_back({.path = "/limits",
-                              .value = "a second object",
-                              .allowed = "one, and " + limits_file +
-                                         " has it already"});
+            faults.push_back(
+                {.path = "/limits",
+                 .value = "a second object",
+                 .allowed = "one, and " + limits_file + " has it already"});
         }
         limits_file = has_limits ? file.name : limits_file;
         for (auto& fault : faults) {
@@ -282,13 +281,13 @@
     }
     std::sort(paths.begin(), paths.end());
     if (problem || paths.empty()) {
-        return {.declared = {},
-                .faults = {{.file = folder.string(),
-                            .line = 0,
-                            .path = "",
-                            .value = problem ? problem.message()
-                                             : "no *.json file",
-                            .allowed = "a readable folder with *.json files"}}};
+        return {
+            .declared = {},
+            .faults = {{.file = folder.string(),
+                        .line = 0,
+                        .path = "",
+                        .value = problem ? problem.message() : "no *.json file",
+                        .allowed = "a readable folder with *.json files"}}};
     }
     std::vector<declaration_file> files;
     std::vector<declaration_fault> unreadable;
--- a/lib/source/control/declaration_reader.cpp
+++ b/lib/source/control/declaration_reader.cpp
@@ -121,11 +121,10 @@
             {.path = path_ + "/" + name, .value = "nothing", .allowed = rule});
         return;
     }
-    const bool valid =
-        value->is_string() &&
-        value->get_ref<const std::string&>().size() == 64 &&
-        value->get_ref<const std::string&>().find_first_not_of(digits) ==
-            std::string::npos;
+    const bool valid = value->is_string() &&
+                       value->get_ref<const std::string&>().size() == 64 &&
+                       value->get_ref<const std::string&>().find_first_not_of(
+                           digits) == std::string::npos;
     if (!valid) {
         report(name, *value, rule);
         return;
@@ -170,9 +169,9 @@
     }
     // A signed number that is not negative is stored as unsigned by the
     // parser; a document built in memory may hold it as signed.
-    const bool whole = value->is_number_unsigned() ||
-                       (value->is_number_integer() &&
-                        value->get<std::int64_t>() >= 0);
+    const bool whole =
+        value->is_number_unsigned() ||
+        (value->is_number_integer() && value->get<std::int64_t>() >= 0);
     if (!whole || value->get<std::uint64_t>() < low ||
         value->get<std::uint64_t>() > high) {
         report(name, *value,
--- a/lib/source/control/declaration_reader.hpp
+++ b/lib/source/control/declaration_reader.hpp
@@ -75,10 +75,9 @@
         }
         std::size_t index = 0;
         for (const auto& element : *list) {
-            object_reader reader(element,
-                                 path_ + "/" + name + "/" +
-                                     std::to_string(index++),
-                                 policy_, faults_);
+            object_reader reader(
+                element, path_ + "/" + name + "/" + std::to_string(index++),
+                policy_, faults_);
             Item item;
             if (reader.valid_) {
                 function(reader, item);
--- a/lib/source/control/declaration_references.cpp
+++ b/lib/source/control/declaration_references.cpp
@@ -183,8 +183,7 @@
             for (std::size_t k = 0; k < each.services.size(); ++k) {
                 if (!services.contains(each.services[k].value())) {
                     add(fmt::format("{}/services/{}", at, k),
-                        '"' + each.services[k].value() + '"',
-                        one_of(services));
+                        '"' + each.services[k].value() + '"', one_of(services));
                 }
             }
         }
