--- a/lib/source/config/exit_code.cpp
+++ b/lib/source/config/exit_code.cpp
@@ -21,6 +21,7 @@
     case errc::overloaded:
     case errc::in_progress:
     case errc::outcome_unknown:
+    case errc::generation_not_found:
     case errc::deadline_exceeded:
         return exit_code::temporary;
     case errc::connection_failed:
