Add generation_service with resume after the loss of an engine

Cause: a long generation must reach its caller whole and once although engines and gates die. Ruled out: a timer per generation (one 20 ms tick serves all); one link message per generation and token (batches of a turn share one message). Change: pure generation state, silence detector, buddy store, engine stream, generation task and service, link messages, attach and takeover. Tests cover engine loss by phase, preemption, back-pressure and cancellation. Loss of gates is not tested yet.

--- a/lib/include/bamboogate/streaming/engine_directory.hpp
+++ b/lib/include/bamboogate/streaming/engine_directory.hpp
@@ -73,8 +73,9 @@
                                attempt_outcome outcome,
                                std::uint64_t tokens) = 0;
 
-    /// @brief False when announcements say that this life of the upstream has
-    ///     ended or is silent.
+    /// @brief False when a newer life of the upstream has announced itself, or
+    ///     its announcements have stopped without a leave. A draining upstream
+    ///     is alive. Only shortens the wait on a stream that is silent.
     [[nodiscard]] virtual bool is_alive(const upstream_id& upstream,
                                         incarnation life) const = 0;
 };
--- a/lib/include/bamboogate/streaming/silence_detector.hpp
+++ b/lib/include/bamboogate/streaming/silence_detector.hpp
@@ -52,6 +52,13 @@
     /// @brief When the stream is judged silent if nothing arrives.
     [[nodiscard]] time_point deadline() const { return last_ + limit(); }
 
+    /// @brief A shorter judgement, for an engine whose announcements say that
+    ///     it has ended.
+    [[nodiscard]] bool is_silent_beyond_minimum(time_point now) const
+    {
+        return !paused_ && now >= last_ + settings_.min_limit;
+    }
+
     [[nodiscard]] bool is_silent(time_point now) const
     {
         return !paused_ && now >= deadline();
--- /dev/null
+++ b/lib/source/streaming/generation_task.cpp
@@ -0,0 +1,375 @@
+#include <bamboogate/streaming/generation_task.hpp>
+#include <bamboogate/streaming/log_events.hpp>
+
+#include <algorithm>
+
+namespace bamboogate::streaming {
+
+using observability::log;
+
+// This file holds the engine side; generation_task_copy.cpp the buddy and
+// caller side.
+
+generation_task::generation_task(task_host& host, request_id id,
+                                 generation_request request)
+    : host_(host), id_(std::move(id)), request_(std::move(request)),
+      state_(first_epoch(host.hub().self().node)),
+      silence_(host.settings().silence)
+{}
+
+generation_task::generation_task(task_host& host, request_id id, held_copy copy,
+                                 std::uint64_t epoch)
+    : host_(host), id_(std::move(id)), request_(std::move(copy.request)),
+      state_(std::move(copy.history), epoch, std::move(copy.tokens),
+             std::move(copy.finish)),
+      silence_(host.settings().silence),
+      earlier_attempt_(std::move(copy.attempt))
+{
+    reported_tokens_ = state_.tokens().size();
+}
+
+generation_task::~generation_task()
+{
+    if (stream_) {
+        stream_->silence();
+        host_.retire(std::move(stream_));
+    }
+}
+
+void generation_task::start()
+{
+    if (ended()) {
+        return;
+    }
+    const time_point now = host_.loop().now();
+    if (!sink_) {
+        absent_since_ = now;
+    }
+    choose_buddy(now);
+    if (!earlier_attempt_.address.empty() && !state_.finish()) {
+        cancel_attempt(host_.client(), earlier_attempt_.address, id_,
+                       earlier_attempt_.number);
+    }
+    try_attempt();
+    host_.needs_flush(*this);
+}
+
+void generation_task::try_attempt()
+{
+    if (ended() || stream_ || preempted_ || state_.finish()) {
+        return;
+    }
+    const time_point now = host_.loop().now();
+    const generation_options& settings = host_.settings();
+    const auto choice = host_.directory().choose(
+        {.request = id_,
+         .model = request_.model,
+         .prompt = request_.prompt,
+         .resume_tokens = state_.tokens().size(),
+         .max_tokens = request_.max_tokens,
+         .priority = request_.priority,
+         .excluded = excluded_,
+         .preferred_failure_domain = request_.preferred_failure_domain});
+    if (choice) {
+        no_engine_since_.reset();
+        start_attempt(*choice);
+        return;
+    }
+    if (!excluded_.empty()) {
+        // All engines have failed once: they get another try after a pause
+        // that doubles, so that a short fault of all does not use up the
+        // retries at once.
+        constexpr unsigned max_doublings = 5;
+        excluded_.clear();
+        next_choice_ =
+            now + settings.choose_interval *
+                      (1u << std::min(rounds_without_engine_, max_doublings));
+        ++rounds_without_engine_;
+        return;
+    }
+    if (!no_engine_since_) {
+        no_engine_since_ = now;
+    }
+    next_choice_ = now + settings.choose_interval;
+    if (now - *no_engine_since_ > settings.no_engine_limit) {
+        fail_with({errc::overloaded, "no engine for the model"});
+    }
+}
+
+void generation_task::start_attempt(const engine_choice& engine)
+{
+    engine_ = engine;
+    const bool from_prefix = host_.settings().resume_from_prefix;
+    attempt_first_index_ = from_prefix ? state_.tokens().size() : 0;
+    const std::uint64_t attempt = state_.begin_attempt(attempt_first_index_);
+    std::span<const std::string> prefix(state_.tokens());
+    if (!from_prefix) {
+        prefix = {};
+    }
+    ++host_.counters().attempts;
+    silence_.start(host_.loop().now(), engine.expected_first_token);
+    input_paused_ = false;
+    stream_ = std::make_unique<engine_stream>(
+        host_.client(),
+        engine_stream::what{engine.address, id_, attempt, request_, prefix},
+        stream_callbacks());
+    host_.directory().attempt_started(engine, id_, attempt);
+    host_.needs_flush(*this);
+}
+
+engine_stream::callbacks generation_task::stream_callbacks()
+{
+    return {
+        .on_headers = [this] { silence_.on_headers(host_.loop().now()); },
+        .on_token =
+            [this](std::uint64_t attempt, std::uint64_t index,
+                   std::string text) {
+                on_token(attempt, index, std::move(text));
+            },
+        .on_finish =
+            [this](std::string reason, std::uint64_t count) {
+                on_finish(state_.attempt(), std::move(reason), count);
+            },
+        .on_end =
+            [this](engine_stream::end end) {
+                lose_attempt(end.outcome, end.reason);
+            },
+    };
+}
+
+void generation_task::on_token(std::uint64_t attempt, std::uint64_t index,
+                               std::string text)
+{
+    switch (state_.on_token(attempt, index, std::move(text))) {
+    case generation::verdict::stale:
+        ++host_.counters().stale_events_dropped;
+        return;
+    case generation::verdict::out_of_order:
+        lose_attempt(attempt_outcome::malformed,
+                     {errc::malformed_input, "token index out of order"});
+        return;
+    case generation::verdict::accepted:
+        break;
+    }
+    ++host_.counters().tokens_generated;
+    silence_.on_token(host_.loop().now());
+    host_.needs_flush(*this);
+    const std::size_t unreleased = state_.tokens().size() - state_.released();
+    if (!input_paused_ && state_.tokens().size() > state_.released() &&
+        unreleased > host_.settings().max_unreleased_tokens) {
+        input_paused_ = true;
+        silence_.pause();
+        stream_->pause();
+    }
+}
+
+void generation_task::on_finish(std::uint64_t attempt, std::string reason,
+                                std::uint64_t count)
+{
+    if (state_.on_finish(attempt, std::move(reason), count) !=
+        generation::verdict::accepted) {
+        lose_attempt(attempt_outcome::malformed,
+                     {errc::malformed_input, "finish with a wrong count"});
+        return;
+    }
+    close_attempt(attempt_outcome::finished);
+    host_.needs_flush(*this);
+}
+
+void generation_task::lose_attempt(attempt_outcome outcome, const error& reason)
+{
+    if (!engine_) {
+        return;
+    }
+    generation_counters& totals = host_.counters();
+    totals.attempts_reset += outcome == attempt_outcome::reset ? 1 : 0;
+    totals.attempts_silent += outcome == attempt_outcome::silent ? 1 : 0;
+    totals.attempts_refused += outcome == attempt_outcome::refused ? 1 : 0;
+    totals.attempts_malformed += outcome == attempt_outcome::malformed ? 1 : 0;
+    log(log_events::attempt_lost, {{"request", id_.value()},
+                                   {"attempt", state_.attempt()},
+                                   {"upstream", engine_->upstream.value()},
+                                   {"outcome", name_of(outcome)},
+                                   {"reason", reason.detail},
+                                   {"tokens", state_.tokens().size()}});
+    excluded_.push_back(engine_->upstream);
+    // The engine may still generate, even behind a broken connection.
+    cancel_running(outcome);
+    const auto& observers = host_.settings().observers;
+    if (observers.on_attempt_lost) {
+        observers.on_attempt_lost(id_, outcome, state_.tokens().size());
+    }
+    if (ended()) {
+        return;
+    }
+    const auto& may_retry = host_.settings().may_retry;
+    if (++retries_ > host_.settings().max_retries ||
+        (may_retry && !may_retry(id_, request_))) {
+        fail_with(
+            {errc::upstream_failed, "retries used up, last: " + reason.detail});
+        return;
+    }
+    // The transfer library allows no new transfer from inside its callbacks.
+    host_.loop().post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->try_attempt();
+        }
+    });
+}
+
+void generation_task::cancel_running(attempt_outcome outcome)
+{
+    if (!engine_) {
+        return;
+    }
+    if (outcome != attempt_outcome::refused) {
+        host_.loop().post([weak = weak_from_this(), &host = host_,
+                           address = engine_->address, id = id_,
+                           attempt = state_.attempt()] {
+            if (!weak.expired()) {
+                cancel_attempt(host.client(), address, id, attempt);
+            }
+        });
+    }
+    close_attempt(outcome);
+}
+
+void generation_task::close_attempt(attempt_outcome outcome)
+{
+    if (!engine_) {
+        return;
+    }
+    const engine_choice engine = *std::exchange(engine_, std::nullopt);
+    const std::uint64_t generated =
+        state_.tokens().size() -
+        std::min<std::uint64_t>(attempt_first_index_, state_.tokens().size());
+    state_.end_attempt();
+    stream_->silence();
+    host_.retire(std::move(stream_));
+    host_.directory().attempt_ended(engine, id_, state_.attempt(), outcome,
+                                    generated);
+}
+
+bool generation_task::preempt()
+{
+    if (ended() || state_.finish() || preempted_) {
+        return false;
+    }
+    preempted_ = true;
+    ++host_.counters().preempted;
+    cancel_running(attempt_outcome::preempted);
+    return true;
+}
+
+bool generation_task::resume_preempted()
+{
+    if (ended() || !std::exchange(preempted_, false)) {
+        return false;
+    }
+    host_.loop().post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->try_attempt();
+        }
+    });
+    return true;
+}
+
+void generation_task::tick(time_point now)
+{
+    if (ended()) {
+        if (!failure_) {
+            tick_buddy(now);
+        }
+        return;
+    }
+    if (stream_) {
+        const bool silent = silence_.is_silent(now) ||
+                            (silence_.is_silent_beyond_minimum(now) &&
+                             !host_.directory().is_alive(engine_->upstream,
+                                                         engine_->incarnation));
+        if (silent) {
+            lose_attempt(attempt_outcome::silent,
+                         {errc::deadline_exceeded, "no input"});
+        }
+    } else if (now >= next_choice_) {
+        try_attempt();
+    }
+    if (!ended()) {
+        tick_buddy(now);
+    }
+    if (!ended()) {
+        release();
+        tick_caller(now);
+    }
+}
+
+void generation_task::on_clock_jump(time_point now)
+{
+    if (stream_ && !input_paused_) {
+        silence_.resume(now);
+    }
+    unacknowledged_since_ = now;
+    if (alone_from_ && *alone_from_ > now - host_.settings().alone_grace) {
+        alone_from_ = now + host_.settings().alone_grace;
+    }
+    if (absent_since_) {
+        absent_since_ = now;
+    }
+}
+
+void generation_task::cancel(error reason)
+{
+    if (!ended()) {
+        fail_with(std::move(reason));
+    }
+}
+
+void generation_task::fail_with(error reason)
+{
+    log(log_events::generation_failed, {{"request", id_.value()},
+                                        {"code", name_of(reason.code)},
+                                        {"reason", reason.detail},
+                                        {"tokens", state_.tokens().size()}});
+    failure_ = reason;
+    cancel_running(attempt_outcome::cancelled);
+    if (!buddy_.empty()) {
+        host_.hub().send(buddy_, generation_end{id_, state_.epoch()});
+    }
+    if (const auto sink = std::exchange(sink_, nullptr)) {
+        sink->failed(reason);
+    }
+    ++host_.counters().failed;
+    end(fail(reason.code, reason.detail));
+}
+
+void generation_task::end(const result<finish_info>& outcome)
+{
+    if (ended()) {
+        return;
+    }
+    ended_at_ = host_.loop().now();
+    const auto& observers = host_.settings().observers;
+    if (observers.on_finished) {
+        observers.on_finished(id_, outcome);
+    }
+    host_.ended(*this);
+}
+
+void generation_task::report_tokens()
+{
+    const std::uint64_t count = state_.tokens().size();
+    if (count <= reported_tokens_) {
+        return;
+    }
+    const auto& observers = host_.settings().observers;
+    if (!std::exchange(first_token_reported_, true) && reported_tokens_ == 0 &&
+        observers.on_first_token) {
+        observers.on_first_token(id_);
+    }
+    if (observers.on_tokens) {
+        observers.on_tokens(id_, count - reported_tokens_);
+    }
+    reported_tokens_ = count;
+}
+
+} // namespace bamboogate::streaming
--- /dev/null
+++ b/tests/support/streaming_cluster.hpp
@@ -0,0 +1,440 @@
+#ifndef BAMBOOGATE_TESTS_SUPPORT_STREAMING_CLUSTER_HPP
+#define BAMBOOGATE_TESTS_SUPPORT_STREAMING_CLUSTER_HPP
+
+#include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/link_hub.hpp>
+#include <bamboogate/streaming/generation_service.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fakes/engine_stand_in.hpp"
+
+namespace bamboogate::tests {
+
+/// Engine choice for tests: the engine with the fewest attempts running that
+/// is not excluded. Knows nothing of failures.
+class listed_engines : public streaming::engine_directory
+{
+public:
+    struct entry
+    {
+        upstream_id id;
+        std::string address;
+        std::string failure_domain = "south";
+        bool listed = true;
+        bool alive = true;
+        unsigned running = 0;
+    };
+
+    std::map<std::string, entry> entries;
+    std::map<streaming::attempt_outcome, unsigned> outcomes;
+    std::uint64_t started = 0;
+
+    std::optional<streaming::engine_choice>
+    choose(const streaming::engine_query& query) override
+    {
+        const entry* best = nullptr;
+        for (const auto& [name, each] : entries) {
+            const bool excluded =
+                std::find(query.excluded.begin(), query.excluded.end(),
+                          each.id) != query.excluded.end();
+            if (each.listed && !excluded &&
+                (best == nullptr || each.running < best->running)) {
+                best = &each;
+            }
+        }
+        if (best == nullptr) {
+            return std::nullopt;
+        }
+        return streaming::engine_choice{best->id, incarnation{1}, best->address,
+                                        failure_domain_id(best->failure_domain),
+                                        duration::zero()};
+    }
+
+    void attempt_started(const streaming::engine_choice& engine,
+                         const request_id&, std::uint64_t) override
+    {
+        ++started;
+        ++entries.at(engine.upstream.value()).running;
+    }
+
+    void attempt_ended(const streaming::engine_choice& engine,
+                       const request_id&, std::uint64_t,
+                       streaming::attempt_outcome outcome,
+                       std::uint64_t) override
+    {
+        ++outcomes[outcome];
+        --entries.at(engine.upstream.value()).running;
+    }
+
+    [[nodiscard]] bool is_alive(const upstream_id& upstream,
+                                incarnation) const override
+    {
+        const auto found = entries.find(upstream.value());
+        return found != entries.end() && found->second.alive;
+    }
+};
+
+/// One caller: keeps the tokens of its answer over several connections and
+/// notices a token that is missing, repeated or of another lineage.
+class test_caller
+{
+public:
+    /// One connection of the caller. Counts what arrives after a newer one.
+    class connection : public streaming::token_sink
+    {
+    public:
+        connection(test_caller& owner, unsigned number)
+            : owner_(&owner), number_(number)
+        {}
+        void epoch(std::uint64_t number) override
+        {
+            if (current()) {
+                owner_->epoch = number;
+            }
+        }
+        void token(std::uint64_t index, std::string_view text) override
+        {
+            ++tokens;
+            if (!current()) {
+                ++late_tokens;
+                return;
+            }
+            owner_->take(index, text);
+        }
+        void finished(const streaming::finish_info& info) override
+        {
+            ended = true;
+            late_finish = !current();
+            if (current()) {
+                owner_->finish = info;
+            }
+        }
+        void failed(const error& reason) override
+        {
+            ended = true;
+            failure = reason;
+            if (current()) {
+                owner_->failure = reason;
+            }
+        }
+        [[nodiscard]] bool ready() const override { return takes; }
+
+        unsigned tokens = 0;
+        unsigned late_tokens = 0;
+        bool late_finish = false;
+        bool ended = false;
+        bool takes = true;
+        std::optional<error> failure;
+
+        void forget_owner() { owner_ = nullptr; }
+
+    private:
+        [[nodiscard]] bool current() const
+        {
+            return owner_ != nullptr && owner_->connections == number_;
+        }
+
+        test_caller* owner_;
+        unsigned number_;
+    };
+
+    test_caller() = default;
+    test_caller(const test_caller&) = delete;
+    test_caller& operator=(const test_caller&) = delete;
+    ~test_caller()
+    {
+        for (const auto& each : all_) {
+            each->forget_owner();
+        }
+    }
+
+    std::shared_ptr<connection> connect()
+    {
+        failure.reset();
+        sink = std::make_shared<connection>(*this, ++connections);
+        all_.push_back(sink);
+        return sink;
+    }
+
+    /// The caller leaves its connection without the gate's knowledge.
+    void leave() { ++connections; }
+
+    void take(std::uint64_t index, std::string_view text)
+    {
+        if (index != tokens.size()) {
+            contiguous = false;
+        }
+        tokens.emplace_back(text);
+        last_token = monotonic_clock::now();
+        if (times.size() < tokens.size()) {
+            times.push_back(last_token);
+        }
+    }
+
+    [[nodiscard]] bool is_whole(fakes::token_mode mode) const
+    {
+        return contiguous && finish && finish->count == tokens.size() &&
+               fakes::is_valid_answer(prompt, max_tokens, tokens, mode);
+    }
+
+    /// The longest time between two tokens.
+    [[nodiscard]] duration longest_pause() const
+    {
+        duration longest{};
+        for (std::size_t i = 1; i < times.size(); ++i) {
+            longest = std::max(longest, times[i] - times[i - 1]);
+        }
+        return longest;
+    }
+
+    std::string prompt;
+    std::uint64_t max_tokens = 0;
+    request_id id;
+    std::size_t gate = 0;
+    unsigned connections = 0;
+    std::vector<std::string> tokens;
+    std::vector<time_point> times;
+    time_point last_token = monotonic_clock::now();
+    std::uint64_t epoch = 0;
+    bool contiguous = true;
+    std::optional<streaming::finish_info> finish;
+    std::optional<error> failure;
+    std::shared_ptr<connection> sink;
+
+private:
+    std::vector<std::shared_ptr<connection>> all_;
+};
+
+/// A gate's streaming side on a loop of its own, so that a test can freeze it
+/// by not running the loop.
+struct test_gate
+{
+    test_gate(const std::string& name, const std::string& domain,
+              std::uint64_t life, net::link_hub::options links,
+              streaming::generation_options settings)
+    {
+        links.self = {node_id(name), incarnation{life},
+                      failure_domain_id(domain)};
+        links.shared_secret = secret("shared");
+        hub = std::make_unique<net::link_hub>(loop, links);
+        client = std::make_unique<net::http_client>(loop);
+        service = std::make_unique<streaming::generation_service>(
+            loop, *hub, *client, engines, std::move(settings));
+    }
+
+    ~test_gate()
+    {
+        service.reset();
+        client.reset();
+        hub.reset();
+    }
+
+    net::event_loop loop;
+    listed_engines engines;
+    std::unique_ptr<net::link_hub> hub;
+    std::unique_ptr<net::http_client> client;
+    std::unique_ptr<streaming::generation_service> service;
+    bool frozen = false;
+    net::address where;
+};
+
+/// Gates and engines in one process, over loopback connections.
+class streaming_cluster
+{
+public:
+    struct options
+    {
+        std::size_t gates = 3;
+        std::size_t engines = 3;
+        fakes::engine_stand_in::options engine;
+        streaming::generation_options streaming;
+        net::link_hub::options links;
+    };
+
+    /// @brief Settings with short times, for tests.
+    static options fast()
+    {
+        using namespace std::chrono_literals;
+        options out;
+        out.engine.token_interval = 2ms;
+        out.engine.slots = 256;
+        out.links.heartbeat_interval = 30ms;
+        out.links.silence_limit = 250ms;
+        out.links.redial_interval = 10ms;
+        auto& silence = out.streaming.silence;
+        silence.header_limit = 300ms;
+        silence.first_token_limit = 500ms;
+        silence.min_limit = 150ms;
+        silence.unsettled_limit = 200ms;
+        out.streaming.buddy_ack_limit = 150ms;
+        out.streaming.resend_interval = 60ms;
+        out.streaming.alone_grace = 600ms;
+        out.streaming.attach_deadline = 100ms;
+        out.streaming.choose_interval = 10ms;
+        return out;
+    }
+
+    explicit streaming_cluster(options settings)
+        : settings_(std::move(settings)), gates(settings_.gates),
+          engines(settings_.engines)
+    {
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            start_engine(i);
+        }
+        for (std::size_t i = 0; i < gates.size(); ++i) {
+            start_gate(i);
+        }
+        run_until([this] {
+            return std::all_of(gates.begin(), gates.end(), [this](auto& g) {
+                return g->hub->peers_up().size() == gates.size() - 1;
+            });
+        });
+    }
+
+    void start_engine(std::size_t i)
+    {
+        auto chosen = settings_.engine;
+        chosen.id = "engine-" + std::to_string(i);
+        const bool again = engine_addresses_.contains(i);
+        engines[i] =
+            std::make_unique<fakes::engine_stand_in>(engine_loop, chosen);
+        const net::address where =
+            again ? engine_addresses_[i] : net::address{"127.0.0.1", 0};
+        if (!engines[i]->start(where)) {
+            engines[i].reset();
+            return;
+        }
+        engine_addresses_[i] = engines[i]->where();
+        for (auto& gate : gates) {
+            if (gate) {
+                list_engine(*gate, i);
+            }
+        }
+    }
+
+    void kill_engine(std::size_t i) { engines[i].reset(); }
+
+    void start_gate(std::size_t i)
+    {
+        static constexpr std::array<const char*, 3> domains{"south", "east",
+                                                            "west"};
+        const std::string name = "gate-" + std::to_string(i);
+        gates[i] = std::make_unique<test_gate>(
+            name, domains.at(i % domains.size()), ++lives_, settings_.links,
+            settings_.streaming);
+        auto bound = gates[i]->hub->listen({"127.0.0.1", 0});
+        if (bound) {
+            gates[i]->where = bound.value();
+        }
+        for (std::size_t k = 0; k < engines.size(); ++k) {
+            list_engine(*gates[i], k);
+        }
+        for (std::size_t k = 0; k < gates.size(); ++k) {
+            if (k != i && gates[k]) {
+                const node_id peer("gate-" + std::to_string(k));
+                gates[i]->hub->dial(peer, gates[k]->where);
+                gates[k]->hub->dial(node_id(name), gates[i]->where);
+            }
+        }
+    }
+
+    void kill_gate(std::size_t i) { gates[i].reset(); }
+    void freeze_gate(std::size_t i, bool frozen) { gates[i]->frozen = frozen; }
+
+    /// @brief Runs everything that is not frozen once.
+    void run_once()
+    {
+        engine_loop.run_once();
+        for (auto& gate : gates) {
+            if (gate && !gate->frozen) {
+                gate->loop.run_once();
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::microseconds(50));
+    }
+
+    template <typename Condition>
+    bool run_until(Condition condition,
+                   duration limit = std::chrono::seconds(10))
+    {
+        // Timers keep the loops awake for run_once.
+        const time_point end = monotonic_clock::now() + limit;
+        while (!condition() && monotonic_clock::now() < end) {
+            run_once();
+        }
+        return condition();
+    }
+
+    void run_for(duration time)
+    {
+        run_until([] { return false; }, time);
+    }
+
+    /// @brief Starts a generation for a caller at a gate.
+    bool start(test_caller& caller, std::size_t gate, std::string prompt,
+               std::uint64_t max_tokens = 0)
+    {
+        caller.prompt = std::move(prompt);
+        caller.max_tokens = max_tokens;
+        caller.gate = gate;
+        auto id = gates[gate]->service->start({.model = model_id("model-1"),
+                                               .prompt = caller.prompt,
+                                               .max_tokens = max_tokens},
+                                              caller.connect());
+        if (id) {
+            caller.id = id.value();
+        }
+        return id.has_value();
+    }
+
+    /// @brief The caller comes back to a gate.
+    void attach(test_caller& caller, std::size_t gate)
+    {
+        caller.gate = gate;
+        const auto sink = caller.connect();
+        gates[gate]->service->attach(
+            caller.id,
+            {.from_index = caller.tokens.size(), .epoch = caller.epoch}, sink);
+    }
+
+    /// @brief The buddy's index, from the hint in the id.
+    [[nodiscard]] std::size_t buddy_of(const request_id& id) const
+    {
+        const std::string& text = id.value();
+        const auto first = text.find("~gate-");
+        return first == std::string::npos
+                   ? gates.size()
+                   : static_cast<std::size_t>(text.at(first + 6) - '0');
+    }
+
+private:
+    void list_engine(test_gate& gate, std::size_t i)
+    {
+        const std::string name = "engine-" + std::to_string(i);
+        auto& entry = gate.engines.entries[name];
+        entry.id = upstream_id(name);
+        entry.address = engine_addresses_[i].text();
+    }
+
+    options settings_;
+    std::map<std::size_t, net::address> engine_addresses_;
+    std::uint64_t lives_ = 0;
+
+public:
+    net::event_loop engine_loop;
+    std::vector<std::unique_ptr<test_gate>> gates;
+    std::vector<std::unique_ptr<fakes::engine_stand_in>> engines;
+};
+
+} // namespace bamboogate::tests
+
+#endif
