Implement routing and its tests

The gate needs to know the upstreams, whom to choose and how many slots it may use. Relaying all news by every gate was ruled out (traffic grows with the square of the gates): a gate asks for news of upstreams that have been quiet for half the TTL, and only departures are relayed unasked. Tombstones hold a position, so a paused upstream that was removed returns with newer news while a leave voids its whole incarnation. A cut between gates never oversubscribes engines, as gates without news keep their equal part.

--- a/lib/include/bamboogate/routing/membership_exchange.hpp
+++ b/lib/include/bamboogate/routing/membership_exchange.hpp
@@ -24,6 +24,8 @@
 {
     static constexpr std::string_view type = "upstream_suspect";
     std::vector<suspicion> list;
+    /// Not suspected yet; the sender asks for newer news of them.
+    std::vector<suspicion> quiet;
 };
 void to_json(json& document, const upstream_suspect& message);
 void from_json(const json& document, upstream_suspect& message);
@@ -37,9 +39,9 @@
 ///
 /// News that an upstream gave to this gate goes to every gate directly.
 /// Departures are passed on once more by each gate that learns of one, so they
-/// arrive while some path exists. Other news is passed on when a gate says that
-/// it suspects an upstream: this keeps the traffic linear in the gates.
-/// Not thread safe: all calls come from the loop's thread.
+/// arrive while some path exists. Other news is passed on when a gate asks
+/// because an upstream has gone quiet: this keeps the traffic linear in the
+/// gates. Not thread safe: all calls come from the loop's thread.
 class membership_exchange
 {
 public:
@@ -65,7 +67,7 @@
 private:
     void on_delta(const net::peer_info& peer, const table_delta& delta);
     void on_suspicions(const net::peer_info& peer,
-                       const std::vector<suspicion>& list);
+                       const upstream_suspect& message);
     void flush();
     void check_silence();
     void send_to(const node_id& peer, const table_delta& delta);
--- a/lib/include/bamboogate/routing/selector.hpp
+++ b/lib/include/bamboogate/routing/selector.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace bamboogate::routing {
@@ -57,6 +58,8 @@
         std::size_t sample = 24;
         bool use_prefix = true;
         bool subtract_own = true;
+        /// Remembered departures; an upstream among them returns slowly.
+        std::size_t max_departed = 4096;
         circuit_breaker::options breaker{};
         prefix_index::options index{};
     };
@@ -117,7 +120,6 @@
 
 private:
     struct upstream;
-    struct sample_result;
 
     [[nodiscard]] upstream* lookup(const upstream_id& id) const noexcept;
     [[nodiscard]] bool usable(const upstream& candidate, time_point now) const;
@@ -132,6 +134,7 @@
     options settings_;
     prefix_index index_;
     std::unordered_map<upstream_id, std::unique_ptr<upstream>> upstreams_;
+    std::unordered_set<upstream_id> departed_;
     std::unordered_map<model_id, std::vector<upstream*>> by_model_;
     std::unordered_map<service_id, std::vector<upstream*>> by_service_;
 };
--- a/lib/include/bamboogate/routing/upstream_table.hpp
+++ b/lib/include/bamboogate/routing/upstream_table.hpp
@@ -116,7 +116,8 @@
 
     explicit upstream_table(options settings);
 
-    /// @brief Calls the function after each change, from inside the change.
+    /// @brief Calls the function after each change, from inside the change, in
+    /// the order of registration. The function must not change the table.
     void on_event(observer function);
 
     /// @brief Takes an announcement that an upstream sent to this gate.
@@ -134,6 +135,15 @@
     /// @brief The upstreams that this gate suspects now.
     [[nodiscard]] std::vector<suspicion> suspicions() const;
 
+    /// @brief Upstreams that have been silent for half the TTL. Asking other
+    /// gates for newer news of them avoids suspicion when only the path from
+    /// the gate that hears them is cut.
+    [[nodiscard]] std::vector<suspicion> quiet(time_point now) const;
+
+    /// @brief The ids for which this table has newer news than the list.
+    [[nodiscard]] std::vector<upstream_id>
+    newer_than(const std::vector<suspicion>& list) const;
+
     /// @brief Replaces what another gate suspects.
     /// @return the ids for which this table has newer news than that gate;
     ///     send them to it (`changes_of`)
@@ -184,7 +194,7 @@
     void notify(table_event event, const upstream_record& record) const;
 
     options settings_;
-    observer observer_;
+    std::vector<observer> observers_;
     std::map<upstream_id, upstream_record> records_;
     std::unordered_map<upstream_id, tombstone> tombstones_;
     std::map<node_id, std::unordered_map<upstream_id, vote>> votes_;
--- /dev/null
+++ b/lib/source/routing/capacity_share.cpp
@@ -0,0 +1,152 @@
+#include <bamboogate/routing/capacity_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace bamboogate::routing {
+
+namespace {
+
+/// Deals `slots` one by one in equal parts to the listed gates, first to
+/// those with the lowest index, up to each gate's limit.
+unsigned deal(unsigned slots, std::vector<unsigned>& parts,
+              const std::vector<unsigned>& limits)
+{
+    while (slots > 0) {
+        std::vector<std::size_t> open;
+        for (std::size_t i = 0; i < parts.size(); ++i) {
+            if (parts[i] < limits[i]) {
+                open.push_back(i);
+            }
+        }
+        if (open.empty()) {
+            return slots;
+        }
+        const auto count = static_cast<unsigned>(open.size());
+        const unsigned each = slots / count;
+        if (each == 0) {
+            for (std::size_t k = 0; k < slots; ++k) {
+                ++parts[open[k]];
+            }
+            return 0;
+        }
+        for (const std::size_t i : open) {
+            const unsigned given = std::min(each, limits[i] - parts[i]);
+            parts[i] += given;
+            slots -= given;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+std::vector<unsigned> divide_capacity(unsigned capacity,
+                                      std::span<const double> demands)
+{
+    std::vector<unsigned> parts(demands.size(), 0);
+    if (demands.empty()) {
+        return parts;
+    }
+    std::vector<unsigned> limits;
+    limits.reserve(demands.size());
+    for (const double demand : demands) {
+        const double wanted =
+            std::clamp(std::ceil(demand), 0.0, static_cast<double>(capacity));
+        limits.push_back(static_cast<unsigned>(wanted));
+    }
+    const unsigned left = deal(capacity, parts, limits);
+    const std::vector<unsigned> no_limits(demands.size(), capacity);
+    std::vector<unsigned> surplus(demands.size(), 0);
+    deal(left, surplus, no_limits);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        parts[i] += surplus[i];
+    }
+    return parts;
+}
+
+capacity_share::capacity_share(options settings)
+    : settings_(std::move(settings))
+{
+    std::sort(settings_.gates.begin(), settings_.gates.end());
+}
+
+void capacity_share::receive(const node_id& gate, double demand, time_point now)
+{
+    const bool known = std::binary_search(settings_.gates.begin(),
+                                          settings_.gates.end(), gate);
+    if (known && std::isfinite(demand)) {
+        demands_[gate] = {std::max(demand, 0.0), now};
+    }
+}
+
+bool capacity_share::informed(time_point now) const
+{
+    return std::all_of(settings_.gates.begin(), settings_.gates.end(),
+                       [&](const node_id& gate) {
+                           const auto found = demands_.find(gate);
+                           return gate == settings_.self ||
+                                  (found != demands_.end() &&
+                                   now - found->second.received <
+                                       settings_.news_lifetime);
+                       });
+}
+
+unsigned capacity_share::slots(unsigned capacity, time_point now)
+{
+    const std::size_t count = settings_.gates.size();
+    const auto self = std::lower_bound(settings_.gates.begin(),
+                                       settings_.gates.end(), settings_.self);
+    if (self == settings_.gates.end() || *self != settings_.self) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(self - settings_.gates.begin());
+    // Equal parts in whole slots, the rest to the first gates by id.
+    const std::vector<double> alike(count, 0.0);
+    const std::vector<unsigned> equal = divide_capacity(capacity, alike);
+
+    // Silent gates keep their equal part; the others divide the rest. Without
+    // any news this leaves exactly the own equal part.
+    unsigned rest = capacity;
+    std::vector<double> demands;
+    std::size_t own = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        const node_id& gate = settings_.gates[i];
+        const auto found = demands_.find(gate);
+        const bool recent =
+            found != demands_.end() &&
+            now - found->second.received < settings_.news_lifetime;
+        if (i == index) {
+            own = demands.size();
+        }
+        if (recent || i == index) {
+            demands.push_back(recent ? found->second.demand : equal[i]);
+        } else {
+            rest -= equal[i];
+        }
+    }
+    const unsigned fair = divide_capacity(rest, demands)[own];
+    const auto cap =
+        static_cast<unsigned>(std::ceil(settings_.max_factor * equal[index]));
+    const unsigned target = std::min(fair, std::max(cap, equal[index]));
+
+    if (!has_value_ || target <= value_ || capacity != capacity_) {
+        has_value_ = true;
+        capacity_ = capacity;
+        value_ = target;
+        rising_ = false;
+        return value_;
+    }
+    if (!rising_) {
+        rising_ = true;
+        rise_since_ = now;
+    }
+    if (now - rise_since_ >= settings_.settle) {
+        value_ = target;
+        rising_ = false;
+    }
+    return value_;
+}
+
+} // namespace bamboogate::routing
--- /dev/null
+++ b/lib/source/routing/upstream_table.cpp
@@ -0,0 +1,297 @@
+#include <bamboogate/routing/upstream_table.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace bamboogate::routing {
+
+namespace {
+
+news_position whole_life(incarnation life)
+{
+    return {life, std::numeric_limits<std::uint64_t>::max()};
+}
+
+} // namespace
+
+upstream_table::upstream_table(options settings)
+    : settings_(std::move(settings))
+{}
+
+void upstream_table::on_event(observer function)
+{
+    observers_.push_back(std::move(function));
+}
+
+void upstream_table::notify(table_event event,
+                            const upstream_record& record) const
+{
+    for (const observer& function : observers_) {
+        function(event, record);
+    }
+}
+
+news_outcome upstream_table::announce(announcement news, time_point now)
+{
+    return take(std::move(news), now, now);
+}
+
+news_outcome upstream_table::take(announcement news, time_point heard,
+                                  time_point now)
+{
+    const news_position position{news.incarnation, news.sequence};
+    if (const auto grave = tombstones_.find(news.id);
+        grave != tombstones_.end() && position <= grave->second.void_until) {
+        return news_outcome::stale;
+    }
+    const auto found = records_.find(news.id);
+    if (found == records_.end()) {
+        if (records_.size() >= settings_.max_upstreams) {
+            return news_outcome::table_full;
+        }
+        const upstream_id id = news.id;
+        auto& record = records_[id];
+        record = {.latest = std::move(news),
+                  .last_heard = heard,
+                  .joined = now,
+                  .version = ++version_};
+        notify(table_event::joined, record);
+        return news_outcome::accepted;
+    }
+    upstream_record& record = found->second;
+    if (position <= record.position()) {
+        return news_outcome::stale;
+    }
+    const bool new_life = news.incarnation > record.latest.incarnation;
+    const bool recovered = record.suspected;
+    // A drain lasts until the upstream restarts: a later announcement that was
+    // built before the drain must not bring work back.
+    news.draining = news.draining || (!new_life && record.latest.draining);
+    record.latest = std::move(news);
+    record.last_heard = std::max(record.last_heard, heard);
+    record.suspected = false;
+    record.version = ++version_;
+    if (new_life) {
+        record.joined = now;
+        notify(table_event::joined, record);
+    } else {
+        notify(recovered ? table_event::recovered : table_event::updated,
+               record);
+    }
+    return news_outcome::accepted;
+}
+
+news_outcome upstream_table::leave(const upstream_id& id, incarnation life,
+                                   time_point now)
+{
+    return bury(id, whole_life(life), table_event::left, now)
+               ? news_outcome::accepted
+               : news_outcome::stale;
+}
+
+bool upstream_table::bury(const upstream_id& id, news_position until,
+                          table_event reason, time_point now)
+{
+    auto& grave = tombstones_[id];
+    const bool is_new = grave.id.empty();
+    if (!is_new && until <= grave.void_until) {
+        return false;
+    }
+    grave = {
+        .id = id, .void_until = until, .version = ++version_, .since = now};
+    const auto found = records_.find(id);
+    if (found != records_.end() && found->second.position() <= until) {
+        const upstream_record record = std::move(found->second);
+        records_.erase(found);
+        notify(reason, record);
+    }
+    limit_tombstones();
+    return true;
+}
+
+void upstream_table::limit_tombstones()
+{
+    while (tombstones_.size() > settings_.max_tombstones) {
+        const auto oldest = std::min_element(
+            tombstones_.begin(), tombstones_.end(),
+            [](const auto& left, const auto& right) {
+                return left.second.version < right.second.version;
+            });
+        tombstones_.erase(oldest);
+    }
+}
+
+std::size_t upstream_table::votes_against(const upstream_record& record,
+                                          time_point now) const
+{
+    std::size_t count = 0;
+    for (const node_id& gate : settings_.gates) {
+        if (gate == settings_.self) {
+            count += record.suspected ? 1 : 0;
+            continue;
+        }
+        const auto votes = votes_.find(gate);
+        if (votes == votes_.end()) {
+            continue;
+        }
+        const auto found = votes->second.find(record.latest.id);
+        // A gate that knows older news than this one cannot testify that the
+        // upstream is silent, and a vote lapses with its gate's link.
+        if (found != votes->second.end() &&
+            found->second.last_known >= record.position() &&
+            now - found->second.received < settings_.ttl) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+void upstream_table::expire(time_point now)
+{
+    std::vector<upstream_id> silent;
+    for (auto& [id, record] : records_) {
+        if (now - record.last_heard < settings_.ttl) {
+            continue;
+        }
+        if (!record.suspected) {
+            record.suspected = true;
+            notify(table_event::suspected, record);
+        }
+        if (votes_against(record, now) > settings_.gates.size() / 2) {
+            silent.push_back(id);
+        }
+    }
+    for (const upstream_id& id : silent) {
+        bury(id, records_.at(id).position(), table_event::removed, now);
+    }
+    std::erase_if(tombstones_, [&](const auto& entry) {
+        return now - entry.second.since > settings_.tombstone_retention;
+    });
+}
+
+std::vector<suspicion> upstream_table::suspicions() const
+{
+    std::vector<suspicion> list;
+    for (const auto& [id, record] : records_) {
+        if (record.suspected) {
+            list.push_back({id, record.position()});
+        }
+    }
+    return list;
+}
+
+std::vector<upstream_id> upstream_table::receive_suspicions(
+    const node_id& gate, const std::vector<suspicion>& list, time_point now)
+{
+    const bool known_gate =
+        std::find(settings_.gates.begin(), settings_.gates.end(), gate) !=
+        settings_.gates.end();
+    if (known_gate) {
+        auto& votes = votes_[gate];
+        votes.clear();
+        for (const suspicion& item : list) {
+            if (votes.size() < settings_.max_upstreams) {
+                votes[item.id] = {item.last_known, now};
+            }
+        }
+    }
+    return newer_than(list);
+}
+
+std::vector<suspicion> upstream_table::quiet(time_point now) const
+{
+    std::vector<suspicion> list;
+    for (const auto& [id, record] : records_) {
+        if (now - record.last_heard >= settings_.ttl / 2) {
+            list.push_back({id, record.position()});
+        }
+    }
+    return list;
+}
+
+std::vector<upstream_id>
+upstream_table::newer_than(const std::vector<suspicion>& list) const
+{
+    std::vector<upstream_id> newer;
+    for (const suspicion& item : list) {
+        const auto found = records_.find(item.id);
+        const auto grave = tombstones_.find(item.id);
+        const bool newer_news = found != records_.end() &&
+                                found->second.position() > item.last_known;
+        const bool departed = grave != tombstones_.end() &&
+                              grave->second.void_until >= item.last_known;
+        if (newer_news || departed) {
+            newer.push_back(item.id);
+        }
+    }
+    return newer;
+}
+
+table_delta upstream_table::changes_since(std::uint64_t version,
+                                          time_point now) const
+{
+    table_delta delta;
+    delta.up_to = version_;
+    for (const auto& [id, record] : records_) {
+        if (record.version > version) {
+            delta.entries.push_back({record.latest, now - record.last_heard});
+        }
+    }
+    for (const auto& [id, grave] : tombstones_) {
+        if (grave.version > version) {
+            delta.departures.push_back(grave);
+        }
+    }
+    return delta;
+}
+
+table_delta upstream_table::changes_of(const std::vector<upstream_id>& ids,
+                                       time_point now) const
+{
+    table_delta delta;
+    delta.up_to = version_;
+    for (const upstream_id& id : ids) {
+        if (const auto* record = find(id)) {
+            delta.entries.push_back({record->latest, now - record->last_heard});
+        }
+        if (const auto grave = tombstones_.find(id);
+            grave != tombstones_.end()) {
+            delta.departures.push_back(grave->second);
+        }
+    }
+    return delta;
+}
+
+std::size_t upstream_table::merge(const table_delta& delta, time_point now)
+{
+    std::size_t changes = 0;
+    for (const tombstone& grave : delta.departures) {
+        const bool is_leave = grave.void_until.sequence ==
+                              std::numeric_limits<std::uint64_t>::max();
+        changes +=
+            bury(grave.id, grave.void_until,
+                 is_leave ? table_event::left : table_event::removed, now)
+                ? 1
+                : 0;
+    }
+    for (const table_delta::entry& entry : delta.entries) {
+        // The table of a gate that was cut off can be long out of date: what
+        // it has not heard for a TTL is no reason to add an upstream.
+        if (entry.age >= settings_.ttl && find(entry.news.id) == nullptr) {
+            continue;
+        }
+        const duration age = std::max(entry.age, duration::zero());
+        changes +=
+            take(entry.news, now - age, now) == news_outcome::accepted ? 1 : 0;
+    }
+    return changes;
+}
+
+const upstream_record*
+upstream_table::find(const upstream_id& id) const noexcept
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+} // namespace bamboogate::routing
