--- /dev/null
+++ b/lib/source/scheduling/admission_state.hpp
@@ -0,0 +1,148 @@
+#ifndef BAMBOOGATE_SOURCE_SCHEDULING_ADMISSION_STATE_HPP
+#define BAMBOOGATE_SOURCE_SCHEDULING_ADMISSION_STATE_HPP
+
+#include <bamboogate/scheduling/admission.hpp>
+#include <bamboogate/scheduling/fair_queue.hpp>
+#include <bamboogate/scheduling/load_estimate.hpp>
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bamboogate::scheduling {
+
+struct admission::state
+{
+    struct entry;
+    struct class_state;
+    using queue = fair_queue<entry*>;
+
+    struct rank_state
+    {
+        control::rank_policy policy;
+        std::list<entry*> waiting; ///< in order of submission
+        std::set<std::pair<std::uint64_t, entry*>> active; ///< by start number
+        unsigned running = 0; ///< active or under preemption
+        rate_estimate arrivals{std::chrono::seconds(5)};
+    };
+
+    struct class_state
+    {
+        std::string name;
+        rank_state* rank = nullptr;
+        double share = 0.0; ///< declared; 0 when there is none
+        unsigned running = 0;
+        unsigned active = 0;        ///< running and not under preemption
+        double active_weight = 0.0; ///< of accounts with recent requests
+        queue accounts;
+    };
+
+    enum class phase : std::uint8_t
+    {
+        waiting,
+        running,
+        preempting,
+    };
+
+    struct entry
+    {
+        work_request request;
+        phase now_in = phase::waiting;
+        class_state* service_class = nullptr;
+        queue::account* account = nullptr;
+        std::list<entry*>::iterator in_account;
+        std::list<entry*>::iterator in_rank;
+        time_point submitted;
+        time_point started;
+        std::uint64_t start_number = 0;
+        std::uint64_t charged = 0; ///< tokens charged to the account
+        std::uint64_t generated = 0;
+        std::uint64_t reported = 0; ///< tokens counted as usage
+        unsigned preemptions = 0;
+        bool ran = false; ///< reached an engine: never refused as not run
+
+        [[nodiscard]] rank_state& rank() const { return *service_class->rank; }
+        [[nodiscard]] std::uint64_t remaining() const
+        {
+            const std::uint64_t estimate = request.estimated_tokens;
+            return estimate > generated ? estimate - generated : 1;
+        }
+    };
+
+    explicit state(options o) : settings(o) {}
+
+    // admission.cpp
+    void load_preset(const control::preset& in_force);
+    rank_state* rank_named(std::string_view name);
+    class_state* class_for(const work_request& request, rank_state& rank);
+    double weight_of(const client_account_id& id) const;
+    void touch(class_state& service_class, queue::account& who, time_point now);
+    std::optional<refusal> queue_problem(const rank_state& rank,
+                                         const queue::account& who) const;
+    void enqueue(entry& item, bool front);
+    void unqueue(entry& item);
+    void release(entry& item, time_point now);
+    void settle(entry& item);
+    dropped_request drop(entry& item, refusal why);
+    void drop_waiting(rank_state& rank, std::size_t limit,
+                      std::string_view reason,
+                      std::vector<dropped_request>& dropped);
+
+    // admission_estimate.cpp
+    [[nodiscard]] double slots_for(const rank_state& rank) const;
+    [[nodiscard]] duration expected_wait(const class_state& service_class,
+                                         const queue::account& who) const;
+    [[nodiscard]] double release_rate() const;
+    [[nodiscard]] bool is_large(const class_state& service_class,
+                                const queue::account& who) const;
+    void refresh_headroom(time_point now);
+    void forget_idle_accounts(time_point now);
+
+    // admission_dispatch.cpp
+    void drop_late(dispatch& out, time_point now);
+    entry* choose(unsigned free_slots, time_point now);
+    entry* oldest() const;
+    entry* choose_aged(time_point now);
+    entry* choose_guaranteed(unsigned free_slots);
+    entry* choose_by_rank(unsigned free_slots);
+    entry* choose_in_class(class_state& service_class, unsigned free_slots,
+                           bool guaranteed);
+    [[nodiscard]] double guarantee_ratio(const class_state& item) const;
+    [[nodiscard]] bool within_split(const class_state& item) const;
+    void start(entry& item, time_point now);
+    void preempt(dispatch& out, time_point now);
+    entry* choose_victim(const rank_state& urgent);
+
+    options settings;
+    control::preset preset;
+    std::vector<std::unique_ptr<rank_state>> ranks; ///< most urgent first
+    std::vector<std::unique_ptr<class_state>> classes;
+    std::unordered_map<request_id, entry> entries;
+    std::set<std::pair<time_point, entry*>> deadlines; ///< of waiting entries
+    std::unordered_map<client_account_id, double> weights;
+    totals counters;
+
+    unsigned capacity = 0; ///< slots of this gate, 0 until the first `next`
+    unsigned running = 0;
+    unsigned preempting = 0;
+    std::uint64_t starts = 0;
+    unsigned starts_since_aged = 0;
+    hold_time_estimate hold{settings.first_hold_guess};
+    double mean_tokens = 256.0; ///< estimated tokens per request, averaged
+    rate_estimate light_arrivals{std::chrono::seconds(5)};
+    unsigned urgent_headroom = 0;
+    unsigned light_headroom = 0;
+    time_point headroom_due;
+    time_point sweep_due;
+};
+
+/// Weight of a class without a declared share when classes are compared.
+inline constexpr double undeclared_share = 0.05;
+
+} // namespace bamboogate::scheduling
+
+#endif
