--- /dev/null
+++ b/bench/model/scenarios.cpp
@@ -0,0 +1,88 @@
+#include <bamboogate/core/time.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet_model.hpp"
+
+namespace bamboogate::model {
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const auto rank = static_cast<std::size_t>(
+        std::ceil(share * static_cast<double>(values.size())));
+    const std::size_t index = std::clamp<std::size_t>(rank, 1, values.size());
+    const auto place = values.begin() + static_cast<std::ptrdiff_t>(index - 1);
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+double jain_index(const std::vector<double>& values)
+{
+    double sum = 0.0;
+    double squares = 0.0;
+    for (const double value : values) {
+        sum += value;
+        squares += value * value;
+    }
+    return squares == 0.0
+               ? 1.0
+               : sum * sum / (static_cast<double>(values.size()) * squares);
+}
+
+scenario ordinary_day(user whose)
+{
+    const bool andes = whose == user::andes;
+    scenario day;
+    day.engines = andes ? 35 : 20;
+    const std::string urgent = andes ? "slope-stability" : "manifest";
+    const std::string lower = andes ? "condition-summary" : "route-brief";
+    day.preset.id = preset_id("ordinary");
+    day.preset.ranks = {{.name = "urgent", .priority = 0},
+                        {.name = "normal",
+                         .priority = 1,
+                         .floor_share = andes ? 0.3 : 0.2,
+                         .preemptible = true}};
+    constexpr int accounts = 10;
+    constexpr int large = 2;
+    for (int i = 0; i < accounts; ++i) {
+        const bool small = i >= large;
+        const std::string account =
+            (small ? "small-" : "large-") + std::to_string(i);
+        // Two large accounts bring half of the load, eight small ones the rest.
+        const double part = small ? 0.5 / (accounts - large) : 0.5 / large;
+        day.streams.push_back({.account = account,
+                               .rank = "urgent",
+                               .service_class = urgent,
+                               .load = 0.20 * part,
+                               .flood_load = 0.20 * part,
+                               .mean_tokens = andes ? 1200u : 200u,
+                               .small = small});
+        day.streams.push_back({.account = account,
+                               .rank = "normal",
+                               .service_class = lower,
+                               .load = 0.40 * part,
+                               .flood_load = 0.40 * part,
+                               .mean_tokens = andes ? 300u : 400u,
+                               .small = small});
+    }
+    return day;
+}
+
+void flood_rank(scenario& what, const std::string& rank, double load)
+{
+    double sum = 0.0;
+    for (const arrival_stream& stream : what.streams) {
+        sum += stream.rank == rank ? stream.load : 0.0;
+    }
+    for (arrival_stream& stream : what.streams) {
+        if (stream.rank == rank && sum > 0.0) {
+            stream.flood_load = stream.load / sum * load;
+        }
+    }
+}
+
+} // namespace bamboogate::model
--- a/lib/include/bamboogate/routing/selector.hpp
+++ b/lib/include/bamboogate/routing/selector.hpp
@@ -39,7 +39,14 @@
 /// An engine's load is this gate's own outstanding tokens plus what its last
 /// report says beyond those that the report already contained. Among many
 /// candidates a random sample and the holders of the cached prefix are
-/// compared. Pure: time and random bits are arguments. Not thread safe.
+/// compared.
+///
+/// Each slot of an engine has a home gate, dealt in turn over the sorted
+/// engines of a pool. A gate fills its home slots first and takes others only
+/// where reports show room: reports are too old to tell free slots at high
+/// load, and a request sent to a full engine waits there, whatever its rank
+/// was worth at the gate. Pure: time and random bits are arguments. Not thread
+/// safe.
 class selector
 {
 public:
@@ -54,8 +61,16 @@
         double cached_block_tokens = 64.0;
         /// Cost of a choice outside the preferred domain, in tokens.
         double remote_domain_tokens = 200.0;
+        /// Cost of each stream that an engine has above its slots, in tokens.
+        /// Waiting for a slot costs about as much as half an answer.
+        double queued_stream_tokens = 1000.0;
+        /// Cost of a slot whose home is another gate, as a share of that.
+        double foreign_slot_share = 0.3;
         /// Candidates that are compared when there are more than this.
         std::size_t sample = 24;
+        /// This gate's place among the sorted gates of the settings.
+        unsigned gate_index = 0;
+        unsigned gates = 1;
         bool use_prefix = true;
         bool subtract_own = true;
         /// Remembered departures; an upstream among them returns slowly.
@@ -112,7 +127,8 @@
     /// @brief Streams of this gate at an upstream.
     [[nodiscard]] unsigned streams(const upstream_id& id) const noexcept;
 
-    /// @brief Slots of all engines with a model that accept work.
+    /// @brief Slots of all engines with a model that accept work and are not
+    ///     suspected.
     [[nodiscard]] unsigned slots_of(const model_id& model) const noexcept;
 
     /// @brief Tokens that the engine is estimated to have outstanding.
@@ -130,6 +146,7 @@
                               std::size_t cached_blocks) const;
     void enlist(upstream& entry);
     void delist(upstream& entry);
+    void deal_home_slots();
 
     options settings_;
     prefix_index index_;
--- a/lib/source/routing/selector.cpp
+++ b/lib/source/routing/selector.cpp
@@ -2,16 +2,18 @@
 
 #include <algorithm>
 #include <random>
+#include <tuple>
 
 namespace bamboogate::routing {
 
 struct selector::upstream
 {
-    /// Own outstanding tokens at a time, to take out of lagging reports.
+    /// Own work at a time, to take out of lagging reports.
     struct sample
     {
         time_point at;
         std::uint64_t tokens = 0;
+        unsigned streams = 0;
     };
 
     announcement latest;
@@ -19,8 +21,10 @@
     time_point ramp_from; ///< start of the slow start
     bool ramps = false;
     unsigned streams = 0;
+    unsigned home_slots = 0;
     std::uint64_t outstanding = 0;
     double others = 0.0; ///< outstanding tokens of other gates
+    unsigned others_streams = 0;
     std::deque<sample> history;
     circuit_breaker breaker;
 
@@ -31,23 +35,24 @@
         if (!history.empty() &&
             now - history.back().at < std::chrono::milliseconds(1)) {
             history.back().tokens = outstanding;
+            history.back().streams = streams;
             return;
         }
-        history.push_back({now, outstanding});
+        history.push_back({now, outstanding, streams});
         if (history.size() > max_samples) {
             history.pop_front();
         }
     }
 
-    [[nodiscard]] std::uint64_t outstanding_at(time_point when)
+    [[nodiscard]] sample own_at(time_point when)
     {
         while (history.size() > 1 && history[1].at <= when) {
             history.pop_front();
         }
         if (history.empty() || history.front().at > when) {
-            return 0;
+            return {};
         }
-        return history.front().tokens;
+        return history.front();
     }
 
     [[nodiscard]] double load() const noexcept
@@ -90,6 +95,42 @@
     }
 }
 
+void selector::deal_home_slots()
+{
+    std::vector<upstream*> order;
+    order.reserve(upstreams_.size());
+    for (const auto& [id, entry] : upstreams_) {
+        if (entry->latest.kind == upstream_kind::engine &&
+            !entry->latest.draining && !entry->suspected) {
+            order.push_back(entry.get());
+        }
+    }
+    // Engines with the same models form a pool; the deal starts anew in each,
+    // so that a gate's home slots add up to its equal part of the pool.
+    std::sort(order.begin(), order.end(),
+              [](const upstream* left, const upstream* right) {
+                  return std::tie(left->latest.models, left->latest.id) <
+                         std::tie(right->latest.models, right->latest.id);
+              });
+    const unsigned gates = std::max(1u, settings_.gates);
+    unsigned dealt = 0;
+    const upstream* before = nullptr;
+    for (upstream* entry : order) {
+        if (before == nullptr ||
+            before->latest.models != entry->latest.models) {
+            dealt = 0;
+        }
+        before = entry;
+        // Numbers below n whose remainder is the index of this gate.
+        auto own_below = [&](unsigned n) {
+            return (n + gates - 1 - settings_.gate_index) / gates;
+        };
+        const unsigned after = dealt + entry->latest.slots;
+        entry->home_slots = own_below(after) - own_below(dealt);
+        dealt = after;
+    }
+}
+
 void selector::on_table_event(table_event event, const upstream_record& record,
                               time_point now)
 {
@@ -99,6 +140,7 @@
         if (entry != nullptr) {
             delist(*entry);
             upstreams_.erase(id);
+            deal_home_slots();
         }
         if (departed_.size() < settings_.max_departed) {
             departed_.insert(id);
@@ -109,6 +151,7 @@
     if (event == table_event::suspected) {
         if (entry != nullptr) {
             entry->suspected = true;
+            deal_home_slots();
         }
         return;
     }
@@ -127,11 +170,15 @@
     if (relist) {
         delist(*entry);
     }
+    const bool redeal = relist || entry->latest.slots != record.latest.slots ||
+                        entry->latest.draining != record.latest.draining ||
+                        entry->suspected != record.suspected;
     if (event == table_event::joined) {
         // Attempts on the earlier life still end through `finished`, but the
         // new life has none of their load or failures.
         entry->breaker = circuit_breaker(settings_.breaker);
         entry->others = 0.0;
+        entry->others_streams = 0;
     }
     if (returns) {
         entry->ramps = true;
@@ -142,13 +189,19 @@
     if (relist) {
         enlist(*entry);
     }
-    const std::uint64_t contained =
-        settings_.subtract_own
-            ? entry->outstanding_at(now - settings_.report_lag)
-            : 0;
-    const std::uint64_t reported = record.latest.outstanding_tokens;
-    entry->others =
-        reported > contained ? static_cast<double>(reported - contained) : 0.0;
+    if (redeal) {
+        deal_home_slots();
+    }
+    const upstream::sample contained =
+        settings_.subtract_own ? entry->own_at(now - settings_.report_lag)
+                               : upstream::sample{};
+    const std::uint64_t tokens = record.latest.outstanding_tokens;
+    entry->others = tokens > contained.tokens
+                        ? static_cast<double>(tokens - contained.tokens)
+                        : 0.0;
+    const unsigned streams = record.latest.running + record.latest.queued;
+    entry->others_streams =
+        streams > contained.streams ? streams - contained.streams : 0;
     if (settings_.use_prefix && record.latest.kind == upstream_kind::engine) {
         index_.apply(id, record.latest.incarnation, record.latest.cache_events);
     }
@@ -188,6 +241,15 @@
         candidate.latest.failure_domain != request.preferred_domain) {
         tokens += settings_.remote_domain_tokens;
     }
+    const unsigned occupied = candidate.streams + candidate.others_streams;
+    if (candidate.latest.slots > 0 && occupied >= candidate.latest.slots) {
+        tokens += settings_.queued_stream_tokens *
+                  (1.0 + occupied - candidate.latest.slots);
+    } else if (candidate.streams >= candidate.home_slots) {
+        tokens += settings_.queued_stream_tokens *
+                  settings_.foreign_slot_share *
+                  (1.0 + candidate.streams - candidate.home_slots);
+    }
     // A suspected engine is the last resort: it may only be cut off from us.
     constexpr double suspicion_tokens = 1e9;
     return candidate.suspected ? tokens + suspicion_tokens : tokens;
@@ -352,7 +414,9 @@
     }
     unsigned slots = 0;
     for (const upstream* entry : found->second) {
-        slots += entry->latest.draining ? 0 : entry->latest.slots;
+        slots += entry->latest.draining || entry->suspected
+                     ? 0
+                     : entry->latest.slots;
     }
     return slots;
 }
--- a/tests/scheduling/admission_test.cpp
+++ b/tests/scheduling/admission_test.cpp
@@ -268,9 +268,9 @@
 TEST_CASE_FIXTURE(admission_fixture, "admission_apply_acts_on_queued_at_once")
 {
     work = admission(without_early_limits(), {});
-    std::vector<std::string> queued;
-    for (int i = 0; i < 10; ++i) {
-        queued.push_back(submit("normal"));
+    std::vector<std::string> queued(10);
+    for (std::string& id : queued) {
+        id = submit("normal");
     }
     auto preset = without_early_limits();
     SUBCASE("a shorter queue refuses the newest")
