--- a/lib/source/config/exit_code.cpp
+++ b/lib/source/config/exit_code.cpp
@@ -34,13 +34,10 @@
     case errc::state_chart_invalid:
     case errc::internal:
         return exit_code::software;
-    case errc::not_found:
-    case errc::not_run:
-    case errc::superseded:
-    case errc::cancelled:
+    default:
+        // No sysexits code is closer, and kinds added to `errc` need no case.
         return exit_code::failure;
     }
-    return exit_code::failure;
 }
 
 } // namespace bamboogate::config
