Add metrics with labels, Prometheus text and merging

Cause: gates and replicas must report counts and latencies, and an operator must see several gates as one.

Ruled out: Boost.Histogram's own serialization, which needs the compiled Boost.Serialization and is not readable; a fixed list of buckets, whose error grows at one end of a range from 100 us to 1000 s.

--- /dev/null
+++ b/lib/source/observability/metrics.cpp
@@ -0,0 +1,385 @@
+#include <bamboogate/observability/metrics.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+
+namespace bamboogate::observability {
+
+namespace {
+
+constexpr std::string_view kind_names[] = {"counter", "gauge", "histogram"};
+
+bool valid_name(std::string_view name)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || c == '_';
+    };
+    return !name.empty() && (name[0] < '0' || name[0] > '9') &&
+           std::all_of(name.begin(), name.end(), allowed);
+}
+
+bool valid_labels(const label_set& labels)
+{
+    return std::all_of(labels.begin(), labels.end(), [](const auto& label) {
+        return valid_name(label.first) && label.first != "le";
+    });
+}
+
+/// A metric name is a constant of the code, so a bad one cannot be handled
+/// at run time and shows up in the first test that reaches it.
+[[noreturn]] void refuse(std::string_view name, std::string_view problem)
+{
+    fmt::print(stderr, "metric {}: {}\n", name, problem);
+    std::abort();
+}
+
+std::string number_text(double value)
+{
+    if (std::isnan(value)) {
+        return "NaN";
+    }
+    if (std::isinf(value)) {
+        return value > 0 ? "+Inf" : "-Inf";
+    }
+    return fmt::format("{}", value);
+}
+
+std::string escape(std::string_view text, bool quotes)
+{
+    std::string out;
+    out.reserve(text.size());
+    for (const char c : text) {
+        if (c == '\\') {
+            out += "\\\\";
+        } else if (c == '\n') {
+            out += "\\n";
+        } else if (c == '"' && quotes) {
+            out += "\\\"";
+        } else {
+            out.push_back(c);
+        }
+    }
+    return out;
+}
+
+/// @param extra a last label, already in text form; empty for none
+std::string label_text(const label_set& labels, std::string_view extra = {})
+{
+    std::string out;
+    for (const auto& [name, value] : labels) {
+        out += fmt::format("{}{}=\"{}\"", out.empty() ? "" : ",", name,
+                           escape_label_value(value));
+    }
+    if (!extra.empty()) {
+        out += fmt::format("{}{}", out.empty() ? "" : ",", extra);
+    }
+    return out.empty() ? out : "{" + out + "}";
+}
+
+void write_series(std::string& out, std::string_view name,
+                  const label_set& labels, const counter& metric)
+{
+    out += fmt::format("{}{} {}\n", name, label_text(labels), metric.value());
+}
+
+void write_series(std::string& out, std::string_view name,
+                  const label_set& labels, const gauge& metric)
+{
+    out += fmt::format("{}{} {}\n", name, label_text(labels),
+                       number_text(metric.value()));
+}
+
+/// A bin holds values below its upper edge, a Prometheus bucket values up to
+/// it; the difference is a value that equals an edge to the last bit.
+void write_series(std::string& out, std::string_view name,
+                  const label_set& labels, const log_histogram& metric)
+{
+    std::uint64_t total = 0;
+    const auto counts = metric.counts();
+    for (std::size_t index = 0; index < counts.size(); ++index) {
+        total += counts[index];
+        const auto edge =
+            fmt::format("le=\"{}\"", number_text(metric.upper_edge(index)));
+        out += fmt::format("{}_bucket{} {}\n", name, label_text(labels, edge),
+                           total);
+    }
+    out += fmt::format("{}_sum{} {}\n", name, label_text(labels),
+                       number_text(metric.sum()));
+    out += fmt::format("{}_count{} {}\n", name, label_text(labels), total);
+}
+
+json value_document(const counter& metric)
+{
+    return metric.value();
+}
+
+json value_document(const gauge& metric)
+{
+    return {{"value", metric.value()},
+            {"maximum", metric.rule() == gauge_merge::maximum}};
+}
+
+json value_document(const log_histogram& metric)
+{
+    return metric.to_document();
+}
+
+result<std::variant<counter, gauge, log_histogram>>
+read_metric(std::string_view kind, const json& value)
+{
+    if (kind == kind_names[0]) {
+        BOOST_OUTCOME_TRY(total, from_document<std::uint64_t>(value));
+        counter read;
+        read.add(total);
+        return read;
+    }
+    if (kind == kind_names[1]) {
+        if (!value.is_object() || !value.contains("value") ||
+            !value["value"].is_number() || !value.contains("maximum") ||
+            !value["maximum"].is_boolean()) {
+            return fail(errc::malformed_input, "gauge");
+        }
+        gauge read(value["maximum"].get<bool>() ? gauge_merge::maximum
+                                                : gauge_merge::sum);
+        read.set(value["value"].get<double>());
+        return read;
+    }
+    if (kind == kind_names[2]) {
+        BOOST_OUTCOME_TRY(read, log_histogram::from_document(value));
+        return std::move(read);
+    }
+    return fail(errc::malformed_input, "unknown kind of metric");
+}
+
+result<void> add_to(counter& into, const counter& other)
+{
+    into.add(other.value());
+    return outcome::success();
+}
+
+result<void> add_to(gauge& into, const gauge& other)
+{
+    into.set(into.rule() == gauge_merge::maximum
+                 ? std::max(into.value(), other.value())
+                 : into.value() + other.value());
+    return outcome::success();
+}
+
+result<void> add_to(log_histogram& into, const log_histogram& other)
+{
+    return into.merge(other);
+}
+
+} // namespace
+
+std::string escape_label_value(std::string_view value)
+{
+    return escape(value, true);
+}
+
+std::string escape_help(std::string_view text)
+{
+    return escape(text, false);
+}
+
+template <typename Metric, typename... Arguments>
+Metric& metric_registry::find_or_add(std::string_view name,
+                                     std::string_view help, label_set labels,
+                                     const histogram_bounds& bounds,
+                                     Arguments&&... arguments)
+{
+    if (!valid_name(name) || !valid_labels(labels)) {
+        refuse(name, "name or label name is not of the Prometheus form");
+    }
+    const auto kind = metric(std::in_place_type<Metric>).index();
+    auto found = families_.find(name);
+    if (found == families_.end()) {
+        found = families_
+                    .emplace(std::string(name),
+                             family{std::string(help), kind, bounds, {}})
+                    .first;
+    }
+    auto& place = found->second;
+    if (place.kind != kind) {
+        refuse(name, "used before with another kind of metric");
+    }
+    std::sort(labels.begin(), labels.end());
+    auto series = place.series.find(labels);
+    if (series == place.series.end() &&
+        place.series.size() >= max_series_per_name) {
+        for (auto& label : labels) {
+            label.second = "other";
+        }
+        series = place.series.find(labels);
+    }
+    if (series == place.series.end()) {
+        series = place.series
+                     .emplace(std::move(labels),
+                              std::make_unique<metric>(
+                                  std::in_place_type<Metric>,
+                                  std::forward<Arguments>(arguments)...))
+                     .first;
+    }
+    return std::get<Metric>(*series->second);
+}
+
+counter& metric_registry::add_counter(std::string_view name,
+                                      std::string_view help,
+                                      const label_set& labels)
+{
+    return find_or_add<counter>(name, help, labels, {});
+}
+
+gauge& metric_registry::add_gauge(std::string_view name, std::string_view help,
+                                  const label_set& labels, gauge_merge rule)
+{
+    return find_or_add<gauge>(name, help, labels, {}, rule);
+}
+
+log_histogram& metric_registry::add_histogram(std::string_view name,
+                                              std::string_view help,
+                                              const label_set& labels,
+                                              const histogram_bounds& bounds)
+{
+    const auto found = families_.find(name);
+    const auto& used = found == families_.end() ? bounds : found->second.bounds;
+    if (!used.valid()) {
+        refuse(name, "faulty histogram bounds");
+    }
+    return find_or_add<log_histogram>(name, help, labels, used, used);
+}
+
+std::string metric_registry::prometheus_text() const
+{
+    std::string out;
+    for (const auto& [name, one] : families_) {
+        out += fmt::format("# HELP {} {}\n# TYPE {} {}\n", name,
+                           escape_help(one.help), name, kind_names[one.kind]);
+        for (const auto& [labels, value] : one.series) {
+            std::visit(
+                [&, &family_name = name,
+                 &series_labels = labels](const auto& metric) {
+                    write_series(out, family_name, series_labels, metric);
+                },
+                *value);
+        }
+    }
+    return out;
+}
+
+json metric_registry::to_document() const
+{
+    json document = json::object();
+    for (const auto& [name, one] : families_) {
+        json series = json::array();
+        for (const auto& [labels, value] : one.series) {
+            series.push_back({{"labels", labels},
+                              {"value", std::visit(
+                                            [](const auto& metric) {
+                                                return value_document(metric);
+                                            },
+                                            *value)}});
+        }
+        document[name] = {{"help", one.help},
+                          {"kind", kind_names[one.kind]},
+                          {"series", std::move(series)}};
+    }
+    return document;
+}
+
+result<void> metric_registry::merge(const json& document)
+{
+    if (!document.is_object()) {
+        return fail(errc::malformed_input, "metrics: not an object");
+    }
+    // Works on a copy, so that a fault in the middle changes nothing.
+    metric_registry merged;
+    for (const auto& [name, one] : families_) {
+        auto& copy = merged.families_[name];
+        copy.help = one.help;
+        copy.kind = one.kind;
+        copy.bounds = one.bounds;
+        for (const auto& [labels, value] : one.series) {
+            copy.series.emplace(labels, std::make_unique<metric>(*value));
+        }
+    }
+    for (const auto& [name, family_document] : document.items()) {
+        BOOST_OUTCOME_TRYV(merged.merge_family(name, family_document));
+    }
+    // Series that exist keep their place: callers hold references to them.
+    for (auto& [name, one] : merged.families_) {
+        auto& into = families_[name];
+        into.help = one.help;
+        into.kind = one.kind;
+        into.bounds = one.bounds;
+        for (auto& [labels, value] : one.series) {
+            auto& place = into.series[labels];
+            if (place) {
+                *place = std::move(*value);
+            } else {
+                place = std::move(value);
+            }
+        }
+    }
+    return outcome::success();
+}
+
+result<void> metric_registry::merge_family(const std::string& name,
+                                           const json& document)
+{
+    std::string kind;
+    std::string help;
+    std::vector<std::pair<label_set, json>> series;
+    try {
+        document.at("kind").get_to(kind);
+        document.at("help").get_to(help);
+        for (const auto& one : document.at("series")) {
+            series.emplace_back(one.at("labels").get<label_set>(),
+                                one.at("value"));
+        }
+    } catch (const json::exception& problem) {
+        return fail(errc::malformed_input, name + ": " + problem.what());
+    }
+    if (!valid_name(name)) {
+        return fail(errc::malformed_input, name + ": not a metric name");
+    }
+    for (auto& [labels, value] : series) {
+        BOOST_OUTCOME_TRY(read, read_metric(kind, value));
+        if (!valid_labels(labels)) {
+            return fail(errc::malformed_input, name + ": not a label name");
+        }
+        std::sort(labels.begin(), labels.end());
+        auto [place, added] = families_.try_emplace(name);
+        auto& into = place->second;
+        if (added) {
+            into.help = help;
+            into.kind = read.index();
+            if (const auto* one = std::get_if<log_histogram>(&read)) {
+                into.bounds = one->bounds();
+            }
+        }
+        if (into.kind != read.index()) {
+            return fail(errc::malformed_input, name + ": another kind");
+        }
+        auto& target = into.series[labels];
+        if (!target) {
+            target = std::make_unique<metric>(std::move(read));
+            continue;
+        }
+        BOOST_OUTCOME_TRYV(std::visit(
+            [&](auto& metric) -> result<void> {
+                return add_to(
+                    metric,
+                    std::get<std::remove_reference_t<decltype(metric)>>(read));
+            },
+            *target));
+    }
+    return outcome::success();
+}
+
+} // namespace bamboogate::observability
