--- a/lib/include/bamboogate/config/settings.hpp
+++ b/lib/include/bamboogate/config/settings.hpp
@@ -53,6 +53,7 @@
 {
     net::address operator_address;
     std::vector<peer_address> peers; ///< the other replicas
+    bool join = false; ///< an empty data folder joins as a learner
     std::filesystem::path data_folder;
     std::optional<secret> bootstrap_operator_key;
     duration election_timeout = std::chrono::milliseconds(300);
--- a/lib/source/config/registry.cpp
+++ b/lib/source/config/registry.cpp
@@ -135,6 +135,12 @@
              .type = peers,
              .help = "All control replicas. The entry of this node may be "
                      "included."},
+            {.name = "join",
+             .type = boolean,
+             .help = "Whether a replica with an empty data folder joins an "
+                     "existing cluster as a learner, instead of being one "
+                     "of its first voters.",
+             .default_value = "off"},
             {.name = "data-folder",
              .type = folder,
              .help = "Folder of log and snapshots; created when absent.",
--- a/lib/source/config/settings.cpp
+++ b/lib/source/config/settings.cpp
@@ -217,6 +217,7 @@
     settings.operator_address = values.address("operator-address");
     const auto peers = values.peers("peers");
     settings.peers = other_peers(peers, settings.node);
+    settings.join = values.on("join");
     settings.data_folder = values.text("data-folder");
     settings.bootstrap_operator_key =
         take_secret(parsed, "bootstrap-operator-key", faults);
--- a/lib/source/control/operator_api.cpp
+++ b/lib/source/control/operator_api.cpp
@@ -109,7 +109,7 @@
                          {{"dry_run", true},
                           {"revision", target.state.current().revision},
                           {"difference",
- difference(target.state.current().declared, next)}});
+                           difference(target.state.current().declared, next)}});
             return;
         }
         apply_declarations what{.origin = change.value().origin,
@@ -156,13 +156,13 @@
             what, [this, origin = change.origin, wait = change.wait, out,
                    guard = alive](result<command_response> response) {
                 if (*guard) {
-                    on_committed(origin, wait, out,
-                                 std::move(response));
+                    on_committed(origin, wait, out, std::move(response));
                 }
             });
     }
 
-    void on_committed(const change_origin& origin, duration wait, const responder_ptr& out,
+    void on_committed(const change_origin& origin, duration wait,
+                      const responder_ptr& out,
                       result<command_response> response)
     {
         const bool accepted = response && response.value().ok;
--- /dev/null
+++ b/main/control.cpp
@@ -0,0 +1,164 @@
+#include <bamboogate/config/settings.hpp>
+#include <bamboogate/consensus/replica.hpp>
+#include <bamboogate/control/command_log.hpp>
+#include <bamboogate/control/control_server.hpp>
+#include <bamboogate/control/log_events.hpp>
+#include <bamboogate/control/operator_api.hpp>
+#include <bamboogate/control/state_machine.hpp>
+#include <bamboogate/control/upstream_orders.hpp>
+#include <bamboogate/net/event_loop.hpp>
+#include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/link_hub.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace bamboogate;
+namespace events = control::events;
+
+bamboogate::incarnation process_incarnation()
+{
+    // Microseconds since 1970: a later start of this process is newer.
+    return {static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count())};
+}
+
+std::vector<node_id> initial_voters(const config::control_settings& settings)
+{
+    if (settings.join) {
+        return {};
+    }
+    std::vector<node_id> voters{settings.node};
+    for (const auto& peer : settings.peers) {
+        voters.push_back(peer.node);
+    }
+    return voters;
+}
+
+/// The parts of a control replica, in the order of their dependencies.
+class process
+{
+public:
+    explicit process(config::control_settings settings)
+        : settings_(std::move(settings)),
+          hub_(loop_, {.self = {settings_.node, process_incarnation(),
+                                settings_.failure_domain},
+                       .shared_secret = settings_.shared_secret})
+    {}
+
+    int run()
+    {
+        const auto started = start();
+        if (!started) {
+            return report(started.error());
+        }
+        loop_.run();
+        return exit_code_;
+    }
+
+private:
+    result<void> start()
+    {
+        BOOST_OUTCOME_TRY(link_address, hub_.listen(settings_.link_address));
+        for (const auto& peer : settings_.peers) {
+            hub_.dial(peer.node, peer.where);
+        }
+        BOOST_OUTCOME_TRY(replica,
+                          consensus::replica::start(
+                              loop_, hub_, state_,
+                              {.data_folder = settings_.data_folder,
+                               .initial_voters = initial_voters(settings_),
+                               .election_timeout = settings_.election_timeout,
+                               .snapshot_every = settings_.snapshot_interval}));
+        replica_ = std::move(replica);
+        replica_->on_failure([this](const error& problem) {
+            exit_code_ = report(problem);
+            loop_.stop();
+        });
+        log_ = std::make_unique<control::replica_log>(*replica_);
+        server_ = std::make_unique<control::control_server>(
+            loop_, hub_, *log_, state_, control::control_server::options{});
+        orders_ = std::make_unique<control::upstream_orders>(
+            loop_, http_, *server_, state_,
+            control::upstream_orders::options{});
+        BOOST_OUTCOME_TRY(
+            api, control::operator_api::start(
+                     {.loop = loop_,
+                      .hub = hub_,
+                      .log = *log_,
+                      .state = state_,
+                      .server = *server_,
+                      .orders = *orders_},
+                     {.where = settings_.operator_address,
+                      .bootstrap_key = settings_.bootstrap_operator_key
+                                           ? *settings_.bootstrap_operator_key
+                                           : secret()}));
+        api_ = std::move(api);
+        loop_.on_signal(SIGTERM, [this] { stop(); });
+        loop_.on_signal(SIGINT, [this] { stop(); });
+        observability::log(events::process_started,
+                           {{"link", link_address.text()},
+                            {"operators", api_->where().text()},
+                            {"folder", replica_->folder().value}});
+        return outcome::success();
+    }
+
+    /// Hands leadership over first, so that the others need no election.
+    void stop()
+    {
+        if (stopping_) {
+            return;
+        }
+        stopping_ = true;
+        observability::log(events::process_stopping,
+                           {{"leader", replica_->is_leader()}});
+        if (!replica_->is_leader()) {
+            loop_.stop();
+            return;
+        }
+        replica_->transfer_leadership(
+            [this](const result<void>&) { loop_.stop(); });
+    }
+
+    static int report(const error& problem)
+    {
+        observability::log(
+            events::process_failed,
+            {{"error", name_of(problem.code)}, {"detail", problem.detail}});
+        return config::to_int(config::exit_code_of(problem.code));
+    }
+
+    config::control_settings settings_;
+    net::event_loop loop_;
+    net::link_hub hub_;
+    net::http_client http_{loop_};
+    control::state_machine state_;
+    std::unique_ptr<consensus::replica> replica_;
+    std::unique_ptr<control::replica_log> log_;
+    std::unique_ptr<control::control_server> server_;
+    std::unique_ptr<control::upstream_orders> orders_;
+    std::unique_ptr<control::operator_api> api_;
+    bool stopping_ = false;
+    int exit_code_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto arguments = config::arguments_of(argc, argv);
+    auto launch =
+        config::launch_control(arguments, config::process_environment());
+    if (!launch.settings) {
+        return config::print_and_exit_code(launch.output, launch.diagnostics,
+                                           launch.code);
+    }
+    config::start_logging(*launch.settings, launch.unknown_variables);
+    return process(std::move(*launch.settings)).run();
+}
