Test the log store and replicas; fix what the tests found

Cause: the store and the replica had no tests. Change: segments are written aside and renamed with their first batch on disk, so a segment without a valid record is storage_corrupt; the folder id carries a checksum; committed proposals are answered after leadership is lost.

--- a/lib/include/bamboogate/consensus/log_store.hpp
+++ b/lib/include/bamboogate/consensus/log_store.hpp
@@ -110,7 +110,8 @@
     result<void> check_entries();
     [[nodiscard]] bool synced_record_follows(std::string_view bytes) const;
     result<void> write_aside(const std::string& name, std::string_view bytes);
-    result<void> start_segment();
+    result<void> start_segment(std::optional<log_position> reset);
+    void write_reset(const log_position& last);
     result<void> remove_segments(bool all);
     void add_record(std::uint8_t kind, std::string_view payload);
     result<void> keep(result<void> outcome);
--- a/lib/include/bamboogate/consensus/replica_core.hpp
+++ b/lib/include/bamboogate/consensus/replica_core.hpp
@@ -74,7 +74,7 @@
     void apply(const entry& committed);
     result<void> store_snapshot_if_due();
     void note_role();
-    void fail_pending(const error& problem);
+    void fail_pending(std::uint64_t first, const error& problem);
     void stop(const error& problem);
     void finish_transfer(result<void> outcome);
 
--- a/lib/source/consensus/log_store.cpp
+++ b/lib/source/consensus/log_store.cpp
@@ -61,6 +61,14 @@
                encode_entry(value));
 }
 
+void log_store::write_reset(const log_position& last)
+{
+    std::string position;
+    put_u64(position, last.term);
+    put_u64(position, last.index);
+    add_record(static_cast<std::uint8_t>(record_kind::reset), position);
+}
+
 result<void> log_store::sync()
 {
     if (failure_) {
@@ -80,24 +88,28 @@
     if (file_bytes_ < settings_.segment_bytes) {
         return outcome::success();
     }
-    return keep(start_segment());
+    return keep(start_segment({}));
 }
 
-result<void> log_store::start_segment()
+result<void> log_store::start_segment(std::optional<log_position> reset)
 {
-    const std::uint64_t sequence =
-        segments_.empty() ? 1 : segments_.back().sequence + 1;
-    segments_.push_back({sequence, 0});
-    BOOST_OUTCOME_TRY(opened,
-                      settings_.files->open(path_of(segments_.back()), 0));
+    segments_.push_back(
+        {segments_.empty() ? 1 : segments_.back().sequence + 1, 0});
+    const auto path = path_of(segments_.back());
+    auto aside = path;
+    aside += ".tmp";
+    BOOST_OUTCOME_TRY(opened, settings_.files->open(aside, 0));
     file_ = std::move(opened);
-    file_bytes_ = 0;
     // Earlier segments may be removed, so each one starts with the hard state.
-    std::string pending = std::exchange(buffer_, {});
     write(hard_);
-    buffer_ += pending;
+    if (reset) {
+        write_reset(*reset);
+    }
     BOOST_OUTCOME_TRYV(file_->append(buffer_));
     BOOST_OUTCOME_TRYV(file_->sync());
+    // A segment gets its name with its first batch on disk, so a segment
+    // without any valid record is damaged and not just new.
+    BOOST_OUTCOME_TRYV(settings_.files->rename(aside, path));
     BOOST_OUTCOME_TRYV(settings_.files->sync_folder(settings_.folder));
     file_bytes_ = buffer_.size();
     buffer_.clear();
@@ -152,13 +164,8 @@
     snapshot_ = value.info.last;
     snapshot_offset_ = snapshot_header_bytes + info.size();
     snapshot_bytes_ = value.data.size();
-    if (replaces_log) {
-        std::string position;
-        put_u64(position, snapshot_.term);
-        put_u64(position, snapshot_.index);
-        add_record(static_cast<std::uint8_t>(record_kind::reset), position);
-    }
-    BOOST_OUTCOME_TRYV(keep(start_segment()));
+    BOOST_OUTCOME_TRYV(keep(
+        start_segment(replaces_log ? std::optional(snapshot_) : std::nullopt)));
     if (!replaced.empty() && replaced != name) {
         BOOST_OUTCOME_TRYV(keep(settings_.files->remove(path_of(replaced))));
     }
--- a/lib/source/consensus/log_store_open.cpp
+++ b/lib/source/consensus/log_store_open.cpp
@@ -29,6 +29,13 @@
     return value;
 }
 
+/// The id and its checksum.
+std::string folder_id_text(incarnation id)
+{
+    return fmt::format("{} {:016x}\n", id.value,
+                       XXH64(&id.value, sizeof(id.value), 0));
+}
+
 auto corrupt(const std::string& what)
 {
     return fail(errc::storage_corrupt, what);
@@ -72,14 +79,11 @@
             return corrupt("the folder's incarnation id is missing");
         }
         folder_ = settings_.fresh_folder;
-        return write_aside(name, fmt::format("{}\n", folder_.value));
+        return write_aside(name, folder_id_text(folder_));
     }
     BOOST_OUTCOME_TRY(text, settings_.files->read(path_of(name)));
-    std::optional<std::uint64_t> value;
-    if (text.ends_with('\n')) {
-        value = parse_number(std::string_view(text).substr(0, text.size() - 1));
-    }
-    if (!value || *value == 0) {
+    const auto value = parse_number(text.substr(0, text.find(' ')));
+    if (!value || *value == 0 || text != folder_id_text({*value})) {
         return corrupt("the folder's incarnation id is unreadable");
     }
     folder_ = incarnation{*value};
@@ -151,12 +155,11 @@
     for (std::size_t i = 0; i < segments_.size(); ++i) {
         const auto path = path_of(segments_[i]);
         BOOST_OUTCOME_TRY(bytes, settings_.files->read(path));
-        const std::uint64_t batch_before = batch_;
         BOOST_OUTCOME_TRY(length, load_segment(bytes, i + 1 == segments_.size(),
                                                path.filename().string()));
         valid = length;
         contents_.torn_bytes = bytes.size() - length;
-        if (batch_before != 0 && length == 0 && i + 1 < segments_.size()) {
+        if (length == 0) {
             return corrupt(path.filename().string() + " is empty");
         }
         segments_[i].max_index = buffered_max_index_;
@@ -168,14 +171,15 @@
         if (snapshot_.index != 0) {
             return corrupt("the log's segments are missing");
         }
-        return start_segment();
+        return start_segment({});
     }
     BOOST_OUTCOME_TRYV(check_entries());
     BOOST_OUTCOME_TRY(opened,
                       settings_.files->open(path_of(segments_.back()), valid));
     file_ = std::move(opened);
     file_bytes_ = valid;
-    return file_->sync();
+    BOOST_OUTCOME_TRYV(file_->sync());
+    return sync();
 }
 
 result<std::size_t> log_store::load_segment(std::string_view bytes, bool newest,
@@ -185,7 +189,8 @@
     while (offset < bytes.size()) {
         const auto record = read_record(bytes.substr(offset), folder_.value);
         if (!record) {
-            if (!newest || synced_record_follows(bytes.substr(offset + 1))) {
+            if (!newest || offset == 0 ||
+                synced_record_follows(bytes.substr(offset + 1))) {
                 return corrupt(fmt::format("{}: record at byte {} is damaged",
                                            name, offset));
             }
@@ -271,10 +276,7 @@
         // The process ended between storing a snapshot from the leader and
         // dropping the log that it replaces.
         entries.clear();
-        std::string position;
-        put_u64(position, snapshot_.term);
-        put_u64(position, snapshot_.index);
-        add_record(static_cast<std::uint8_t>(record_kind::reset), position);
+        write_reset(snapshot_);
         return outcome::success();
     }
     std::erase_if(entries, [this](const entry& each) {
--- a/lib/source/consensus/replica_steps.cpp
+++ b/lib/source/consensus/replica_steps.cpp
@@ -148,6 +148,8 @@
         BOOST_OUTCOME_TRYV(state_.restore(work.installed->data));
         applied_ = work.installed->info.last;
         snapshot_ = applied_;
+        // Their responses are not known here.
+        fail_pending(0, {errc::outcome_unknown, "leadership was lost"});
         observability::log(log_events::snapshot_installed,
                            {{"index", applied_.index}});
     }
@@ -216,8 +218,10 @@
         }
     }
     const bool leads = core_->role() == raft_role::leader;
-    if (!leads && !pending_.empty()) {
-        fail_pending({errc::outcome_unknown, "leadership was lost"});
+    if (!leads) {
+        // What is committed already will be applied and answered.
+        fail_pending(core_->commit() + 1,
+                     {errc::outcome_unknown, "leadership was lost"});
     }
     // Entries of earlier terms are applied once one of this term is.
     const bool ready = leads && applied_.term == core_->term();
@@ -233,11 +237,11 @@
     }
 }
 
-void replica_core::fail_pending(const error& problem)
+void replica_core::fail_pending(std::uint64_t first, const error& problem)
 {
-    auto pending = std::exchange(pending_, {});
-    for (auto& [index, waiting] : pending) {
-        post([callback = std::move(waiting.callback), problem] {
+    for (auto each = pending_.lower_bound(first); each != pending_.end();
+         each = pending_.erase(each)) {
+        post([callback = std::move(each->second.callback), problem] {
             callback(problem);
         });
     }
@@ -251,7 +255,7 @@
     tick_timer_.stop();
     failure_ = problem;
     work_.clear();
-    fail_pending({errc::outcome_unknown, problem.detail});
+    fail_pending(0, {errc::outcome_unknown, problem.detail});
     finish_transfer(problem);
     if (std::exchange(leading_, false)) {
         for (const auto& observer : role_observers_) {
--- /dev/null
+++ b/tests/consensus/log_store_test.cpp
@@ -0,0 +1,367 @@
+#include <bamboogate/consensus/log_store.hpp>
+
+#include <consensus/support/faulty_files.hpp>
+#include <consensus/support/temporary_folder.hpp>
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+using namespace bamboogate;
+using namespace bamboogate::consensus;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string read_file(const fs::path& path)
+{
+    return system_files()->read(path).value();
+}
+
+void write_file(const fs::path& path, const std::string& bytes)
+{
+    std::ofstream(path, std::ios::binary) << bytes;
+}
+
+entry make_entry(std::uint64_t term, std::uint64_t index,
+                 const std::string& data = "data")
+{
+    return {{term, index}, entry_kind::command, data};
+}
+
+class store_fixture
+{
+public:
+    temporary_folder folder;
+    std::shared_ptr<faulty_files> files = std::make_shared<faulty_files>();
+
+    result<std::unique_ptr<log_store>> open(std::uint64_t segment = 8u << 20)
+    {
+        return log_store::open({.folder = folder.path() / "data",
+                                .files = files,
+                                .fresh_folder = incarnation{77},
+                                .segment_bytes = segment});
+    }
+
+    fs::path segment(std::uint64_t number) const
+    {
+        return folder.path() / "data" /
+               ("log-000000000000000" + std::to_string(number) + ".wal");
+    }
+
+    /// One batch per entry: 1 to `count`, all of term 1.
+    void fill(std::uint64_t count)
+    {
+        auto store = open();
+        REQUIRE(store);
+        store.value()->write(hard_state{1, node_id("a")});
+        REQUIRE(store.value()->sync());
+        for (std::uint64_t i = 1; i <= count; ++i) {
+            store.value()->write(make_entry(1, i));
+            REQUIRE(store.value()->sync());
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(store_fixture, "log_store_reopened_returns_everything_synced")
+{
+    {
+        auto store = open();
+        REQUIRE(store);
+        CHECK(store.value()->folder() == incarnation{77});
+        store.value()->write(hard_state{3, node_id("b")});
+        for (std::uint64_t i = 1; i <= 5; ++i) {
+            store.value()->write(make_entry(2, i));
+        }
+        REQUIRE(store.value()->sync());
+        // Replaces 4 and 5.
+        store.value()->write(make_entry(3, 4, "other"));
+        REQUIRE(store.value()->sync());
+        store.value()->write(make_entry(3, 5, "never synced"));
+    }
+    auto store = open();
+    REQUIRE(store);
+    const auto held = store.value()->take_contents();
+    CHECK(held.hard == hard_state{3, node_id("b")});
+    REQUIRE(held.entries.size() == 4);
+    CHECK(held.entries[2] == make_entry(2, 3));
+    CHECK(held.entries[3] == make_entry(3, 4, "other"));
+    CHECK(held.torn_bytes == 0);
+}
+
+// Guards against a lost acknowledged entry, and against a start refused for a
+// write that a crash cut short.
+TEST_CASE_FIXTURE(store_fixture, "log_store_torn_at_each_byte_keeps_synced")
+{
+    fill(3);
+    const std::string whole = read_file(segment(1));
+    std::size_t synced = 0;
+    {
+        auto store = open();
+        REQUIRE(store);
+        store.value()->write(make_entry(1, 4));
+        store.value()->write(make_entry(1, 5));
+        REQUIRE(store.value()->sync());
+        synced = whole.size();
+    }
+    const std::string longer = read_file(segment(1));
+    for (std::size_t cut = synced; cut < longer.size(); ++cut) {
+        CAPTURE(cut);
+        write_file(segment(1), longer.substr(0, cut));
+        auto store = open();
+        REQUIRE(store);
+        const auto held = store.value()->take_contents();
+        CHECK(held.hard == hard_state{1, node_id("a")});
+        const std::size_t kept = held.entries.size();
+        CHECK((kept == 3 || kept == 4));
+        // Work goes on after the cut.
+        store.value()->write(make_entry(2, kept + 1, "new"));
+        REQUIRE(store.value()->sync());
+        store.value().reset();
+        auto again = open();
+        REQUIRE(again);
+        CHECK(again.value()->take_contents().entries.size() == kept + 1);
+    }
+}
+
+// Guards against a start on damaged data: a synced record that doesn't verify
+// must stop the replica, whatever byte of it is damaged.
+TEST_CASE_FIXTURE(store_fixture, "log_store_flip_in_synced_record_refuses")
+{
+    fill(3);
+    const std::string whole = read_file(segment(1));
+    std::size_t last_batch = 0;
+    {
+        fill(0); // one more batch: the hard state again
+        last_batch = whole.size();
+    }
+    const std::string longer = read_file(segment(1));
+    REQUIRE(longer.size() > last_batch);
+    for (std::size_t at = 0; at < longer.size(); ++at) {
+        for (const char mask : {'\x01', '\x80'}) {
+            CAPTURE(at);
+            std::string damaged = longer;
+            damaged[at] = static_cast<char>(damaged[at] ^ mask);
+            write_file(segment(1), damaged);
+            const auto store = open();
+            if (at < last_batch) {
+                REQUIRE_FALSE(store);
+                CHECK(store.error().code == errc::storage_corrupt);
+            } else {
+                // The last batch may be a torn write; it is never accepted.
+                CHECK((store || store.error().code == errc::storage_corrupt));
+                if (store) {
+                    CHECK(store.value()->take_contents().torn_bytes > 0);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(store_fixture, "log_store_damaged_older_segment_refuses")
+{
+    {
+        auto store = open(200);
+        REQUIRE(store);
+        for (std::uint64_t i = 1; i <= 20; ++i) {
+            store.value()->write(make_entry(1, i));
+            REQUIRE(store.value()->sync());
+        }
+    }
+    REQUIRE(fs::exists(segment(3)));
+    const std::string older = read_file(segment(2));
+    write_file(segment(2), older.substr(0, older.size() - 1));
+    CHECK(open(200).error().code == errc::storage_corrupt);
+    fs::remove(segment(2));
+    CHECK(open(200).error().code == errc::storage_corrupt);
+    write_file(segment(2), older);
+    auto store = open(200);
+    REQUIRE(store);
+    CHECK(store.value()->take_contents().entries.size() == 20);
+}
+
+// Guards against a retry after a failed sync: the kernel may report success
+// although the data is lost.
+TEST_CASE_FIXTURE(store_fixture, "log_store_failed_sync_is_final")
+{
+    auto store = open();
+    REQUIRE(store);
+    files->syncs_until_failure = 0;
+    store.value()->write(make_entry(1, 1));
+    CHECK(store.value()->sync().error().code == errc::storage_failed);
+    const auto syncs = files->syncs;
+    CHECK(store.value()->sync().error().code == errc::storage_failed);
+    CHECK(store.value()->save_snapshot({}, false).error().code ==
+          errc::storage_failed);
+    CHECK(files->syncs == syncs);
+}
+
+// Guards against an entry that is acknowledged or half read after the disk
+// was full at any byte.
+TEST_CASE_FIXTURE(store_fixture, "log_store_full_disk_keeps_synced")
+{
+    for (std::uint64_t room = 0; room < 80; ++room) {
+        CAPTURE(room);
+        fs::remove_all(folder.path() / "data");
+        files->capacity = std::numeric_limits<std::uint64_t>::max();
+        {
+            auto store = open();
+            REQUIRE(store);
+            store.value()->write(make_entry(1, 1));
+            REQUIRE(store.value()->sync());
+            files->capacity = room;
+            store.value()->write(make_entry(1, 2, std::string(100, 'x')));
+            CHECK(store.value()->sync().error().code == errc::storage_full);
+            CHECK(store.value()->sync().error().code == errc::storage_full);
+        }
+        files->capacity = std::numeric_limits<std::uint64_t>::max();
+        auto store = open();
+        REQUIRE(store);
+        CHECK(store.value()->take_contents().entries.size() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(store_fixture, "log_store_snapshot_replaces_older_log")
+{
+    membership members;
+    members.members.push_back({.node = node_id("a"), .folder = {5}});
+    {
+        auto store = open(200);
+        REQUIRE(store);
+        store.value()->write(hard_state{7, node_id("b")});
+        for (std::uint64_t i = 1; i <= 20; ++i) {
+            store.value()->write(make_entry(1, i));
+            REQUIRE(store.value()->sync());
+        }
+        REQUIRE(store.value()->save_snapshot({{{1, 15}, members}, "state 15"},
+                                             false));
+        REQUIRE(store.value()->save_snapshot({{{1, 18}, members}, "state 18"},
+                                             false));
+        CHECK_FALSE(fs::exists(segment(1)));
+        store.value()->write(make_entry(1, 21));
+        REQUIRE(store.value()->sync());
+        const auto part = store.value()->read_snapshot({1, 18}, 6, 1);
+        REQUIRE(part);
+        CHECK(part.value().data == "1");
+        CHECK_FALSE(part.value().last);
+        CHECK(store.value()->read_snapshot({1, 15}, 0, 1).error().code ==
+              errc::not_found);
+    }
+    auto store = open(200);
+    REQUIRE(store);
+    const auto held = store.value()->take_contents();
+    CHECK(held.hard.term == 7);
+    CHECK(held.snapshot.last == log_position{1, 18});
+    CHECK(held.snapshot.members == members);
+    REQUIRE(held.entries.size() == 3);
+    CHECK(held.entries.back().position.index == 21);
+    CHECK(store.value()->read_snapshot().value() == "state 18");
+}
+
+// Guards against entries that reappear behind a snapshot from the leader, also
+// when the process ends between storing the snapshot and dropping the log.
+TEST_CASE_FIXTURE(store_fixture, "log_store_installed_snapshot_drops_log")
+{
+    fill(5);
+    const std::string log = read_file(segment(1));
+    const snapshot installed{{{4, 3}, {}}, "leader's state"};
+    {
+        auto store = open();
+        REQUIRE(store);
+        REQUIRE(store.value()->save_snapshot(installed, true));
+        store.value()->write(make_entry(4, 4, "new"));
+        REQUIRE(store.value()->sync());
+    }
+    {
+        auto store = open();
+        REQUIRE(store);
+        const auto held = store.value()->take_contents();
+        CHECK(held.hard.term == 1);
+        REQUIRE(held.entries.size() == 1);
+        CHECK(held.entries[0] == make_entry(4, 4, "new"));
+    }
+    // The crash: the snapshot is stored, the old log is still there.
+    fs::remove(segment(2));
+    write_file(segment(1), log);
+    for (int opened = 0; opened < 2; ++opened) {
+        auto store = open();
+        REQUIRE(store);
+        CHECK(store.value()->take_contents().entries.size() ==
+              static_cast<std::size_t>(opened));
+        store.value()->write(make_entry(4, 4 + opened, "new"));
+        REQUIRE(store.value()->sync());
+    }
+}
+
+TEST_CASE_FIXTURE(store_fixture, "log_store_damaged_snapshot_refuses")
+{
+    {
+        auto store = open();
+        REQUIRE(store);
+        store.value()->write(make_entry(1, 1));
+        REQUIRE(store.value()->sync());
+        REQUIRE(store.value()->save_snapshot({{{1, 1}, {}}, "state"}, false));
+    }
+    fs::path path;
+    for (const auto& each : fs::directory_iterator(folder.path() / "data")) {
+        if (each.path().filename().string().starts_with("snapshot-")) {
+            path = each.path();
+        }
+    }
+    const std::string whole = read_file(path);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        CAPTURE(at);
+        std::string damaged = whole;
+        damaged[at] = static_cast<char>(damaged[at] ^ 4);
+        write_file(path, damaged);
+        CHECK(open().error().code == errc::storage_corrupt);
+        write_file(path, whole.substr(0, at));
+        CHECK(open().error().code == errc::storage_corrupt);
+    }
+}
+
+// Guards against two processes that write the same log.
+TEST_CASE_FIXTURE(store_fixture, "log_store_folder_in_use_refuses")
+{
+    auto first = open();
+    REQUIRE(first);
+    CHECK(open().error().code == errc::storage_failed);
+    first.value().reset();
+    CHECK(open());
+}
+
+// Guards against a folder that passes for another one: votes and
+// acknowledgements are tied to the id.
+TEST_CASE_FIXTURE(store_fixture, "log_store_folder_id_missing_or_bad_refuses")
+{
+    fill(2);
+    const fs::path id = folder.path() / "data" / "incarnation";
+    const std::string text = read_file(id);
+    for (const std::string bad : {"", "x\n", "77", "0\n"}) {
+        write_file(id, bad);
+        CHECK(open().error().code == errc::storage_corrupt);
+    }
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        CAPTURE(at);
+        std::string damaged = text;
+        damaged[at] = static_cast<char>(damaged[at] ^ 1);
+        write_file(id, damaged);
+        CHECK(open().error().code == errc::storage_corrupt);
+    }
+    // The id of another folder, valid by itself.
+    {
+        temporary_folder other;
+        auto store = log_store::open(
+            {.folder = other.path(), .fresh_folder = incarnation{78}});
+        REQUIRE(store);
+        fs::copy_file(other.path() / "incarnation", id,
+                      fs::copy_options::overwrite_existing);
+    }
+    CHECK(open().error().code == errc::storage_corrupt);
+    fs::remove(id);
+    CHECK(open().error().code == errc::storage_corrupt);
+    write_file(id, text);
+    CHECK(open());
+}
--- /dev/null
+++ b/tests/consensus/replica_test.cpp
@@ -0,0 +1,359 @@
+#include <bamboogate/consensus/replica.hpp>
+#include <bamboogate/observability/logger.hpp>
+
+#include <consensus/support/faulty_files.hpp>
+#include <consensus/support/temporary_folder.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace bamboogate;
+using namespace bamboogate::consensus;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keeps every command; the response is its number.
+class list_state : public replicated_state
+{
+public:
+    std::vector<std::string> commands;
+    std::uint64_t last_index = 0;
+
+    std::string apply(const log_position& position,
+                      std::string_view command) override
+    {
+        CHECK(position.index > last_index);
+        last_index = position.index;
+        commands.emplace_back(command);
+        return std::to_string(commands.size());
+    }
+    std::string snapshot() const override
+    {
+        return encode_cbor({last_index, commands});
+    }
+    result<void> restore(std::string_view bytes) override
+    {
+        BOOST_OUTCOME_TRY(document, decode_cbor(bytes));
+        document.at(0).get_to(last_index);
+        document.at(1).get_to(commands);
+        return outcome::success();
+    }
+};
+
+class replica_fixture
+{
+public:
+    struct process
+    {
+        node_id id;
+        std::unique_ptr<net::link_hub> hub;
+        std::unique_ptr<list_state> state;
+        std::unique_ptr<replica> core;
+        net::address where;
+        std::uint64_t starts = 0;
+    };
+
+    net::event_loop loop;
+    temporary_folder folder;
+    std::vector<std::unique_ptr<process>> processes;
+    std::vector<node_id> initial;
+    replica::options base{.election_timeout = 150ms,
+                          .heartbeat_interval = 30ms};
+
+    replica_fixture()
+    {
+        observability::set_log_level(observability::severity::error);
+    }
+
+    std::filesystem::path data(const node_id& id) const
+    {
+        return folder.path() / id.value();
+    }
+
+    process& create(const std::string& name, bool initial_voter)
+    {
+        processes.push_back(std::make_unique<process>());
+        processes.back()->id = node_id(name);
+        if (initial_voter) {
+            initial.push_back(node_id(name));
+        }
+        return *processes.back();
+    }
+
+    void run(process& which)
+    {
+        which.hub = std::make_unique<net::link_hub>(
+            loop, net::link_hub::options{.self = {which.id,
+                                                  incarnation{++which.starts},
+                                                  failure_domain_id("south")},
+                                         .shared_secret = secret("shared"),
+                                         .heartbeat_interval = 50ms,
+                                         .silence_limit = 400ms,
+                                         .redial_interval = 10ms});
+        const auto bound = which.hub->listen(
+            which.where.port != 0 ? which.where : net::address{"127.0.0.1", 0});
+        REQUIRE(bound);
+        which.where = bound.value();
+        for (auto& other : processes) {
+            if (other->hub && other->id != which.id) {
+                which.hub->dial(other->id, other->where);
+                other->hub->dial(which.id, which.where);
+            }
+        }
+        which.state = std::make_unique<list_state>();
+        replica::options settings = base;
+        settings.data_folder = data(which.id);
+        settings.initial_voters = initial;
+        auto started = replica::start(loop, *which.hub, *which.state, settings);
+        REQUIRE(started);
+        which.core = std::move(started).value();
+    }
+
+    void stop(process& which)
+    {
+        which.core.reset();
+        which.hub.reset();
+    }
+
+    void run_voters(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            create(fmt::format("n{}", i), true);
+        }
+        for (auto& each : processes) {
+            run(*each);
+        }
+    }
+
+    template <typename Condition>
+    bool run_until(Condition condition, duration limit = 5s)
+    {
+        net::timer tick(loop, [] {});
+        tick.start_periodic(1ms);
+        const time_point end = loop.now() + limit;
+        while (loop.now() < end) {
+            if (condition()) {
+                return true;
+            }
+            loop.run_once();
+        }
+        return condition();
+    }
+
+    process* leader()
+    {
+        for (auto& each : processes) {
+            if (each->core && each->core->is_leader()) {
+                return each.get();
+            }
+        }
+        return nullptr;
+    }
+
+    bool commit(const std::string& command)
+    {
+        if (!run_until([this] { return leader() != nullptr; })) {
+            return false;
+        }
+        std::optional<result<proposal_result>> outcome;
+        leader()->core->propose(
+            command, [&](result<proposal_result> r) { outcome = r; });
+        return run_until([&] { return outcome.has_value(); }) &&
+               outcome->has_value();
+    }
+
+    bool converged()
+    {
+        for (auto& each : processes) {
+            if (each->core && leader() != nullptr &&
+                each->state->commands != leader()->state->commands) {
+                return false;
+            }
+        }
+        return leader() != nullptr;
+    }
+
+    /// Calls a membership function until it succeeds.
+    template <typename Change>
+    bool change(Change function)
+    {
+        const time_point end = loop.now() + 5s;
+        while (loop.now() < end) {
+            std::optional<result<void>> outcome;
+            if (!run_until([this] { return leader() != nullptr; })) {
+                return false;
+            }
+            function(*leader()->core, [&](result<void> r) { outcome = r; });
+            run_until([&] { return outcome.has_value(); });
+            if (outcome && outcome->has_value()) {
+                return true;
+            }
+            run_until([] { return false; }, 20ms);
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(replica_fixture, "replica_single_voter_commits_and_restarts")
+{
+    base.snapshot_every = 7;
+    run_voters(1);
+    for (int i = 1; i <= 20; ++i) {
+        REQUIRE(commit(fmt::format("c{}", i)));
+    }
+    CHECK(processes[0]->core->has_lease());
+    stop(*processes[0]);
+    run(*processes[0]);
+    REQUIRE(commit("after"));
+    CHECK(processes[0]->state->commands.size() == 21);
+    CHECK(processes[0]->state->commands[3] == "c4");
+}
+
+TEST_CASE_FIXTURE(replica_fixture,
+                  "replica_three_voters_fail_over_and_catch_up")
+{
+    base.snapshot_every = 20;
+    run_voters(3);
+    for (int i = 0; i < 30; ++i) {
+        REQUIRE(commit(fmt::format("c{}", i)));
+    }
+    CHECK(run_until([this] { return converged(); }));
+    process* old = leader();
+    bool lost = false;
+    old->core->on_role_change([&](bool leads) { lost = !leads; });
+    stop(*old);
+    REQUIRE(run_until([this] { return leader() != nullptr; }));
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(commit(fmt::format("d{}", i)));
+    }
+    run(*old);
+    CHECK(run_until([this] { return converged(); }));
+    CHECK(old->state->commands.size() == 80);
+}
+
+TEST_CASE_FIXTURE(replica_fixture, "replica_follower_names_leader")
+{
+    run_voters(3);
+    REQUIRE(commit("first"));
+    REQUIRE(run_until([this] { return converged(); }));
+    for (auto& each : processes) {
+        if (each.get() == leader()) {
+            continue;
+        }
+        std::optional<result<proposal_result>> outcome;
+        each->core->propose("refused",
+                            [&](result<proposal_result> r) { outcome = r; });
+        REQUIRE(run_until([&] { return outcome.has_value(); }));
+        CHECK(outcome->error().code == errc::not_leader);
+        CHECK(outcome->error().detail == leader()->id.value());
+        CHECK_FALSE(each->core->has_lease());
+    }
+}
+
+// Guards against a caller that is told "not run" although its command may
+// still be committed.
+TEST_CASE_FIXTURE(replica_fixture, "replica_without_quorum_reports_unknown")
+{
+    run_voters(3);
+    REQUIRE(commit("first"));
+    process* leads = leader();
+    for (auto& each : processes) {
+        if (each.get() != leads) {
+            stop(*each);
+        }
+    }
+    std::optional<result<proposal_result>> outcome;
+    leads->core->propose("lost?",
+                         [&](result<proposal_result> r) { outcome = r; });
+    REQUIRE(run_until([&] { return outcome.has_value(); }));
+    CHECK(outcome->error().code == errc::outcome_unknown);
+    CHECK_FALSE(leads->core->is_leader());
+    CHECK_FALSE(leads->core->has_lease());
+}
+
+TEST_CASE_FIXTURE(replica_fixture, "replica_transfer_moves_leadership")
+{
+    run_voters(3);
+    REQUIRE(commit("first"));
+    process* old = leader();
+    std::optional<result<void>> outcome;
+    old->core->transfer_leadership([&](result<void> r) { outcome = r; });
+    REQUIRE(run_until([&] { return outcome.has_value(); }));
+    CHECK(outcome->has_value());
+    REQUIRE(run_until([&] { return leader() != nullptr; }));
+    CHECK(leader() != old);
+}
+
+TEST_CASE_FIXTURE(replica_fixture, "replica_members_are_added_and_removed")
+{
+    run_voters(3);
+    REQUIRE(commit("first"));
+    process& joining = create("joining", false);
+    const auto voters = std::exchange(initial, {});
+    run(joining);
+    REQUIRE(change(
+        [&](replica& r, auto done) { r.add_learner(joining.id, done); }));
+    REQUIRE(
+        change([&](replica& r, auto done) { r.promote(joining.id, done); }));
+    process* removed = leader();
+    REQUIRE(
+        change([&](replica& r, auto done) { r.remove(removed->id, done); }));
+    stop(*removed);
+    REQUIRE(commit("second"));
+    CHECK(leader() != removed);
+    CHECK(leader()->core->members().size() == 3);
+    CHECK(run_until([this] { return converged(); }));
+    CHECK(joining.state->commands.size() == 2);
+}
+
+// Guards against an emptied data folder that keeps its old vote.
+TEST_CASE_FIXTURE(replica_fixture, "replica_emptied_folder_returns_as_learner")
+{
+    base.snapshot_every = 10;
+    run_voters(3);
+    for (int i = 0; i < 25; ++i) {
+        REQUIRE(commit(fmt::format("c{}", i)));
+    }
+    process* lost = nullptr;
+    for (auto& each : processes) {
+        if (each.get() != leader()) {
+            lost = each.get();
+        }
+    }
+    const incarnation before = lost->core->folder();
+    stop(*lost);
+    std::filesystem::remove_all(data(lost->id));
+    run(*lost);
+    CHECK(lost->core->folder() > before);
+    CHECK(run_until([&] {
+        for (const auto& each : leader() ? leader()->core->members()
+                                         : std::vector<member_status>()) {
+            if (each.node == lost->id) {
+                return each.folder == lost->core->folder() &&
+                       each.role == member_role::voter;
+            }
+        }
+        return false;
+    }));
+    CHECK(run_until([this] { return converged(); }));
+    CHECK(lost->state->commands.size() == 25);
+}
+
+// Guards against a replica that goes on after its disk failed.
+TEST_CASE_FIXTURE(replica_fixture, "replica_failed_sync_stops_it")
+{
+    auto files = std::make_shared<faulty_files>();
+    base.files = files;
+    run_voters(1);
+    REQUIRE(commit("first"));
+    std::optional<error> failure;
+    processes[0]->core->on_failure([&](const error& e) { failure = e; });
+    files->syncs_until_failure = 0;
+    CHECK_FALSE(commit("second"));
+    REQUIRE(failure);
+    CHECK(failure->code == errc::storage_failed);
+    CHECK_FALSE(processes[0]->core->is_leader());
+    CHECK(processes[0]->state->commands.size() == 1);
+}
--- /dev/null
+++ b/tests/consensus/support/faulty_files.hpp
@@ -0,0 +1,106 @@
+#ifndef BAMBOOGATE_TESTS_CONSENSUS_FAULTY_FILES_HPP
+#define BAMBOOGATE_TESTS_CONSENSUS_FAULTY_FILES_HPP
+
+#include <bamboogate/consensus/file_system.hpp>
+
+#include <limits>
+#include <memory>
+
+namespace bamboogate::consensus {
+
+/// The system's files with failures on demand.
+class faulty_files : public file_system
+{
+public:
+    /// Writes beyond this many bytes in total fail with `storage_full`; what
+    /// fits is written.
+    std::uint64_t capacity = std::numeric_limits<std::uint64_t>::max();
+    /// Syncs that succeed before one fails; later ones succeed again, as on
+    /// kernels that report a lost page once.
+    std::uint64_t syncs_until_failure =
+        std::numeric_limits<std::uint64_t>::max();
+    std::uint64_t syncs = 0;
+
+    result<std::unique_ptr<append_file>> open(const std::filesystem::path& path,
+                                              std::uint64_t size) override
+    {
+        BOOST_OUTCOME_TRY(inner, inner_->open(path, size));
+        std::unique_ptr<append_file> out =
+            std::make_unique<file>(*this, std::move(inner));
+        return out;
+    }
+    result<std::string> read(const std::filesystem::path& path) override
+    {
+        return inner_->read(path);
+    }
+    result<std::string> read_range(const std::filesystem::path& path,
+                                   std::uint64_t offset,
+                                   std::size_t length) override
+    {
+        return inner_->read_range(path, offset, length);
+    }
+    result<std::vector<std::string>>
+    list(const std::filesystem::path& folder) override
+    {
+        return inner_->list(folder);
+    }
+    result<void> rename(const std::filesystem::path& from,
+                        const std::filesystem::path& to) override
+    {
+        return inner_->rename(from, to);
+    }
+    result<void> remove(const std::filesystem::path& path) override
+    {
+        return inner_->remove(path);
+    }
+    result<void> create_folder(const std::filesystem::path& folder) override
+    {
+        return inner_->create_folder(folder);
+    }
+    result<void> sync_folder(const std::filesystem::path& folder) override
+    {
+        return inner_->sync_folder(folder);
+    }
+    result<std::unique_ptr<folder_lock>>
+    lock(const std::filesystem::path& path) override
+    {
+        return inner_->lock(path);
+    }
+
+private:
+    class file : public append_file
+    {
+    public:
+        file(faulty_files& owner, std::unique_ptr<append_file> inner)
+            : owner_(owner), inner_(std::move(inner))
+        {}
+        result<void> append(std::string_view bytes) override
+        {
+            if (bytes.size() > owner_.capacity) {
+                (void)inner_->append(bytes.substr(0, owner_.capacity));
+                owner_.capacity = 0;
+                return fail(errc::storage_full, "injected");
+            }
+            owner_.capacity -= bytes.size();
+            return inner_->append(bytes);
+        }
+        result<void> sync() override
+        {
+            ++owner_.syncs;
+            if (owner_.syncs_until_failure-- == 0) {
+                return fail(errc::storage_failed, "injected");
+            }
+            return inner_->sync();
+        }
+
+    private:
+        faulty_files& owner_;
+        std::unique_ptr<append_file> inner_;
+    };
+
+    std::shared_ptr<file_system> inner_ = system_files();
+};
+
+} // namespace bamboogate::consensus
+
+#endif
