--- a/lib/include/bamboogate/gate/caller_api.hpp
+++ b/lib/include/bamboogate/gate/caller_api.hpp
@@ -71,7 +71,7 @@
                const exchange& out);
     void start_stream(const completion_request& request, const account& caller,
                       streaming::generation_request generation,
-                      const exchange& out);
+                      std::uint64_t ticket, const exchange& out);
     void continue_completion(const net::http_request& request,
                              const std::string& token, const exchange& out);
     void follow(const request_id& id,
--- a/lib/include/bamboogate/orders/at_most_once_call.hpp
+++ b/lib/include/bamboogate/orders/at_most_once_call.hpp
@@ -157,8 +157,9 @@
 
     void record_answer(control::stored_answer answer)
     {
+        const control::call_complete message{ticket_, answer};
         journal_.complete_call(
-            control::call_complete{ticket_, answer}, settings_.journal_deadline,
+            message, settings_.journal_deadline,
             [self = this->shared_from_this(),
              answer = std::move(answer)](result<void> recorded) mutable {
                 // The answer is true even if its commit is not confirmed; a
--- a/lib/source/gate/caller_api.cpp
+++ b/lib/source/gate/caller_api.cpp
@@ -185,7 +185,8 @@
                 return;
             }
             generation.priority = granted.value().priority;
-            start_stream(request, caller, std::move(generation), out);
+            start_stream(request, caller, std::move(generation),
+                         granted.value().ticket, out);
         });
     if (!refusal) {
         respond_error(*out, refusal.error().reason,
@@ -196,9 +197,10 @@
 void caller_api::start_stream(const completion_request& request,
                               const account& caller,
                               streaming::generation_request generation,
-                              const exchange& out)
+                              std::uint64_t ticket, const exchange& out)
 {
     if (out->closed()) {
+        use_.scheduler.abandon(ticket);
         return;
     }
     // The sink needs the generation's name, which `start` returns; no call
@@ -206,9 +208,11 @@
     auto sink = std::make_shared<deferred_sink>();
     auto started = use_.generations.start(std::move(generation), sink);
     if (!started) {
+        use_.scheduler.abandon(ticket);
         respond_error(*out, started.error(), retry_hint);
         return;
     }
+    use_.scheduler.bind(ticket, started.value());
     const std::string token =
         caller_token(started.value(), caller->id, use_.shared_secret);
     if (!request.stream) {
--- a/lib/source/gate/gate.cpp
+++ b/lib/source/gate/gate.cpp
@@ -59,6 +59,7 @@
 {
     net::event_loop& loop;
     config::gate_settings settings;
+    incarnation life = new_incarnation();
     std::set<node_id> gate_ids;
     net::link_hub hub;
     net::http_client client;
@@ -83,8 +84,7 @@
 
     impl(net::event_loop& l, config::gate_settings s)
         : loop(l), settings(std::move(s)),
-          hub(l, {.self = {settings.node, new_incarnation(),
-                           settings.failure_domain},
+          hub(l, {.self = {settings.node, life, settings.failure_domain},
                   .shared_secret = settings.shared_secret}),
           client(l),
           table({.self = settings.node, .gates = all_gates(settings)}),
@@ -92,7 +92,8 @@
           control(l, hub, {.replicas = replica_ids(settings)}),
           directory(table, selector, random_u64()),
           generations(l, hub, client, directory, generation_settings()),
-          scheduler(l), callers(caller_dependencies()),
+          scheduler(l, hub, scheduler_settings(), scheduler_callbacks()),
+          callers(caller_dependencies()),
           upstreams(membership, settings.upstream_key),
           router(&impl::answer_unrouted), ping_timer(l, [this] { on_tick(); }),
           drain_timer(l, [this] { check_drained(); })
@@ -124,10 +125,44 @@
         out.observers.on_tokens = [this](const request_id& request,
                                          std::uint64_t count) {
             directory.tokens_arrived(request, count);
+            scheduler.tokens_generated(request, count);
         };
+        out.observers.on_finished =
+            [this](const request_id& request,
+                   const result<streaming::finish_info>&) {
+                scheduler.finished(request);
+            };
+        out.observers.on_taken_over =
+            [this](const request_id& request,
+                   const streaming::generation_request& what) {
+                scheduler.adopt(request, what.model);
+            };
         return out;
     }
 
+    [[nodiscard]] completion_scheduler::options scheduler_settings() const
+    {
+        return {.self = settings.node,
+                .gates = all_gates(settings),
+                .incarnation = life};
+    }
+
+    completion_scheduler::callbacks scheduler_callbacks()
+    {
+        return {.slots_of =
+                    [this](const model_id& model) {
+                        return selector.slots_of(model);
+                    },
+                .preempt =
+                    [this](const request_id& request) {
+                        return generations.preempt(request);
+                    },
+                .resume =
+                    [this](const request_id& request) {
+                        return generations.resume(request);
+                    }};
+    }
+
     caller_api::dependencies caller_dependencies()
     {
         return {.loop = loop,
@@ -178,6 +213,7 @@
     void apply(const control::configuration& configuration)
     {
         keys.apply(configuration.declared);
+        scheduler.apply(configuration);
         for (const auto& each : configuration.declared.presets) {
             if (each.id == configuration.preset_in_force) {
                 retries.set_ratio(each.retry_budget);
--- a/tests/orders/service_call_test.cpp
+++ b/tests/orders/service_call_test.cpp
@@ -27,6 +27,7 @@
         control::call_decision{control::decision_kind::run, {}, {}};
     result<void> recorded = outcome::success();
     std::vector<std::string> steps;
+    control::stored_answer stored;
 
     void begin_call(const control::call_begin&, duration,
                     std::function<void(result<control::call_decision>)> done)
@@ -34,9 +35,10 @@
         steps.emplace_back("begin");
         loop.post([this, done] { done(decision); });
     }
-    void complete_call(const control::call_complete&, duration,
+    void complete_call(const control::call_complete& message, duration,
                        std::function<void(result<void>)> done)
     {
+        stored = message.answer;
         record("complete", done);
     }
     void mark_unknown(const control::call_unknown&, duration,
@@ -241,6 +243,16 @@
     CHECK(runs == 0);
 }
 
+// Guards against a resend that gets another answer than the first call.
+TEST_CASE_FIXTURE(service_fixture, "at_most_once_call_answered_stores_answer")
+{
+    add_upstream("u0", behaviour::answer);
+    const auto end = run_once();
+    REQUIRE(end);
+    CHECK(journal.stored == end.value().answer);
+    CHECK(journal.stored.body == "booked");
+}
+
 TEST_CASE_FIXTURE(service_fixture, "at_most_once_call_unrecorded_answer_kept")
 {
     add_upstream("u0", behaviour::answer);
--- /dev/null
+++ b/tests/support/child_process.hpp
@@ -0,0 +1,47 @@
+#ifndef BAMBOOGATE_TESTS_SUPPORT_CHILD_PROCESS_HPP
+#define BAMBOOGATE_TESTS_SUPPORT_CHILD_PROCESS_HPP
+
+#include <sys/types.h>
+
+#include <csignal>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace bamboogate::tests {
+
+/// A program that a test started. Destruction kills it by its process id.
+class child_process
+{
+public:
+    child_process() = default;
+
+    /// @brief Starts a program with its output appended to a log file.
+    child_process(const std::filesystem::path& program,
+                  const std::vector<std::string>& arguments,
+                  const std::filesystem::path& log);
+    ~child_process();
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&& other) noexcept;
+
+    void send_signal(int signal) const;
+
+    /// @brief Kills the program at once and waits for its end.
+    void kill();
+
+    /// @brief True while the program has not ended.
+    [[nodiscard]] bool running();
+
+    /// @brief The exit code, or -1 after a signal or while running.
+    [[nodiscard]] int exit_code() const noexcept { return exit_code_; }
+
+    [[nodiscard]] pid_t id() const noexcept { return id_; }
+
+private:
+    pid_t id_ = -1;
+    int exit_code_ = -1;
+};
+
+} // namespace bamboogate::tests
+
+#endif
