--- a/lib/include/bamboogate/streaming/forwarding.hpp
+++ b/lib/include/bamboogate/streaming/forwarding.hpp
@@ -128,7 +128,8 @@
     time_point started_;
     time_point next_plan_{};
     bool searching_ = true;
-    error last_problem_{errc::not_found, "no gate knows the generation"};
+    error last_problem_{errc::generation_not_found,
+                        "no gate knows the generation"};
 
     node_id owner_;
     std::uint64_t stream_ = 0;
--- a/tests/support/streaming_cluster.hpp
+++ b/tests/support/streaming_cluster.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/streaming/generation_service.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -105,7 +106,7 @@
         {
             ++tokens;
             if (!current()) {
-                ++late_tokens;
+                late.emplace_back(index, text);
                 return;
             }
             owner_->take(index, text);
@@ -129,7 +130,8 @@
         [[nodiscard]] bool ready() const override { return takes; }
 
         unsigned tokens = 0;
-        unsigned late_tokens = 0;
+        /// Tokens that came after the caller had left this connection.
+        std::vector<std::pair<std::uint64_t, std::string>> late;
         bool late_finish = false;
         bool ended = false;
         bool takes = true;
@@ -165,6 +167,20 @@
         return sink;
     }
 
+    /// @brief Whether every token that an older connection still got is the
+    ///     one that the caller has: no owner released another continuation.
+    [[nodiscard]] bool agrees_with_older_connections() const
+    {
+        for (const auto& each : all_) {
+            for (const auto& [index, text] : each->late) {
+                if (index >= tokens.size() || tokens[index] != text) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
     /// The caller leaves its connection without the gate's knowledge.
     void leave() { ++connections; }
 
