Stop the HTTP server without handling requests that arrive meanwhile

Cause: the random fault test ended with libmicrohttpd's abort: the run of a daemon during the stop handled a request that had just arrived, which then waited for its answer and was suspended. Ruled out: leaving the run out, because resumed exchanges would not end. Change: a stopping server refuses new requests and further input.

--- a/lib/source/net/http_server.cpp
+++ b/lib/source/net/http_server.cpp
@@ -186,6 +186,9 @@
     /// Handles one call of the library for this request.
     MHD_Result advance(const char* upload, std::size_t* upload_size)
     {
+        if (server_ == nullptr) {
+            return MHD_NO;
+        }
         if (*upload_size > 0) {
             collect_body(upload, *upload_size);
             *upload_size = 0;
@@ -494,6 +497,10 @@
                                         std::size_t* upload_size, void** state)
 {
     auto* self = static_cast<impl*>(cls);
+    if (!*self->alive) {
+        // A request that arrives during the stop would be suspended again.
+        return MHD_NO;
+    }
     if (*state != nullptr) {
         const auto which = *static_cast<std::shared_ptr<exchange>*>(*state);
         return which->advance(upload, upload_size);
--- a/tests/net/http_fault_test.cpp
+++ b/tests/net/http_fault_test.cpp
@@ -133,3 +133,35 @@
     client.send(input);
     CHECK(tests::run_until(loop, [&] { return handled == 5; }));
 }
+
+// Guards against the end of the process when a request arrives while the
+// server stops: it was handled, waited for its answer and so was suspended.
+TEST_CASE("http_server_stopped_with_unread_request_does_not_handle_it")
+{
+    event_loop server_loop;
+    event_loop client_loop;
+    unsigned handled = 0;
+    auto started = http_server::start(
+        server_loop, {.where = {"127.0.0.1", 0}},
+        [&](const http_request&, const std::shared_ptr<responder>&) {
+            ++handled;
+        });
+    REQUIRE(started);
+    auto server = std::move(started).value();
+    raw_client client(client_loop, server->where());
+    const auto run = [&](event_loop& loop) {
+        const time_point end = loop.now() + 50ms;
+        while (loop.now() < end) {
+            loop.run_once();
+        }
+    };
+    run(client_loop);
+    run(server_loop);
+    REQUIRE(server->open_connections() == 1);
+    client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    run(client_loop);
+    server.reset();
+    run(client_loop);
+    CHECK(handled == 0);
+    CHECK(client.closed());
+}
