Test replicas as processes that are killed, paused and emptied

Cause: replicas in one process share a clock and a loop, so kills between two writes and pauses longer than the lease were not covered. Change: a replica as a program and three tests that kill it at points drawn from a fixed seed, stop it with SIGSTOP and empty its folder; the simulated faults now include lost disks, one at a time.

--- a/tests/consensus/raft_test.cpp
+++ b/tests/consensus/raft_test.cpp
@@ -24,8 +24,26 @@
 
 /// All faults at once for a while, then a healthy network: the cluster must
 /// commit again and every replica must hold the same state.
+/// True when the newest committed configuration has every replica as a voter
+/// with the disk that it has now.
+bool whole(cluster& c)
+{
+    auto* leads = c.leader();
+    if (leads == nullptr ||
+        leads->core->log().members_index() > leads->core->commit()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < c.size(); ++i) {
+        if (!leads->core->members().is_voter(c.at(i).id, c.at(i).folder)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// @return number of entries committed while the faults lasted
-std::uint64_t run_with_faults(unsigned seed, unsigned voters)
+std::uint64_t run_with_faults(unsigned seed, unsigned voters,
+                              unsigned& disks_lost)
 {
     CAPTURE(seed);
     cluster c({.seed = seed, .voters = voters, .max_delay = 30ms});
@@ -34,7 +52,7 @@
     const std::uint64_t before = c.committed();
     for (int round = 0; round < 60 && c.problem.empty(); ++round) {
         cluster::node& victim = c.at(c.random() % c.size());
-        switch (c.random() % 7) {
+        switch (c.random() % 8) {
         case 0:
             if (victim.core) {
                 c.crash(victim);
@@ -48,6 +66,18 @@
             c.cut(victim.id, false);
             break;
         case 4:
+            // Disks are lost one at a time: the next one may be lost as soon
+            // as the configuration with the replacement is committed.
+            if (whole(c)) {
+                if (victim.core) {
+                    c.crash(victim);
+                }
+                c.lose_disk(victim);
+                ++disks_lost;
+                c.restart(victim);
+            }
+            break;
+        case 5:
             if (auto* leads = c.leader()) {
                 (void)leads->core->transfer_leadership(c.now_at(*leads));
             }
@@ -106,14 +136,16 @@
 TEST_CASE("raft_random_faults_keep_invariants")
 {
     std::uint64_t committed = 0;
+    unsigned disks_lost = 0;
     for (unsigned seed = 1; seed <= 60; ++seed) {
-        committed += run_with_faults(seed, 3);
+        committed += run_with_faults(seed, 3, disks_lost);
     }
     for (unsigned seed = 101; seed <= 120; ++seed) {
-        committed += run_with_faults(seed, 5);
+        committed += run_with_faults(seed, 5, disks_lost);
     }
     // The faults must leave room for work, or nothing would be tested.
     CHECK(committed > 80 * 50);
+    CHECK(disks_lost > 80);
 }
 
 // Guards against a cut-off leader that goes on to answer reads or to accept
--- /dev/null
+++ b/tests/consensus/replica_process_test.cpp
@@ -0,0 +1,312 @@
+#include <bamboogate/core/time.hpp>
+#include <bamboogate/net/address.hpp>
+
+#include <consensus/support/temporary_folder.hpp>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <poll.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bamboogate;
+using namespace bamboogate::consensus;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One replica process and the pipes to it.
+class child
+{
+public:
+    child(const std::string& id, const std::filesystem::path& folder,
+          const std::string& ports)
+    {
+        int in[2];
+        int out[2];
+        REQUIRE(pipe2(in, O_CLOEXEC) == 0);
+        REQUIRE(pipe2(out, O_CLOEXEC) == 0);
+        const std::string program =
+            std::string(BAMBOOGATE_BINARY_DIR) + "/bin/replica_process";
+        pid_ = fork();
+        REQUIRE(pid_ >= 0);
+        if (pid_ == 0) {
+            dup2(in[0], STDIN_FILENO);
+            dup2(out[1], STDOUT_FILENO);
+            execl(program.c_str(), program.c_str(), id.c_str(), folder.c_str(),
+                  ports.c_str(), nullptr);
+            _exit(127);
+        }
+        close(in[0]);
+        close(out[1]);
+        input_ = in[1];
+        output_ = out[0];
+    }
+    ~child()
+    {
+        signal(SIGCONT);
+        signal(SIGKILL);
+        waitpid(pid_, nullptr, 0);
+        close(input_);
+        close(output_);
+    }
+    child(const child&) = delete;
+    child& operator=(const child&) = delete;
+
+    void signal(int number) const { ::kill(pid_, number); }
+
+    void write(const std::string& line) const
+    {
+        const std::string bytes = line + "\n";
+        (void)!::write(input_, bytes.data(), bytes.size());
+    }
+
+    /// Next line of output, empty after the limit or at the end.
+    std::string read(duration limit)
+    {
+        const time_point end = monotonic_clock::now() + limit;
+        for (;;) {
+            if (const auto at = buffer_.find('\n'); at != std::string::npos) {
+                std::string line = buffer_.substr(0, at);
+                buffer_.erase(0, at + 1);
+                return line;
+            }
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+                end - monotonic_clock::now());
+            pollfd ready{output_, POLLIN, 0};
+            if (left <= 0ms ||
+                poll(&ready, 1, static_cast<int>(left.count())) <= 0) {
+                return {};
+            }
+            char chunk[4096];
+            const auto count = ::read(output_, chunk, sizeof chunk);
+            if (count <= 0) {
+                return {};
+            }
+            buffer_.append(chunk, static_cast<std::size_t>(count));
+        }
+    }
+
+    /// Sends a command and waits for the line that answers it.
+    std::string ask(const std::string& line, const std::string& answer,
+                    duration limit = 1s)
+    {
+        write(line);
+        const time_point end = monotonic_clock::now() + limit;
+        while (monotonic_clock::now() < end) {
+            std::string reply = read(end - monotonic_clock::now());
+            if (reply.starts_with(answer)) {
+                return reply.substr(answer.size());
+            }
+        }
+        return {};
+    }
+
+private:
+    pid_t pid_ = -1;
+    int input_ = -1;
+    int output_ = -1;
+    std::string buffer_;
+};
+
+class process_fixture
+{
+public:
+    process_fixture()
+    {
+        ::signal(SIGPIPE, SIG_IGN);
+        std::vector<int> held;
+        for (int i = 0; i < 3; ++i) {
+            const auto listening = net::listen_on({"127.0.0.1", 0});
+            REQUIRE(listening);
+            held.push_back(listening.value());
+            ports_ += fmt::format("{}{}", i == 0 ? "" : ",",
+                                  net::local_address(listening.value()).port);
+        }
+        for (const int each : held) {
+            close(each);
+        }
+        for (std::size_t i = 0; i < 3; ++i) {
+            start(i);
+        }
+    }
+
+    std::filesystem::path data(std::size_t index) const
+    {
+        return folder.path() / fmt::format("n{}", index);
+    }
+
+    void start(std::size_t index)
+    {
+        replicas[index] = std::make_unique<child>(fmt::format("n{}", index),
+                                                  data(index), ports_);
+    }
+
+    /// Index of a replica that leads, or -1 after the limit.
+    int leader(duration limit = 5s)
+    {
+        const time_point end = monotonic_clock::now() + limit;
+        while (monotonic_clock::now() < end) {
+            for (int i = 0; i < 3; ++i) {
+                if (replicas[i] && !stopped.contains(i) &&
+                    replicas[i]->ask("status", "status ").starts_with("1 ")) {
+                    return i;
+                }
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return -1;
+    }
+
+    bool commit(const std::string& command)
+    {
+        const int at = leader();
+        if (at < 0 ||
+            replicas[at]->ask("propose " + command, "committed ").empty()) {
+            return false;
+        }
+        accepted.push_back(command);
+        return true;
+    }
+
+    /// Every accepted command is in the replica's list, in order, once.
+    std::string missing(const std::string& list) const
+    {
+        std::istringstream stream(list);
+        std::vector<std::string> found;
+        for (std::string each; std::getline(stream, each, ',');) {
+            found.push_back(each);
+        }
+        std::size_t at = 0;
+        for (const auto& each : found) {
+            if (at < accepted.size() && each == accepted[at]) {
+                ++at;
+            }
+        }
+        if (std::set<std::string>(found.begin(), found.end()).size() !=
+            found.size()) {
+            return "repeated";
+        }
+        return at == accepted.size() ? "" : accepted[at];
+    }
+
+    bool all_hold_everything(duration limit = 10s)
+    {
+        const time_point end = monotonic_clock::now() + limit;
+        while (monotonic_clock::now() < end) {
+            std::set<std::string> lists;
+            for (auto& each : replicas) {
+                lists.insert(each->ask("list", "list "));
+            }
+            if (lists.size() == 1 && missing(*lists.begin()).empty()) {
+                return true;
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
+    /// Waits until the leader's configuration has three voters again.
+    bool repaired(duration limit = 5s)
+    {
+        const time_point end = monotonic_clock::now() + limit;
+        while (monotonic_clock::now() < end) {
+            const int at = leader();
+            if (at >= 0 && replicas[at]->ask("voters", "voters ") == "3") {
+                return true;
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        return false;
+    }
+
+    temporary_folder folder;
+    std::unique_ptr<child> replicas[3];
+    std::set<int> stopped;
+    std::vector<std::string> accepted;
+
+private:
+    std::string ports_;
+};
+
+} // namespace
+
+// Guards against an accepted command that a kill at any point loses or
+// repeats.
+TEST_CASE_FIXTURE(process_fixture, "replica_process_killed_keeps_accepted")
+{
+    REQUIRE(commit("first"));
+    std::mt19937 random(7);
+    int number = 0;
+    for (int round = 0; round < 8; ++round) {
+        CAPTURE(round);
+        const int leads = leader();
+        REQUIRE(leads >= 0);
+        // The kill meets proposals under way.
+        for (int i = 0; i < 20; ++i) {
+            replicas[leads]->write(fmt::format("propose u{}", number++));
+        }
+        const auto victim =
+            random() % 2 == 0 ? static_cast<std::size_t>(leads) : random() % 3;
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % 5000));
+        replicas[victim]->signal(SIGKILL);
+        replicas[victim].reset();
+        for (int i = 0; i < 5; ++i) {
+            CHECK(commit(fmt::format("c{}", number++)));
+        }
+        start(victim);
+    }
+    CHECK(all_hold_everything());
+}
+
+// Guards against a leader that wakes after a pause and still believes in its
+// lease.
+TEST_CASE_FIXTURE(process_fixture, "replica_process_paused_leader_has_no_lease")
+{
+    REQUIRE(commit("first"));
+    for (int round = 0; round < 3; ++round) {
+        const int old = leader();
+        REQUIRE(old >= 0);
+        replicas[old]->signal(SIGSTOP);
+        stopped = {old};
+        // Read by the paused process as its first input after the pause.
+        replicas[old]->write("status");
+        CHECK(commit(fmt::format("c{}", round)));
+        std::this_thread::sleep_for(300ms);
+        stopped = {};
+        replicas[old]->signal(SIGCONT);
+        const std::string status = replicas[old]->ask("", "status ");
+        CAPTURE(status);
+        REQUIRE(status.size() > 3);
+        CHECK(status.substr(2, 1) == "0");
+    }
+    CHECK(all_hold_everything());
+}
+
+// Guards against an emptied disk that rejoins with its old vote.
+TEST_CASE_FIXTURE(process_fixture, "replica_process_emptied_folder_catches_up")
+{
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(commit(fmt::format("c{}", i)));
+    }
+    for (int round = 0; round < 2; ++round) {
+        const auto victim = static_cast<std::size_t>(leader());
+        replicas[victim].reset();
+        std::filesystem::remove_all(data(victim));
+        start(victim);
+        // The election and the demotion come first.
+        CHECK(commit(fmt::format("d{}", round)));
+        CHECK(all_hold_everything());
+        CHECK(repaired());
+    }
+    CHECK(commit("last"));
+    CHECK(all_hold_everything());
+}
