--- a/lib/source/control/declaration_diff.cpp
+++ b/lib/source/control/declaration_diff.cpp
@@ -97,7 +97,7 @@
                     fmt::format("+ {}/{} {}", path, name, excerpt(*value)));
                 continue;
             }
-            compare(path + "/" + name, *old->second, *value);
+            compare(fmt::format("{}/{}", path, name), *old->second, *value);
         }
     }
 };
--- a/lib/source/control/declaration_parser.cpp
+++ b/lib/source/control/declaration_parser.cpp
@@ -73,7 +73,7 @@
             const std::string name = quoted();
             skip_space();
             ++at_; // colon
-            value(path + "/" + name);
+            value(fmt::format("{}/{}", path, name));
             next_item();
         }
         ++at_;
