--- /dev/null
+++ b/spec/generation.pml
@@ -0,0 +1,426 @@
+// mutants: NO_ATTEMPT_GUARD NO_INDEX_GUARD RELEASE_BEFORE_ACK NO_LENGTH_CHECK NO_EPOCH_CHECK NO_HANDOFF NO_LINEAGE_CHECK
+//
+// One generation, three gates, one caller. Gate 0 is the first owner. An owner
+// extends its tokens from an engine and copies them to a buddy; it releases
+// what the buddy has acknowledged. Faults: an engine attempt is lost and its
+// old stream goes on, an engine repeats an index, a gate dies, a gate freezes
+// and wakes. The caller moves between gates at any moment.
+//
+// Every generated token gets a new number and remembers the token before it,
+// which stands for a sampling engine: the same prefix continues differently in
+// each attempt. The caller's answer is one generation exactly when each token
+// follows the token it got before.
+//
+// Abstractions: a batch in flight is a copy taken from the owner's tokens at
+// the time of arrival, which for a frozen or dead owner are those it had sent
+// or a few more; an acknowledgement stays in a box until the owner reads it;
+// the question to the previous buddy and its answer are one step. Epochs are
+// numbered in the order of takeovers.
+
+#define GATES 3
+#define TOKENS 2
+#define SERIALS 4
+#define EPOCHS 3
+#define NONE 3
+
+#define AT(g, i) token[(g) * TOKENS + (i)]
+
+mtype = { nothing, owner, holder, loser };
+
+mtype role[GATES] = nothing;
+byte token[GATES * TOKENS];
+byte count[GATES];       // tokens held
+byte epoch[GATES];
+byte known[GATES];       // newest epoch that the gate has heard of
+byte buddy[GATES] = NONE;
+byte copy_of[GATES] = NONE;
+bool confirmed[GATES];
+byte acked[GATES];       // by the buddy, as the owner knows it
+byte ack_box[GATES];     // acknowledgement under way to the owner
+byte released[GATES];    // next index for the caller's connection here
+bool dead[GATES];
+bool frozen[GATES];
+
+byte before[SERIALS + 1]; // the token before each token; 0 is the prompt
+byte serial;
+
+byte parent_epoch[EPOCHS + 1];
+byte start[EPOCHS + 1];   // first index of an epoch
+byte last_epoch = 1;
+
+// The caller.
+byte conn;               // gate of its connection
+byte caller_count;
+byte caller_last;        // last token
+byte caller_epoch;       // epoch that it saw last
+byte moves;
+bool done;
+
+// An attempt that was lost and whose stream goes on.
+bool late;
+byte late_index;
+byte late_last;
+
+// Faults so far.
+bool engine_lost;
+bool engine_repeated;
+byte gates_lost;
+byte gates_frozen;
+bool holder_frozen;
+byte buddy_changes;
+
+inline last_token(g, out)
+{
+    if
+    :: count[g] == 0 -> out = 0
+    :: else -> out = AT(g, count[g] - 1)
+    fi
+}
+
+inline append(g, previous)
+{
+    serial++;
+    before[serial] = previous;
+    AT(g, count[g]) = serial;
+    count[g]++
+}
+
+// Whether the caller's tokens are a prefix of the owner's at gate g.
+inline check_lineage(g, ok)
+{
+    ok = true;
+#ifndef NO_LINEAGE_CHECK
+    if
+    :: caller_epoch == 0 || caller_epoch == epoch[g] -> skip
+    :: else ->
+        walk = epoch[g];
+        do
+        :: walk != 0 && parent_epoch[walk] != caller_epoch ->
+            walk = parent_epoch[walk]
+        :: else -> break
+        od;
+        ok = (walk != 0 && caller_count <= start[walk])
+    fi
+#endif
+}
+
+inline take_over(g)
+{
+    last_epoch++;
+    parent_epoch[last_epoch] = epoch[g];
+    start[last_epoch] = count[g];
+    epoch[g] = last_epoch;
+    known[g] = last_epoch;
+    role[g] = owner;
+    copy_of[g] = NONE;
+    buddy[g] = NONE;
+    acked[g] = 0;
+    ack_box[g] = 0
+}
+
+proctype engine_events()
+{
+    byte g;
+    byte previous;
+    do
+    :: atomic {
+        serial < SERIALS ->
+        select (g : 0 .. 2);
+        if
+        :: role[g] == owner && !dead[g] && !frozen[g] && count[g] < TOKENS ->
+            last_token(g, previous);
+            append(g, previous)
+        :: else -> skip
+        fi;
+        previous = 0; g = 0
+       }
+    :: atomic {
+        // The attempt at the first owner is lost; its stream may go on.
+        !engine_lost && role[0] == owner && !dead[0] && !frozen[0] ->
+        engine_lost = true;
+        late = true;
+        late_index = count[0];
+        last_token(0, late_last)
+       }
+    :: atomic {
+        late && serial < SERIALS && role[0] == owner && !dead[0] &&
+            !frozen[0] && late_index < TOKENS ->
+        // An event of the older attempt.
+#ifdef NO_ATTEMPT_GUARD
+        if
+        :: late_index == count[0] ->
+            append(0, late_last);
+            late_last = serial
+        :: else ->
+            serial++;
+            before[serial] = late_last;
+            late_last = serial
+        fi;
+#else
+        serial++;
+        before[serial] = late_last;
+        late_last = serial;
+#endif
+        late_index++
+       }
+    :: atomic {
+        !engine_repeated && serial < SERIALS && role[0] == owner &&
+            !dead[0] && !frozen[0] && count[0] > 0 && count[0] < TOKENS ->
+        engine_repeated = true;
+        // The engine sends the last index again: the attempt ends.
+#ifdef NO_INDEX_GUARD
+        previous = before[AT(0, count[0] - 1)];
+        append(0, previous);
+        previous = 0
+#endif
+       }
+    :: done -> break
+    od
+}
+
+// A batch arrives at a buddy, or a copy for a new one.
+proctype copying()
+{
+    byte g;
+    byte b;
+    byte i;
+    bool superseded;
+    do
+    :: atomic {
+        select (g : 0 .. 2);
+        if
+        :: role[g] == owner && !dead[g] && !frozen[g] && buddy[g] == NONE ->
+            // Chooses a first buddy, or another one after a loss.
+            select (b : 0 .. 2);
+            if
+            :: b != g && !dead[b] && !(role[b] == owner) -> buddy[g] = b
+            :: else -> skip
+            fi
+        :: role[g] == owner && !dead[g] && buddy[g] != NONE &&
+               !frozen[buddy[g]] && !dead[buddy[g]] ->
+            b = buddy[g];
+            superseded = false;
+#ifndef NO_EPOCH_CHECK
+            superseded = known[b] > epoch[g];
+#endif
+            if
+            :: superseded ->
+                if
+                :: !frozen[g] -> role[g] = loser
+                :: else -> skip
+                fi
+            :: else ->
+                // The buddy's copy becomes that of this owner and epoch.
+                if
+                :: role[b] != owner ->
+                    if
+                    :: copy_of[b] != g || epoch[b] != epoch[g] ->
+                        confirmed[b] = true
+                    :: else -> skip
+                    fi;
+                    i = 0;
+                    do
+                    :: i < count[g] -> AT(b, i) = AT(g, i); i++
+                    :: else -> break
+                    od;
+                    i = 0;
+                    count[b] = count[g];
+                    role[b] = holder;
+                    copy_of[b] = g;
+                    epoch[b] = epoch[g];
+                    if
+                    :: known[b] < epoch[g] -> known[b] = epoch[g]
+                    :: else -> skip
+                    fi;
+                    ack_box[g] = count[b]
+                :: else ->
+                    // Reached only by a mutant.
+                    ack_box[g] = count[g]
+                fi
+            fi
+        :: else -> skip
+        fi;
+        g = 0; b = 0; superseded = false
+       }
+    :: atomic {
+        // The owner suspects its buddy, rightly or not, and asks another gate,
+        // which asks the previous buddy first.
+        buddy_changes < 1 ->
+        select (g : 0 .. 2);
+        if
+        :: role[g] == owner && !dead[g] && !frozen[g] && buddy[g] != NONE ->
+            b = 3 - g - buddy[g];
+            if
+            :: !dead[b] && !frozen[b] && role[b] != owner ->
+                buddy_changes++;
+                superseded = false;
+#ifndef NO_HANDOFF
+                if
+                :: !dead[buddy[g]] && !frozen[buddy[g]] ->
+                    if
+                    :: known[buddy[g]] > epoch[g] -> superseded = true
+                    :: else ->
+                        role[buddy[g]] = nothing;
+                        copy_of[buddy[g]] = NONE
+                    fi
+                :: else -> skip
+                fi;
+#endif
+                if
+                :: superseded -> role[g] = loser
+                :: else ->
+                    buddy[g] = b;
+                    acked[g] = 0;
+                    ack_box[g] = 0
+                fi
+            :: else -> skip
+            fi
+        :: else -> skip
+        fi;
+        g = 0; b = 0; superseded = false
+       }
+    :: done -> break
+    od
+}
+
+proctype releasing()
+{
+    byte g;
+    byte limit;
+    do
+    :: atomic {
+        select (g : 0 .. 2);
+        if
+        :: role[g] == owner && !dead[g] && !frozen[g] ->
+            if
+            :: ack_box[g] > acked[g] -> acked[g] = ack_box[g]
+            :: else -> skip
+            fi;
+            limit = acked[g];
+#ifdef RELEASE_BEFORE_ACK
+            limit = count[g];
+#endif
+            if
+            :: released[g] < limit ->
+                // A superseded owner releases nothing of its continuation.
+                // The exception is a buddy that was frozen when it was asked:
+                // there the check of the caller's epoch protects the answer.
+                assert(epoch[g] == last_epoch || holder_frozen ||
+                       released[g] < start[epoch[g] + 1]);
+                if
+                :: conn == g ->
+                    assert(released[g] == caller_count);
+                    assert(before[AT(g, released[g])] == caller_last);
+                    caller_last = AT(g, released[g]);
+                    caller_count++;
+                    caller_epoch = epoch[g]
+                :: else -> skip
+                fi;
+                released[g]++
+            :: released[g] == limit && count[g] == TOKENS &&
+                   limit == TOKENS && conn == g ->
+                assert(caller_count == TOKENS);
+                done = true
+            :: else -> skip
+            fi
+        :: else -> skip
+        fi;
+        g = 0; limit = 0
+       }
+    :: done -> break
+    od
+}
+
+proctype caller()
+{
+    byte g;
+    byte walk;
+    bool ok;
+    do
+    :: atomic {
+        moves < 2 ->
+        select (g : 0 .. 2);
+        if
+        :: dead[g] || frozen[g] -> skip
+        :: role[g] == owner && !dead[g] && !frozen[g] ->
+            check_lineage(g, ok);
+            if
+            :: ok && caller_count <= count[g] ->
+                conn = g;
+                released[g] = caller_count;
+                moves++
+            :: else -> skip
+            fi
+        :: role[g] == holder && confirmed[g] && !dead[g] && !frozen[g] &&
+               last_epoch < EPOCHS ->
+            check_lineage(g, ok);
+#ifndef NO_LENGTH_CHECK
+            ok = ok && caller_count <= count[g];
+#endif
+            if
+            :: ok ->
+                take_over(g);
+                conn = g;
+                released[g] = caller_count;
+                moves++
+            :: else -> skip
+            fi
+        :: else -> skip
+        fi;
+        g = 0; walk = 0; ok = false
+       }
+    :: done -> break
+    od
+}
+
+proctype faults()
+{
+    byte g;
+    do
+    :: atomic {
+        gates_lost < 1 ->
+        select (g : 0 .. 2);
+        gates_lost++;
+        dead[g] = true;
+        // What the caller saw of a lost owner is held by another gate.
+        if
+        :: conn == g && role[g] == owner && epoch[g] == last_epoch &&
+               buddy[g] != NONE ->
+            assert(acked[g] == 0 || count[buddy[g]] >= caller_count ||
+                   (buddy[g] != 0 && count[0] >= caller_count) ||
+                   (buddy[g] != 1 && count[1] >= caller_count) ||
+                   (buddy[g] != 2 && count[2] >= caller_count))
+        :: else -> skip
+        fi;
+        g = 0
+       }
+    :: atomic {
+        gates_frozen < 1 ->
+        select (g : 0 .. 2);
+        gates_frozen++;
+        frozen[g] = true;
+        if
+        :: role[g] == holder -> holder_frozen = true
+        :: else -> skip
+        fi;
+        g = 0
+       }
+    :: frozen[0] -> frozen[0] = false
+    :: frozen[1] -> frozen[1] = false
+    :: frozen[2] -> frozen[2] = false
+    :: done -> break
+    od
+}
+
+init {
+    atomic {
+        role[0] = owner;
+        epoch[0] = 1;
+        known[0] = 1;
+        run engine_events();
+        run copying();
+        run releasing();
+        run caller();
+        run faults()
+    }
+}
--- /dev/null
+++ b/tests/streaming/swallowed_connection_test.cpp
@@ -0,0 +1,66 @@
+#include <doctest/doctest.h>
+
+#include "support/silent_proxy.hpp"
+#include "support/streaming_cluster.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+using namespace std::chrono_literals;
+using fakes::token_mode;
+using direction = silent_proxy::direction;
+
+// Guards against streams that wait for good on a connection that some middle
+// box has forgotten, while new connections to the same engine work.
+TEST_CASE("swallowed_engine_connection_is_replaced")
+{
+    for (const auto which : {direction::to_client, direction::both}) {
+        auto settings = streaming_cluster::fast();
+        settings.engines = 1;
+        settings.engine.mode = token_mode::sampled;
+        streaming_cluster cluster(settings);
+        silent_proxy proxy(cluster.engine_loop, cluster.engines[0]->where());
+        cluster.gates[0]->engines.entries["engine-0"].address =
+            proxy.where().text();
+        test_caller caller;
+        REQUIRE(cluster.start(caller, 0, "swallowed tokens=100"));
+        REQUIRE(cluster.run_until([&] { return caller.tokens.size() >= 30; }));
+        proxy.swallow(which);
+        REQUIRE(
+            cluster.run_until([&] { return caller.finish || caller.failure; }));
+        CHECK(caller.is_whole(token_mode::sampled));
+        CHECK(caller.finish->attempts == 2);
+        // The first attempt is cancelled over a new connection.
+        CHECK(cluster.run_until(
+            [&] { return cluster.engines[0]->running() == 0; }));
+    }
+}
+
+TEST_CASE("swallowed_gate_links_are_replaced")
+{
+    auto settings = streaming_cluster::fast();
+    settings.engine.mode = token_mode::sampled;
+    settings.gates = 2;
+    streaming_cluster cluster(settings);
+    // Both gates reach each other through proxies only.
+    const node_id first("gate-0");
+    const node_id second("gate-1");
+    silent_proxy to_first(cluster.engine_loop, cluster.gates[0]->where);
+    silent_proxy to_second(cluster.engine_loop, cluster.gates[1]->where);
+    cluster.gates[0]->hub->forget(second);
+    cluster.gates[1]->hub->forget(first);
+    cluster.gates[0]->hub->dial(second, to_second.where());
+    cluster.gates[1]->hub->dial(first, to_first.where());
+    REQUIRE(cluster.run_until([&] {
+        return cluster.gates[0]->hub->is_up(second) &&
+               cluster.gates[1]->hub->is_up(first);
+    }));
+    test_caller caller;
+    REQUIRE(cluster.start(caller, 0, "swallowed link tokens=500"));
+    REQUIRE(cluster.run_until([&] { return caller.tokens.size() >= 50; }));
+    to_first.swallow(direction::both);
+    to_second.swallow(direction::both);
+    REQUIRE(cluster.run_until([&] { return caller.finish || caller.failure; }));
+    CHECK(caller.is_whole(token_mode::sampled));
+    CHECK(cluster.gates[0]->service->totals().tokens_without_copy == 0);
+    CHECK(caller.longest_pause() < 2s);
+}
