Show that process tests fail without their mechanism; add metrics and burn

Cause: a proof that never failed proves little. The first try, killing a gate with copies switched to after the release, was not caught: the kernel still delivers what a killed process had written. Freezing the other gates did not help either, since their sockets keep the bytes. The gate measures completions, queue waits and first tokens, serves /metrics and /v1/burn, and counts first tries for the retry budget, which it had not.

--- a/lib/include/bamboogate/gate/caller_api.hpp
+++ b/lib/include/bamboogate/gate/caller_api.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/gate/completion_scheduler.hpp>
 #include <bamboogate/gate/completion_sinks.hpp>
 #include <bamboogate/gate/routing_directory.hpp>
+#include <bamboogate/gate/telemetry.hpp>
 #include <bamboogate/net/http_client.hpp>
 #include <bamboogate/net/http_router.hpp>
 #include <bamboogate/orders/at_most_once_call.hpp>
@@ -35,6 +36,7 @@
         const authenticator& keys;
         routing_directory& directory;
         routing::retry_budget& retries;
+        telemetry& measured;
         secret shared_secret;
         failure_domain_id failure_domain;
         bool serve_without_lease = false;
@@ -71,7 +73,8 @@
                const exchange& out);
     void start_stream(const completion_request& request, const account& caller,
                       streaming::generation_request generation,
-                      std::uint64_t ticket, const exchange& out);
+                      const completion_grant& grant, const std::string& rank,
+                      const exchange& out);
     void continue_completion(const net::http_request& request,
                              const std::string& token, const exchange& out);
     void follow(const request_id& id,
--- a/lib/source/gate/caller_api.cpp
+++ b/lib/source/gate/caller_api.cpp
@@ -178,17 +178,21 @@
          .model = request.model,
          .prompt_bytes = generation.prompt.size(),
          .max_tokens = request.max_tokens},
-        [this, request, caller, generation,
+        [this, request, caller, generation, rank = service_class.rank,
          out](result<completion_grant> granted) mutable {
             if (!granted) {
+                use_.measured.completion_refused(rank, caller->id,
+                                                 granted.error().code);
                 respond_error(*out, granted.error(), retry_hint);
                 return;
             }
             generation.priority = granted.value().priority;
             start_stream(request, caller, std::move(generation),
-                         granted.value().ticket, out);
+                         granted.value(), rank, out);
         });
     if (!refusal) {
+        use_.measured.completion_refused(service_class.rank, caller->id,
+                                         refusal.error().reason.code);
         respond_error(*out, refusal.error().reason,
                       refusal.error().retry_after);
     }
@@ -197,22 +201,28 @@
 void caller_api::start_stream(const completion_request& request,
                               const account& caller,
                               streaming::generation_request generation,
-                              std::uint64_t ticket, const exchange& out)
+                              const completion_grant& grant,
+                              const std::string& rank, const exchange& out)
 {
     if (out->closed()) {
-        use_.scheduler.abandon(ticket);
+        use_.scheduler.abandon(grant.ticket);
         return;
     }
     // The sink needs the generation's name, which `start` returns; no call
     // reaches the sink before that.
     auto sink = std::make_shared<deferred_sink>();
+    const std::string service_class = generation.service_class;
     auto started = use_.generations.start(std::move(generation), sink);
     if (!started) {
-        use_.scheduler.abandon(ticket);
+        use_.scheduler.abandon(grant.ticket);
         respond_error(*out, started.error(), retry_hint);
         return;
     }
-    use_.scheduler.bind(ticket, started.value());
+    use_.scheduler.bind(grant.ticket, started.value());
+    use_.retries.first_try(service_class);
+    use_.measured.completion_started(started.value(), rank, caller->id,
+                                     monotonic_clock::now() - grant.waited,
+                                     grant.waited);
     const std::string token =
         caller_token(started.value(), caller->id, use_.shared_secret);
     if (!request.stream) {
@@ -344,8 +354,13 @@
                             std::span<const upstream_id> excluded) {
         return use_.directory.choose_service(service, excluded);
     };
-    auto answered = [this, out](result<orders::service_answer> end) {
+    auto answered = [this, out, service = call.service,
+                     idempotent](result<orders::service_answer> end) {
         --open_calls_;
+        use_.measured.service_call_ended(
+            service, idempotent,
+            end ? "answered"
+                : std::string(name_of(outcome_of(end.error().code))));
         answer_call(*out, std::move(end));
     };
     if (!idempotent) {
--- a/lib/source/gate/gate.cpp
+++ b/lib/source/gate/gate.cpp
@@ -3,6 +3,7 @@
 #include <bamboogate/gate/caller_api.hpp>
 #include <bamboogate/gate/gate.hpp>
 #include <bamboogate/gate/log_events.hpp>
+#include <bamboogate/gate/telemetry.hpp>
 #include <bamboogate/gate/upstream_api.hpp>
 #include <bamboogate/net/http_client.hpp>
 #include <bamboogate/net/http_server.hpp>
@@ -22,6 +23,7 @@
 namespace {
 
 constexpr duration ping_interval = std::chrono::seconds(1);
+constexpr unsigned ticks_per_alert_check = 10;
 constexpr duration drain_check_interval = std::chrono::milliseconds(20);
 
 /// The wall clock orders the lives of one process; it only has to grow from
@@ -69,6 +71,7 @@
     routing::membership_exchange membership;
     control::control_client control;
     authenticator keys;
+    telemetry measured;
     routing_directory directory;
     streaming::generation_service generations;
     completion_scheduler scheduler;
@@ -81,6 +84,7 @@
     time_point drain_started;
     std::function<void()> drained;
     bool was_ready = false;
+    unsigned ticks = 0;
 
     impl(net::event_loop& l, config::gate_settings s)
         : loop(l), settings(std::move(s)),
@@ -109,6 +113,7 @@
         callers.add_routes(router);
         upstreams.add_routes(router);
         add_own_routes();
+        add_measurement_routes();
     }
 
     streaming::generation_options generation_settings()
@@ -127,10 +132,14 @@
             directory.tokens_arrived(request, count);
             scheduler.tokens_generated(request, count);
         };
+        out.observers.on_first_token = [this](const request_id& request) {
+            measured.first_token(request, loop.now());
+        };
         out.observers.on_finished =
             [this](const request_id& request,
-                   const result<streaming::finish_info>&) {
+                   const result<streaming::finish_info>& end) {
                 scheduler.finished(request);
+                measured.completion_ended(request, end.has_value(), loop.now());
             };
         out.observers.on_taken_over =
             [this](const request_id& request,
@@ -173,6 +182,7 @@
                 .keys = keys,
                 .directory = directory,
                 .retries = retries,
+                .measured = measured,
                 .shared_secret = settings.shared_secret,
                 .failure_domain = settings.failure_domain,
                 .serve_without_lease =
@@ -214,6 +224,7 @@
     {
         keys.apply(configuration.declared);
         scheduler.apply(configuration);
+        measured.apply(configuration);
         for (const auto& each : configuration.declared.presets) {
             if (each.id == configuration.preset_in_force) {
                 retries.set_ratio(each.retry_budget);
@@ -243,6 +254,46 @@
                    });
     }
 
+    void add_measurement_routes()
+    {
+        router.add("GET", "/metrics",
+                   [this](const net::http_request&, const net::path_values&,
+                          const std::shared_ptr<net::responder>& out) {
+                       out->respond(
+                           200,
+                           {{"content-type",
+                             "text/plain; version=0.0.4; charset=utf-8"}},
+                           measured.metrics_text(current_values()));
+                   });
+        router.add("GET", "/v1/burn",
+                   [this](const net::http_request& request,
+                          const net::path_values&,
+                          const std::shared_ptr<net::responder>& out) {
+                       const auto who = keys.operator_of(request.headers);
+                       if (!who) {
+                           respond_error(*out, who.error());
+                           return;
+                       }
+                       out->respond(200, {{"content-type", "application/json"}},
+                                    measured.burn_document().dump());
+                   });
+    }
+
+    [[nodiscard]] telemetry::snapshot current_values() const
+    {
+        const auto configuration = control.current();
+        return {.generations = generations.totals(),
+                .generations_running = generations.running(),
+                .links = hub.totals(),
+                .http = server->totals(),
+                .http_connections = server->open_connections(),
+                .pools = scheduler.pools(),
+                .upstreams = table.records().size(),
+                .ready = callers.accepts_new_work().has_value(),
+                .revision =
+                    configuration ? configuration->revision : revision{}};
+    }
+
     static void answer_unrouted(const net::http_request&, bool path_known,
                                 const std::shared_ptr<net::responder>& out)
     {
@@ -255,6 +306,9 @@
     void on_tick()
     {
         callers.ping_streams();
+        if (++ticks % ticks_per_alert_check == 0) {
+            measured.check_alerts();
+        }
         const bool ready = callers.accepts_new_work().has_value();
         if (ready != was_ready) {
             was_ready = ready;
--- a/tests/e2e/gate_loss_test.cpp
+++ b/tests/e2e/gate_loss_test.cpp
@@ -78,6 +78,60 @@
     }
 }
 
+// Guards I1 and I2: tokens that no other gate holds must not reach the caller,
+// since another engine would go on with different ones. The proxies stand for
+// a VM whose last packets are lost with it.
+TEST_CASE("gate_vm_lost_with_its_packets_caller_saw_nothing_that_is_lost")
+{
+    auto options = sampled_engines();
+    options.proxy_gate_zero = true;
+    deployment system(options);
+    REQUIRE(system.start());
+    const std::string prompt = "manifest tokens=400 lost packets";
+    received_answer answer(prompt);
+    auto stream = system.generate(0, prompt);
+    REQUIRE(run_until(system.loop, [&] { return stream->texts.size() > 40; }));
+    for (auto& each : system.gate_proxies) {
+        each->swallow(silent_proxy::direction::both);
+    }
+    // Shorter than the limits after which the owner looks for another copy.
+    system.pass(250ms);
+    system.gates[0].kill();
+    REQUIRE(run_until(system.loop, [&] { return stream->ended; }));
+    answer.add(*stream);
+    CHECK(finish_at(system, 1, answer, *stream, 20s));
+    answer.check(fakes::token_mode::sampled);
+}
+
+// Open connections go silent for good while new ones work: the links must be
+// replaced and nothing may be lost.
+TEST_CASE("gate_links_swallowed_answer_goes_on_and_gate_stays_in_service")
+{
+    auto options = sampled_engines();
+    options.proxy_gate_zero = true;
+    deployment system(options);
+    REQUIRE(system.start());
+    const std::string prompt = "manifest tokens=1000 silent links";
+    received_answer answer(prompt);
+    auto stream = system.generate(0, prompt);
+    REQUIRE(run_until(system.loop, [&] { return stream->texts.size() > 40; }));
+    for (auto* group : {&system.gate_proxies, &system.control_proxies}) {
+        for (auto& each : *group) {
+            each->swallow(silent_proxy::direction::both);
+        }
+    }
+    const std::size_t before = stream->texts.size();
+    const time_point cut = system.loop.now();
+    CHECK(run_until(
+        system.loop, [&] { return stream->texts.size() > before + 20; }, 5s));
+    MESSAGE("output goes on after ", to_seconds(system.loop.now() - cut), " s");
+    CHECK(system.wait_ready(0, 5s));
+    CHECK(run_until(
+        system.loop, [&] { return stream->ended; }, 20s));
+    answer.add(*stream);
+    answer.check(fakes::token_mode::sampled);
+}
+
 // Guards I2: a frozen gate that wakes up must not go on with an answer that
 // another gate has taken over.
 TEST_CASE("gate_frozen_and_woken_answers_never_mix")
--- a/tests/e2e/support/deployment.cpp
+++ b/tests/e2e/support/deployment.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 
 #include "support/loop_runner.hpp"
 
@@ -130,20 +131,42 @@
         child_process(bin / "bamboogate-control", flags, log_of(name));
 }
 
-void deployment::start_gate(unsigned index)
+std::string deployment::peer_list(char prefix, unsigned first_port,
+                                  unsigned count, unsigned gate)
 {
-    std::string peers;
-    for (unsigned i = 0; i < settings_.gates; ++i) {
-        if (i != index) {
-            peers += fmt::format("{}g{}={}", peers.empty() ? "" : ",", i,
-                                 local(ports_[gate_link + i]));
+    const auto& proxies = prefix == 'g' ? gate_proxies : control_proxies;
+    std::string out;
+    for (unsigned i = 0; i < count; ++i) {
+        if (prefix == 'g' && i == gate) {
+            continue;
         }
+        const bool proxied = gate == 0 && !proxies.empty();
+        const std::string where = proxied ? proxies[i]->where().text()
+                                          : local(ports_[first_port + i]);
+        out +=
+            fmt::format("{}{}{}={}", out.empty() ? "" : ",", prefix, i, where);
     }
-    std::string controls;
-    for (unsigned i = 0; i < settings_.replicas; ++i) {
-        controls += fmt::format("{}c{}={}", controls.empty() ? "" : ",", i,
-                                local(ports_[replica_link + i]));
-    }
+    return out;
+}
+
+void deployment::open_proxies()
+{
+    const auto add = [this](auto& to, unsigned first_port, unsigned count) {
+        for (unsigned i = 0; i < count; ++i) {
+            to.push_back(std::make_unique<silent_proxy>(
+                loop, net::address{"127.0.0.1", static_cast<std::uint16_t>(
+                                                    ports_[first_port + i])}));
+        }
+    };
+    add(gate_proxies, gate_link, settings_.gates);
+    add(control_proxies, replica_link, settings_.replicas);
+}
+
+void deployment::start_gate(unsigned index)
+{
+    const std::string peers = peer_list('g', gate_link, settings_.gates, index);
+    const std::string controls =
+        peer_list('c', replica_link, settings_.replicas, index);
     const std::string name = fmt::format("g{}", index);
     std::vector<std::string> flags{
         "--node-id",          name,
@@ -157,6 +180,13 @@
     }
     flags.insert(flags.end(), settings_.gate_flags.begin(),
                  settings_.gate_flags.end());
+    // scripts/verify-failures switches mechanisms off by this variable.
+    if (const char* extra = std::getenv("E2E_GATE_FLAGS")) {
+        std::istringstream words(extra);
+        for (std::string word; words >> word;) {
+            flags.push_back(word);
+        }
+    }
     gates[index] = child_process(bin / "bamboogate-gate", flags, log_of(name));
 }
 
@@ -202,6 +232,9 @@
 
 bool deployment::start()
 {
+    if (settings_.proxy_gate_zero) {
+        open_proxies();
+    }
     for (unsigned i = 0; i < settings_.replicas; ++i) {
         start_replica(i);
     }
--- a/tests/e2e/support/deployment.hpp
+++ b/tests/e2e/support/deployment.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "support/child_process.hpp"
+#include "support/silent_proxy.hpp"
 
 namespace bamboogate::tests {
 
@@ -49,6 +50,8 @@
         unsigned slots = 16;
         double token_interval_ms = 5;
         std::string engine_mode = "prefix";
+        /// Leads the links of gate 0 through proxies of the test.
+        bool proxy_gate_zero = false;
         std::vector<std::string> gate_flags;
         std::vector<std::string> service_flags;
     };
@@ -64,6 +67,10 @@
     std::vector<child_process> engines;
     std::vector<child_process> services;
 
+    /// Links of gate 0, by peer; empty without `proxy_gate_zero`.
+    std::vector<std::unique_ptr<silent_proxy>> gate_proxies;
+    std::vector<std::unique_ptr<silent_proxy>> control_proxies;
+
     /// @brief Starts everything and applies the declarations.
     /// @return false when it is not ready in time; `problem` says why
     bool start();
@@ -127,6 +134,9 @@
     static void read_events(event_stream& into, std::string_view bytes);
     [[nodiscard]] std::filesystem::path log_of(const std::string& name) const;
     [[nodiscard]] std::string announce_list() const;
+    [[nodiscard]] std::string peer_list(char prefix, unsigned first_port,
+                                        unsigned count, unsigned gate);
+    void open_proxies();
 
     options settings_;
     std::filesystem::path folder_;
