--- a/lib/include/bamboogate/routing/selector.hpp
+++ b/lib/include/bamboogate/routing/selector.hpp
@@ -65,7 +65,7 @@
         /// Waiting for a slot costs about as much as half an answer.
         double queued_stream_tokens = 1000.0;
         /// Cost of a slot whose home is another gate, as a share of that.
-        double foreign_slot_share = 0.3;
+        double foreign_slot_share = 1.0;
         /// Candidates that are compared when there are more than this.
         std::size_t sample = 24;
         /// This gate's place among the sorted gates of the settings.
--- a/lib/include/bamboogate/scheduling/admission.hpp
+++ b/lib/include/bamboogate/scheduling/admission.hpp
@@ -15,8 +15,8 @@
 /// engines (the engines that serve the same models).
 ///
 /// Order of service, for each free slot:
-///  1. One start in `aging_period` goes to the oldest request that has waited
-///     longer than its rank's `max_queue_wait`, whatever its rank.
+///  1. The oldest request of a rank that has had no start for half of its
+///     `max_queue_wait`, once that request has waited for all of it.
 ///  2. Classes and ranks that run fewer generations than their share or floor
 ///     of the slots, least served first.
 ///  3. The most urgent rank; within it the class that runs least for its
@@ -25,7 +25,8 @@
 /// little, as many as their arrivals between two releases of a slot ask for.
 /// When an urgent request would wait too long, generations of preemptible
 /// lower ranks above their floor are preempted, those with the smallest prefix
-/// first.
+/// first. In a preemptible rank, a request of a small account likewise preempts
+/// generations of an account that runs more than its fair part.
 ///
 /// Pure: time is an argument. Not thread safe. Calls that name an unknown
 /// request are ignored.
@@ -38,15 +39,20 @@
         /// request preempts. The wait in a flood must stay within 1.2 times
         /// the unloaded one, so most of the target is not available.
         double preempt_above = 0.05;
-        unsigned max_preemptions = 2; ///< per generation
-        unsigned aging_period = 8;
+        unsigned max_preemptions = 2; ///< per generation, for urgent work
+        /// A starved rank gets a start every max_queue_wait / aging_divisor.
+        unsigned aging_divisor = 2;
         /// Probability that an urgent request, or one of a small account,
         /// finds no free slot because lower work holds them all.
         double headroom_risk = 0.02;
         double max_headroom = 0.15; ///< share of the slots
         /// An account counts as large when it runs more than this many times
         /// its fair part.
-        double large_account_factor = 2.0;
+        double large_account_factor = 1.0;
+        /// The same for giving up slots to small accounts. It is higher, as
+        /// equal accounts in a flood must not preempt each other, and an
+        /// account that gave one up must not take it back at once.
+        double yield_factor = 2.0;
         /// Requests that any account may queue beyond the rank's limit, so
         /// that a large account cannot keep the others out.
         std::size_t assured_queue = 2;
@@ -64,6 +70,7 @@
         bool fair_accounts = true; ///< else in order of arrival
         bool correct_estimates = true;
         bool preemption = true;
+        bool account_preemption = true; ///< of large accounts in one rank
         bool headroom = true;
         bool early_refusal = true;
         bool aging = true;
@@ -116,6 +123,9 @@
     /// @brief Notes that a request of `next` runs at an engine.
     void started(const request_id& id, time_point now);
 
+    /// @brief Requests that wait or run.
+    [[nodiscard]] std::size_t size() const noexcept;
+
     /// @brief Puts a request of `next` back because no engine took it.
     void returned(const request_id& id, time_point now);
 
@@ -147,7 +157,8 @@
     /// @brief Tokens per class and account since the last call, to report.
     [[nodiscard]] std::vector<usage_item> take_usage();
 
-    /// @brief Running plus queued requests, the demand to report.
+    /// @brief Slots that this gate asks for: running and queued requests and
+    ///     the slots it keeps free.
     [[nodiscard]] double demand() const noexcept;
 
     [[nodiscard]] std::vector<rank_view> ranks() const;
--- a/lib/source/scheduling/admission.cpp
+++ b/lib/source/scheduling/admission.cpp
@@ -102,7 +102,7 @@
     if (who.items.size() < settings.assured_queue) {
         return std::nullopt;
     }
-    const double rate = slots_for(rank) / hold.seconds();
+    const double rate = slots_for(rank) / rank.hold.seconds();
     const double drain =
         rate > 0.0 ? static_cast<double>(rank.waiting.size()) / rate : 1.0;
     const duration retry_after(
@@ -168,7 +168,7 @@
     } else {
         --item.service_class->active;
     }
-    hold.count(now - item.started);
+    rank.hold.count(now - item.started);
     settle(item);
 }
 
@@ -248,8 +248,9 @@
         s.light_arrivals.count(now);
     }
     constexpr double weight = 0.02;
-    s.mean_tokens += weight * (static_cast<double>(request.estimated_tokens) -
-                               s.mean_tokens);
+    service_class->mean_tokens +=
+        weight * (static_cast<double>(request.estimated_tokens) -
+                  service_class->mean_tokens);
     if (auto full = s.queue_problem(*rank, who)) {
         ++s.counters.refused_overloaded;
         return {.refused = std::move(full)};
@@ -295,8 +296,8 @@
     }
     // The slot was never used: it says nothing about the hold time.
     found->second.started =
-        now -
-        duration(static_cast<duration::rep>(state_->hold.seconds() * 1e9));
+        now - duration(static_cast<duration::rep>(
+                  found->second.rank().hold.seconds() * 1e9));
     state_->release(found->second, now);
     state_->enqueue(found->second, true);
 }
@@ -361,6 +362,10 @@
                               ? std::make_unique<state::rank_state>()
                               : std::move(*same));
         s.ranks.back()->policy = policy;
+        if (same == former.end()) {
+            s.ranks.back()->hold =
+                hold_time_estimate(s.settings.first_hold_guess);
+        }
     }
     std::vector<dropped_request> dropped;
     state::rank_state& lowest = *s.ranks.back();
@@ -414,9 +419,16 @@
     return usage;
 }
 
+std::size_t admission::size() const noexcept
+{
+    return state_->entries.size();
+}
+
 double admission::demand() const noexcept
 {
-    return static_cast<double>(state_->entries.size());
+    return static_cast<double>(state_->entries.size() +
+                               state_->urgent_headroom +
+                               state_->light_headroom);
 }
 
 std::vector<admission::rank_view> admission::ranks() const
--- a/lib/source/scheduling/admission_dispatch.cpp
+++ b/lib/source/scheduling/admission_dispatch.cpp
@@ -72,10 +72,11 @@
     return first;
 }
 
+/// The oldest request of a rank that gets no starts. Within a rank, fair
+/// queueing already starts every request in finite time.
 admission::state::entry* admission::state::choose_aged(time_point now)
 {
-    if (!settings.aging || settings.static_split ||
-        starts_since_aged + 1 < settings.aging_period) {
+    if (!settings.aging || settings.static_split) {
         return nullptr;
     }
     entry* first = nullptr;
@@ -84,15 +85,14 @@
             continue;
         }
         entry* head = rank->waiting.front();
-        if (now - head->submitted > rank->policy.max_queue_wait &&
+        const duration limit = rank->policy.max_queue_wait;
+        if (now - head->submitted > limit &&
+            now - rank->last_start > limit / settings.aging_divisor &&
             (first == nullptr || head->submitted < first->submitted)) {
             first = head;
         }
     }
-    if (first != nullptr) {
-        starts_since_aged = 0;
-        ++counters.aged;
-    }
+    counters.aged += first != nullptr ? 1 : 0;
     return first;
 }
 
@@ -183,7 +183,12 @@
     if (free_slots <= kept) {
         return nullptr;
     }
-    const bool only_light = free_slots <= kept + light_headroom;
+    // Within its own capacity the most urgent rank preempts lower work, so its
+    // large accounts do not stand in the way of the small ones.
+    const bool contended =
+        !urgent || service_class.rank->running + light_headroom >=
+                       slots_for(*service_class.rank);
+    const bool only_light = contended && free_slots <= kept + light_headroom;
     auto* who = service_class.accounts.front([&](const queue::account& item) {
         return !only_light || !is_large(service_class, item);
     });
@@ -214,47 +219,123 @@
     ++item.service_class->active;
     ++item.account->running;
     ++running;
-    ++starts_since_aged;
+    item.rank().last_start = now;
     ++counters.started;
 }
 
+/// Waiting requests that accept the filter and would wait too long.
+template <typename Filter>
+unsigned admission::state::count_late(const rank_state& rank, time_point now,
+                                      Filter filter) const
+{
+    constexpr unsigned max_scanned = 64;
+    const double releases = release_rate();
+    const double allowed =
+        settings.preempt_above * to_seconds(rank.policy.first_token_target);
+    unsigned scanned = 0;
+    unsigned position = 0;
+    unsigned late = 0;
+    for (const entry* item : rank.waiting) {
+        if (++scanned > max_scanned) {
+            break;
+        }
+        if (!filter(*item)) {
+            continue;
+        }
+        ++position;
+        const double wait = to_seconds(now - item->submitted) +
+                            (releases > 0 ? position / releases : 0.0);
+        late += wait > allowed ? 1 : 0;
+    }
+    return late;
+}
+
+void admission::state::stop(entry& victim, dispatch& out)
+{
+    victim.rank().active.erase({victim.start_number, &victim});
+    victim.now_in = phase::preempting;
+    --victim.service_class->active;
+    ++preempting;
+    ++counters.preempted;
+    out.preempt.push_back(victim.request.id);
+}
+
 void admission::state::preempt(dispatch& out, time_point now)
 {
-    if (!preset.preemption || !settings.preemption || !settings.ranks) {
+    if (!preset.preemption || !settings.preemption) {
         return;
     }
-    constexpr unsigned max_scanned = 64;
-    const double releases = release_rate();
     unsigned promised = preempting; // slots that come free soon
     for (const auto& rank : ranks) {
-        const double allowed = settings.preempt_above *
-                               to_seconds(rank->policy.first_token_target);
-        unsigned position = 0;
-        unsigned late = 0;
-        for (const entry* item : rank->waiting) {
-            if (++position > max_scanned) {
-                break;
-            }
-            const double wait = to_seconds(now - item->submitted) +
-                                (releases > 0 ? position / releases : 0.0);
-            late += wait > allowed ? 1 : 0;
+        preempt_for_rank(*rank, promised, out, now);
+        preempt_for_small(*rank, promised, out, now);
+    }
+}
+
+void admission::state::preempt_for_rank(rank_state& rank, unsigned& promised,
+                                        dispatch& out, time_point now)
+{
+    if (!settings.ranks) {
+        return;
+    }
+    const unsigned late =
+        count_late(rank, now, [](const entry&) { return true; });
+    while (late > promised) {
+        entry* victim = choose_victim(rank);
+        if (victim == nullptr) {
+            break;
         }
-        while (late > promised) {
-            entry* victim = choose_victim(*rank);
-            if (victim == nullptr) {
-                break;
-            }
-            victim->rank().active.erase({victim->start_number, victim});
-            victim->now_in = phase::preempting;
-            ++victim->preemptions;
-            --victim->service_class->active;
-            ++preempting;
-            ++promised;
-            ++counters.preempted;
-            out.preempt.push_back(victim->request.id);
+        ++victim->preemptions;
+        stop(*victim, out);
+        ++promised;
+    }
+    promised -= std::min(promised, late);
+}
+
+void admission::state::preempt_for_small(rank_state& rank, unsigned& promised,
+                                         dispatch& out, time_point now)
+{
+    if (!settings.account_preemption || !rank.policy.preemptible) {
+        return;
+    }
+    const unsigned late = count_late(rank, now, [this](const entry& item) {
+        return is_small(*item.service_class, *item.account);
+    });
+    while (late > promised) {
+        entry* victim = choose_large_victim(rank);
+        if (victim == nullptr) {
+            break;
         }
-        promised -= std::min(promised, late);
+        victim->yielded = true;
+        stop(*victim, out);
+        ++promised;
     }
+    promised -= std::min(promised, late);
+}
+
+admission::state::entry*
+admission::state::choose_large_victim(const rank_state& rank)
+{
+    constexpr unsigned max_scanned = 64;
+    entry* best = nullptr;
+    std::uint64_t best_cost = 0;
+    unsigned scanned = 0;
+    for (auto it = rank.active.rbegin();
+         it != rank.active.rend() && scanned < max_scanned; ++it, ++scanned) {
+        entry* item = it->second;
+        if (item->yielded ||
+            !runs_more_than(settings.yield_factor, *item->service_class,
+                            *item->account)) {
+            continue;
+        }
+        const std::uint64_t cost =
+            item->request.prompt_tokens + item->generated;
+        if (best == nullptr || cost < best_cost) {
+            best = item;
+            best_cost = cost;
+        }
+    }
+    return best;
 }
 
 admission::state::entry*
--- a/lib/source/scheduling/admission_estimate.cpp
+++ b/lib/source/scheduling/admission_estimate.cpp
@@ -6,7 +6,14 @@
 
 double admission::state::release_rate() const
 {
-    return static_cast<double>(capacity) / hold.seconds();
+    if (running == 0) {
+        return static_cast<double>(capacity) / ranks.back()->hold.seconds();
+    }
+    double releases = 0.0;
+    for (const auto& rank : ranks) {
+        releases += rank->running / rank->hold.seconds();
+    }
+    return releases * capacity / running;
 }
 
 /// Slots that the rank can count on while the others keep their demand.
@@ -44,7 +51,8 @@
     if (capacity == 0 || (rank.waiting.empty() && running < capacity)) {
         return duration::zero();
     }
-    const double rank_rate = std::max(slots_for(rank), 0.5) / hold.seconds();
+    const double rank_rate =
+        std::max(slots_for(rank), 0.5) / rank.hold.seconds();
     double shares = 0.0;
     double own_share = 0.0;
     for (const auto& item : classes) {
@@ -65,7 +73,7 @@
             1.0);
         const double ahead =
             std::max(0.0, who.tag - service_class.accounts.virtual_now()) *
-            who.weight / std::max(mean_tokens, 1.0);
+            who.weight / std::max(service_class.mean_tokens, 1.0);
         const auto own = static_cast<double>(who.items.size());
         starts_before = std::min(waiting, (own + ahead) * others);
     }
@@ -75,7 +83,21 @@
         static_cast<duration::rep>(std::min(seconds, longest) * 1e9));
 }
 
-bool admission::state::is_large(const class_state& service_class,
+bool admission::state::runs_more_than(double fair_parts,
+                                      const class_state& service_class,
+                                      const queue::account& who) const
+{
+    if (service_class.active_weight <= who.weight) {
+        return false;
+    }
+    const double fair_part = static_cast<double>(service_class.running) *
+                             who.weight / service_class.active_weight;
+    return who.running > 1.0 + fair_parts * fair_part;
+}
+
+/// Whether all that the account asks for is within its fair part, so that its
+/// waits come from others.
+bool admission::state::is_small(const class_state& service_class,
                                 const queue::account& who) const
 {
     if (service_class.active_weight <= who.weight) {
@@ -83,7 +105,9 @@
     }
     const double fair_part = static_cast<double>(service_class.running) *
                              who.weight / service_class.active_weight;
-    return who.running > 1.0 + settings.large_account_factor * fair_part;
+    return static_cast<double>(who.running) +
+               static_cast<double>(who.items.size()) <=
+           std::max(1.0, fair_part);
 }
 
 void admission::state::refresh_headroom(time_point now)
--- a/lib/source/scheduling/admission_state.hpp
+++ b/lib/source/scheduling/admission_state.hpp
@@ -28,6 +28,8 @@
         std::set<std::pair<std::uint64_t, entry*>> active; ///< by start number
         unsigned running = 0; ///< active or under preemption
         rate_estimate arrivals{std::chrono::seconds(5)};
+        hold_time_estimate hold{std::chrono::seconds(5)};
+        time_point last_start;
     };
 
     struct class_state
@@ -37,6 +39,7 @@
         double share = 0.0; ///< declared; 0 when there is none
         unsigned running = 0;
         unsigned active = 0;        ///< running and not under preemption
+        double mean_tokens = 256.0; ///< estimated per request, averaged
         double active_weight = 0.0; ///< of accounts with recent requests
         queue accounts;
     };
@@ -62,7 +65,8 @@
         std::uint64_t charged = 0; ///< tokens charged to the account
         std::uint64_t generated = 0;
         std::uint64_t reported = 0; ///< tokens counted as usage
-        unsigned preemptions = 0;
+        unsigned preemptions = 0;   ///< for more urgent work
+        bool yielded = false;       ///< preempted for a small account
         bool ran = false; ///< reached an engine: never refused as not run
 
         [[nodiscard]] rank_state& rank() const { return *service_class->rank; }
@@ -97,7 +101,16 @@
     [[nodiscard]] duration expected_wait(const class_state& service_class,
                                          const queue::account& who) const;
     [[nodiscard]] double release_rate() const;
+    [[nodiscard]] bool runs_more_than(double fair_parts,
+                                      const class_state& service_class,
+                                      const queue::account& who) const;
     [[nodiscard]] bool is_large(const class_state& service_class,
+                                const queue::account& who) const
+    {
+        return runs_more_than(settings.large_account_factor, service_class,
+                              who);
+    }
+    [[nodiscard]] bool is_small(const class_state& service_class,
                                 const queue::account& who) const;
     void refresh_headroom(time_point now);
     void forget_idle_accounts(time_point now);
@@ -115,7 +128,16 @@
     [[nodiscard]] bool within_split(const class_state& item) const;
     void start(entry& item, time_point now);
     void preempt(dispatch& out, time_point now);
+    void stop(entry& victim, dispatch& out);
+    void preempt_for_rank(rank_state& rank, unsigned& promised, dispatch& out,
+                          time_point now);
+    void preempt_for_small(rank_state& rank, unsigned& promised, dispatch& out,
+                           time_point now);
+    template <typename Filter>
+    unsigned count_late(const rank_state& rank, time_point now,
+                        Filter filter) const;
     entry* choose_victim(const rank_state& urgent);
+    entry* choose_large_victim(const rank_state& rank);
 
     options settings;
     control::preset preset;
@@ -130,9 +152,6 @@
     unsigned running = 0;
     unsigned preempting = 0;
     std::uint64_t starts = 0;
-    unsigned starts_since_aged = 0;
-    hold_time_estimate hold{settings.first_hold_guess};
-    double mean_tokens = 256.0; ///< estimated tokens per request, averaged
     rate_estimate light_arrivals{std::chrono::seconds(5)};
     unsigned urgent_headroom = 0;
     unsigned light_headroom = 0;
