--- a/lib/include/bamboogate/scheduling/admission.hpp
+++ b/lib/include/bamboogate/scheduling/admission.hpp
@@ -26,7 +26,7 @@
 /// When an urgent request would wait too long, generations of preemptible
 /// lower ranks above their floor are preempted, those with the smallest prefix
 /// first. In a preemptible rank, a request of a small account likewise preempts
-/// generations of an account that runs more than its fair part.
+/// generations of an account that runs more than its max-min fair part.
 ///
 /// Pure: time is an argument. Not thread safe. Calls that name an unknown
 /// request are ignored.
@@ -46,13 +46,6 @@
         /// finds no free slot because lower work holds them all.
         double headroom_risk = 0.02;
         double max_headroom = 0.15; ///< share of the slots
-        /// An account counts as large when it runs more than this many times
-        /// its fair part.
-        double large_account_factor = 1.0;
-        /// The same for giving up slots to small accounts. It is higher, as
-        /// equal accounts in a flood must not preempt each other, and an
-        /// account that gave one up must not take it back at once.
-        double yield_factor = 2.0;
         /// Requests that any account may queue beyond the rank's limit, so
         /// that a large account cannot keep the others out.
         std::size_t assured_queue = 2;
--- a/lib/include/bamboogate/scheduling/load_estimate.hpp
+++ b/lib/include/bamboogate/scheduling/load_estimate.hpp
@@ -37,6 +37,7 @@
 
 private:
     double seconds_;
+    unsigned counted_ = 0;
 };
 
 /// @brief Slots to keep free so that an arrival seldom finds none.
--- a/lib/source/scheduling/admission.cpp
+++ b/lib/source/scheduling/admission.cpp
@@ -91,7 +91,7 @@
     if (!who.active) {
         who.active = true;
         who.weight = weight_of(who.id);
-        service_class.active_weight += who.weight;
+        service_class.active_accounts.push_back(&who);
     }
 }
 
@@ -218,10 +218,8 @@
         }
     }
     for (auto& item : state_->classes) {
-        item->active_weight = 0.0;
         for (auto& [id, who] : item->accounts.accounts()) {
             item->accounts.set_weight(who, state_->weight_of(id));
-            item->active_weight += who.active ? who.weight : 0.0;
         }
     }
 }
--- a/lib/source/scheduling/admission_dispatch.cpp
+++ b/lib/source/scheduling/admission_dispatch.cpp
@@ -18,6 +18,7 @@
     dispatch out;
     s.capacity = free_slots + s.running;
     s.forget_idle_accounts(now);
+    s.refresh_fair_levels(now);
     s.refresh_headroom(now);
     s.drop_late(out, now);
     while (free_slots > 0) {
@@ -298,8 +299,8 @@
     if (!settings.account_preemption || !rank.policy.preemptible) {
         return;
     }
-    const unsigned late = count_late(rank, now, [this](const entry& item) {
-        return is_small(*item.service_class, *item.account);
+    const unsigned late = count_late(rank, now, [](const entry& item) {
+        return !is_large(*item.service_class, *item.account);
     });
     while (late > promised) {
         entry* victim = choose_large_victim(rank);
@@ -323,9 +324,9 @@
     for (auto it = rank.active.rbegin();
          it != rank.active.rend() && scanned < max_scanned; ++it, ++scanned) {
         entry* item = it->second;
-        if (item->yielded ||
-            !runs_more_than(settings.yield_factor, *item->service_class,
-                            *item->account)) {
+        const double level =
+            item->service_class->fair_level * item->account->weight;
+        if (item->yielded || item->account->running < level + 1.0) {
             continue;
         }
         const std::uint64_t cost =
--- a/lib/source/scheduling/admission_estimate.cpp
+++ b/lib/source/scheduling/admission_estimate.cpp
@@ -83,31 +83,41 @@
         static_cast<duration::rep>(std::min(seconds, longest) * 1e9));
 }
 
-bool admission::state::runs_more_than(double fair_parts,
-                                      const class_state& service_class,
-                                      const queue::account& who) const
+/// Finds each class's level L such that the accounts get min(demand, L *
+/// weight) of the generations that the class runs. An account that asks for
+/// more is a large one: its waits are its own doing.
+void admission::state::refresh_fair_levels(time_point now)
 {
-    if (service_class.active_weight <= who.weight) {
-        return false;
+    if (now < levels_due) {
+        return;
     }
-    const double fair_part = static_cast<double>(service_class.running) *
-                             who.weight / service_class.active_weight;
-    return who.running > 1.0 + fair_parts * fair_part;
-}
-
-/// Whether all that the account asks for is within its fair part, so that its
-/// waits come from others.
-bool admission::state::is_small(const class_state& service_class,
-                                const queue::account& who) const
-{
-    if (service_class.active_weight <= who.weight) {
-        return false;
+    // A small account's wait is judged by the level, so it must be recent
+    // compared with the targets; each refresh visits all active accounts.
+    levels_due = now + std::chrono::milliseconds(20);
+    for (auto& item : classes) {
+        double slots = item->running;
+        double weight = 0.0;
+        level_scratch.clear();
+        for (const queue::account* who : item->active_accounts) {
+            const double demand = demand_of(*who);
+            if (demand > 0.0) {
+                level_scratch.emplace_back(demand / who->weight, who->weight);
+                weight += who->weight;
+            }
+        }
+        double level = std::numeric_limits<double>::infinity();
+        std::sort(level_scratch.begin(), level_scratch.end());
+        for (const auto& [demand, account_weight] : level_scratch) {
+            if (demand * weight > slots) {
+                level = slots / weight;
+                break;
+            }
+            slots -= demand * account_weight;
+            weight -= account_weight;
+        }
+        // With less than one slot each, nobody is large for having one.
+        item->fair_level = std::max(level, 1.0);
     }
-    const double fair_part = static_cast<double>(service_class.running) *
-                             who.weight / service_class.active_weight;
-    return static_cast<double>(who.running) +
-               static_cast<double>(who.items.size()) <=
-           std::max(1.0, fair_part);
 }
 
 void admission::state::refresh_headroom(time_point now)
@@ -138,11 +148,13 @@
     }
     sweep_due = now + std::chrono::seconds(1);
     for (auto& item : classes) {
-        item->active_weight = 0.0;
+        item->active_accounts.clear();
         for (auto& [id, who] : item->accounts.accounts()) {
             who.active = who.running > 0 || !who.items.empty() ||
                          now - who.last_active < settings.account_memory;
-            item->active_weight += who.active ? who.weight : 0.0;
+            if (who.active) {
+                item->active_accounts.push_back(&who);
+            }
         }
     }
 }
--- a/lib/source/scheduling/admission_state.hpp
+++ b/lib/source/scheduling/admission_state.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/scheduling/fair_queue.hpp>
 #include <bamboogate/scheduling/load_estimate.hpp>
 
+#include <limits>
 #include <list>
 #include <memory>
 #include <set>
@@ -40,7 +41,9 @@
         unsigned running = 0;
         unsigned active = 0;        ///< running and not under preemption
         double mean_tokens = 256.0; ///< estimated per request, averaged
-        double active_weight = 0.0; ///< of accounts with recent requests
+        /// Max-min fair number of running generations per unit of weight.
+        double fair_level = std::numeric_limits<double>::infinity();
+        std::vector<queue::account*> active_accounts; ///< recent requests
         queue accounts;
     };
 
@@ -101,17 +104,16 @@
     [[nodiscard]] duration expected_wait(const class_state& service_class,
                                          const queue::account& who) const;
     [[nodiscard]] double release_rate() const;
-    [[nodiscard]] bool runs_more_than(double fair_parts,
-                                      const class_state& service_class,
-                                      const queue::account& who) const;
-    [[nodiscard]] bool is_large(const class_state& service_class,
-                                const queue::account& who) const
+    [[nodiscard]] static double demand_of(const queue::account& who)
     {
-        return runs_more_than(settings.large_account_factor, service_class,
-                              who);
+        return who.running + static_cast<double>(who.items.size());
     }
-    [[nodiscard]] bool is_small(const class_state& service_class,
-                                const queue::account& who) const;
+    [[nodiscard]] static bool is_large(const class_state& service_class,
+                                       const queue::account& who)
+    {
+        return demand_of(who) > service_class.fair_level * who.weight;
+    }
+    void refresh_fair_levels(time_point now);
     void refresh_headroom(time_point now);
     void forget_idle_accounts(time_point now);
 
@@ -157,6 +159,8 @@
     unsigned light_headroom = 0;
     time_point headroom_due;
     time_point sweep_due;
+    time_point levels_due;
+    std::vector<std::pair<double, double>> level_scratch;
 };
 
 /// Weight of a class without a declared share when classes are compared.
--- a/lib/source/scheduling/load_estimate.cpp
+++ b/lib/source/scheduling/load_estimate.cpp
@@ -19,7 +19,9 @@
 
 void hold_time_estimate::count(duration held) noexcept
 {
-    constexpr double weight = 0.02; // averages over about 50 generations
+    // The mean of the first generations, then over about the last 50.
+    constexpr double least_weight = 0.02;
+    const double weight = std::max(1.0 / ++counted_, least_weight);
     seconds_ += weight * (to_seconds(held) - seconds_);
     constexpr double least = 1e-3;
     seconds_ = std::max(seconds_, least);
