--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -560,8 +560,10 @@
     {
         gate& from = *gates_[index];
         from.ledger.add(from.admission.take_usage());
-        const auto report = from.ledger.make_report(from.admission.demand());
-        from.share.receive(from.name, report.demand, now_);
+        const auto report = from.ledger.make_report(
+            from.admission.demand(), from.admission.urgent_demand());
+        from.share.receive(from.name, {report.demand, report.urgent_demand},
+                           now_);
         if (what_.news_cut) {
             return;
         }
@@ -570,7 +572,8 @@
                 if (to.get() == &from) {
                     continue;
                 }
-                to->share.receive(from.name, report.demand, now_);
+                to->share.receive(from.name,
+                                  {report.demand, report.urgent_demand}, now_);
                 for (const auto& item : to->ledger.receive(from.name, report)) {
                     to->admission.remote_usage(item);
                 }
--- a/lib/include/bamboogate/routing/capacity_share.hpp
+++ b/lib/include/bamboogate/routing/capacity_share.hpp
@@ -10,12 +10,22 @@
 
 namespace bamboogate::routing {
 
-/// @brief Divides slots max-min fairly by demand. What nobody demands is dealt
-///     out in equal parts, so that a burst finds room before the next news.
+/// What a gate asks for, in slots.
+struct slot_demand
+{
+    double total = 0.0;
+    double urgent = 0.0; ///< part of the total, met first
+};
+
+/// @brief Divides slots max-min fairly, first by urgent demand, then by total.
+///
+/// Without the first step, a flood of lower work at all gates would give every
+/// gate the same slots, however its urgent work varies. What nobody demands is
+/// dealt out in equal parts, so that a burst finds room before the next news.
 /// @param demands one per gate, in the order of the gates
 /// @return whole slots per gate; the sum is exactly `capacity` (0 gates: none)
 [[nodiscard]] std::vector<unsigned>
-divide_capacity(unsigned capacity, std::span<const double> demands);
+divide_capacity(unsigned capacity, std::span<const slot_demand> demands);
 
 /// This gate's part of the slots of a pool of engines.
 ///
@@ -39,8 +49,9 @@
 
     explicit capacity_share(options settings);
 
-    /// @brief Notes a gate's demand in slots: running plus queued.
-    void receive(const node_id& gate, double demand, time_point now);
+    /// @brief Notes a gate's demand.
+    void receive(const node_id& gate, const slot_demand& demand,
+                 time_point now);
 
     /// @brief This gate's slots now.
     /// @param capacity slots of all engines of the pool in this gate's view
@@ -52,7 +63,7 @@
 private:
     struct news
     {
-        double demand = 0.0;
+        slot_demand demand;
         time_point received;
     };
 
--- a/lib/include/bamboogate/scheduling/admission.hpp
+++ b/lib/include/bamboogate/scheduling/admission.hpp
@@ -45,7 +45,8 @@
         /// Probability that an urgent request, or one of a small account,
         /// finds no free slot because lower work holds them all.
         double headroom_risk = 0.02;
-        double max_headroom = 0.15; ///< share of the slots
+        double max_headroom = 0.15; ///< share of the slots, for urgent work
+        double max_light_headroom = 0.05; ///< for small accounts
         /// Requests that any account may queue beyond the rank's limit, so
         /// that a large account cannot keep the others out.
         std::size_t assured_queue = 2;
@@ -154,6 +155,10 @@
     ///     the slots it keeps free.
     [[nodiscard]] double demand() const noexcept;
 
+    /// @brief The part of it for the most urgent rank, within that rank's own
+    ///     capacity; see `routing::capacity_share`.
+    [[nodiscard]] double urgent_demand() const noexcept;
+
     [[nodiscard]] std::vector<rank_view> ranks() const;
     [[nodiscard]] const totals& counters() const noexcept;
 
--- a/lib/include/bamboogate/scheduling/usage_exchange.hpp
+++ b/lib/include/bamboogate/scheduling/usage_exchange.hpp
@@ -22,7 +22,8 @@
     std::string pool; ///< the pool of engines that the numbers are about
     bamboogate::incarnation incarnation;
     std::uint64_t sequence = 0;
-    double demand = 0.0;            ///< running plus queued requests
+    double demand = 0.0;            ///< `admission::demand`
+    double urgent_demand = 0.0;     ///< `admission::urgent_demand`
     std::vector<usage_item> totals; ///< only what changed, or everything
 };
 void to_json(json& document, const usage_report& message);
@@ -53,7 +54,7 @@
     void add(const std::vector<usage_item>& served);
 
     /// @brief The next report.
-    [[nodiscard]] usage_report make_report(double demand);
+    [[nodiscard]] usage_report make_report(double demand, double urgent_demand);
 
     /// @brief Takes another gate's report.
     /// @return what that gate served since its last report; nothing for the
@@ -96,10 +97,12 @@
         /// Own usage since the last call.
         std::function<std::vector<usage_item>()> take_usage;
         std::function<double()> demand;
+        std::function<double()> urgent_demand;
         /// Usage at another gate, to be charged here.
         std::function<void(const usage_item&)> charge;
         /// Another gate's demand, for `routing::capacity_share`.
-        std::function<void(const node_id&, double demand)> on_demand;
+        std::function<void(const node_id&, double demand, double urgent_demand)>
+            on_demand;
     };
 
     /// @param loop and hub must outlive this object
--- a/lib/source/routing/capacity_share.cpp
+++ b/lib/source/routing/capacity_share.cpp
@@ -43,23 +43,32 @@
 } // namespace
 
 std::vector<unsigned> divide_capacity(unsigned capacity,
-                                      std::span<const double> demands)
+                                      std::span<const slot_demand> demands)
 {
     std::vector<unsigned> parts(demands.size(), 0);
     if (demands.empty()) {
         return parts;
     }
-    std::vector<unsigned> limits;
-    limits.reserve(demands.size());
-    for (const double demand : demands) {
-        const double wanted =
-            std::clamp(std::ceil(demand), 0.0, static_cast<double>(capacity));
-        limits.push_back(static_cast<unsigned>(wanted));
+    auto whole = [&](double demand) {
+        return static_cast<unsigned>(
+            std::clamp(std::ceil(demand), 0.0, static_cast<double>(capacity)));
+    };
+    std::vector<unsigned> limits(demands.size(), 0);
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        limits[i] = whole(demands[i].urgent);
+    }
+    unsigned left = deal(capacity, parts, limits);
+    // Every gate gets to the same level where its total demand allows.
+    for (unsigned level = 1; left > 0 && level <= capacity; ++level) {
+        for (std::size_t i = 0; i < demands.size() && left > 0; ++i) {
+            if (parts[i] < level && parts[i] < whole(demands[i].total)) {
+                ++parts[i];
+                --left;
+            }
+        }
     }
-    const unsigned left = deal(capacity, parts, limits);
-    const std::vector<unsigned> no_limits(demands.size(), capacity);
     std::vector<unsigned> surplus(demands.size(), 0);
-    deal(left, surplus, no_limits);
+    deal(left, surplus, std::vector<unsigned>(demands.size(), capacity));
     for (std::size_t i = 0; i < parts.size(); ++i) {
         parts[i] += surplus[i];
     }
@@ -72,12 +81,13 @@
     std::sort(settings_.gates.begin(), settings_.gates.end());
 }
 
-void capacity_share::receive(const node_id& gate, double demand, time_point now)
+void capacity_share::receive(const node_id& gate, const slot_demand& demand,
+                             time_point now)
 {
     const bool known = std::binary_search(settings_.gates.begin(),
                                           settings_.gates.end(), gate);
-    if (known && std::isfinite(demand)) {
-        demands_[gate] = {std::max(demand, 0.0), now};
+    if (known && std::isfinite(demand.total) && std::isfinite(demand.urgent)) {
+        demands_[gate] = {demand, now};
     }
 }
 
@@ -103,13 +113,13 @@
     }
     const auto index = static_cast<std::size_t>(self - settings_.gates.begin());
     // Equal parts in whole slots, the rest to the first gates by id.
-    const std::vector<double> alike(count, 0.0);
+    const std::vector<slot_demand> alike(count);
     const std::vector<unsigned> equal = divide_capacity(capacity, alike);
 
     // Silent gates keep their equal part; the others divide the rest. Without
     // any news this leaves exactly the own equal part.
     unsigned rest = capacity;
-    std::vector<double> demands;
+    std::vector<slot_demand> demands;
     std::size_t own = 0;
     for (std::size_t i = 0; i < count; ++i) {
         const node_id& gate = settings_.gates[i];
@@ -121,7 +131,9 @@
             own = demands.size();
         }
         if (recent || i == index) {
-            demands.push_back(recent ? found->second.demand : equal[i]);
+            demands.push_back(
+                recent ? found->second.demand
+                       : slot_demand{.total = static_cast<double>(equal[i])});
         } else {
             rest -= equal[i];
         }
--- a/lib/source/scheduling/admission.cpp
+++ b/lib/source/scheduling/admission.cpp
@@ -429,6 +429,13 @@
                                state_->light_headroom);
 }
 
+double admission::urgent_demand() const noexcept
+{
+    const state::rank_state& urgent = *state_->ranks.front();
+    return static_cast<double>(urgent.running + urgent.waiting.size() +
+                               state_->urgent_headroom);
+}
+
 std::vector<admission::rank_view> admission::ranks() const
 {
     std::vector<rank_view> views;
--- a/lib/source/scheduling/admission_dispatch.cpp
+++ b/lib/source/scheduling/admission_dispatch.cpp
@@ -18,7 +18,7 @@
     dispatch out;
     s.capacity = free_slots + s.running;
     s.forget_idle_accounts(now);
-    s.refresh_fair_levels(now);
+    s.refresh_fair_levels(free_slots, now);
     s.refresh_headroom(now);
     s.drop_late(out, now);
     while (free_slots > 0) {
--- a/lib/source/scheduling/admission_estimate.cpp
+++ b/lib/source/scheduling/admission_estimate.cpp
@@ -84,9 +84,9 @@
 }
 
 /// Finds each class's level L such that the accounts get min(demand, L *
-/// weight) of the generations that the class runs. An account that asks for
-/// more is a large one: its waits are its own doing.
-void admission::state::refresh_fair_levels(time_point now)
+/// weight) of the slots that the class runs in or that are free. An account
+/// that asks for more is a large one: its waits are its own doing.
+void admission::state::refresh_fair_levels(unsigned free_slots, time_point now)
 {
     if (now < levels_due) {
         return;
@@ -95,7 +95,9 @@
     // compared with the targets; each refresh visits all active accounts.
     levels_due = now + std::chrono::milliseconds(20);
     for (auto& item : classes) {
-        double slots = item->running;
+        // Free slots count: they are kept for small accounts, and leaving them
+        // out would make an account large for want of the slots kept for it.
+        double slots = item->running + static_cast<double>(free_slots);
         double weight = 0.0;
         level_scratch.clear();
         for (const queue::account* who : item->active_accounts) {
@@ -133,12 +135,14 @@
     }
     const auto limit = static_cast<unsigned>(settings.max_headroom *
                                              static_cast<double>(capacity));
+    const auto light_limit = static_cast<unsigned>(
+        settings.max_light_headroom * static_cast<double>(capacity));
     urgent_headroom =
         slots_to_keep_free(ranks.front()->arrivals.per_second(now),
                            release_rate(), settings.headroom_risk, limit);
     light_headroom =
         slots_to_keep_free(light_arrivals.per_second(now), release_rate(),
-                           settings.headroom_risk, limit);
+                           settings.headroom_risk, light_limit);
 }
 
 void admission::state::forget_idle_accounts(time_point now)
--- a/lib/source/scheduling/admission_state.hpp
+++ b/lib/source/scheduling/admission_state.hpp
@@ -113,7 +113,7 @@
     {
         return demand_of(who) > service_class.fair_level * who.weight;
     }
-    void refresh_fair_levels(time_point now);
+    void refresh_fair_levels(unsigned free_slots, time_point now);
     void refresh_headroom(time_point now);
     void forget_idle_accounts(time_point now);
 
--- a/lib/source/scheduling/usage_exchange.cpp
+++ b/lib/source/scheduling/usage_exchange.cpp
@@ -22,6 +22,7 @@
                 {"incarnation", message.incarnation},
                 {"sequence", message.sequence},
                 {"demand", message.demand},
+                {"urgent_demand", message.urgent_demand},
                 {"totals", std::move(totals)}};
 }
 
@@ -31,6 +32,7 @@
     document.at("incarnation").get_to(message.incarnation);
     document.at("sequence").get_to(message.sequence);
     document.at("demand").get_to(message.demand);
+    document.at("urgent_demand").get_to(message.urgent_demand);
     const json& totals = document.at("totals");
     if (totals.size() > max_items_per_report) {
         throw json::other_error::create(501, "too many items", &document);
@@ -54,12 +56,13 @@
     }
 }
 
-usage_report usage_ledger::make_report(double demand)
+usage_report usage_ledger::make_report(double demand, double urgent_demand)
 {
     usage_report report{.pool = settings_.pool,
                         .incarnation = settings_.incarnation,
                         .sequence = ++sequence_,
-                        .demand = demand};
+                        .demand = demand,
+                        .urgent_demand = urgent_demand};
     const bool full =
         settings_.full_every > 0 && sequence_ % settings_.full_every == 1;
     for (const auto& [who, total] : full ? own_ : changed_) {
@@ -148,7 +151,7 @@
     for (const usage_item& item : ledger_.receive(gate, report)) {
         functions_.charge(item);
     }
-    functions_.on_demand(gate, report.demand);
+    functions_.on_demand(gate, report.demand, report.urgent_demand);
 }
 
 bool usage_exchange::informed_by(const node_id& gate) const
@@ -162,8 +165,9 @@
 {
     ledger_.add(functions_.take_usage());
     const double demand = functions_.demand();
-    functions_.on_demand(hub_.self().node, demand);
-    const usage_report message = ledger_.make_report(demand);
+    const double urgent = functions_.urgent_demand();
+    functions_.on_demand(hub_.self().node, demand, urgent);
+    const usage_report message = ledger_.make_report(demand, urgent);
     for (const net::peer_info& peer : hub_.peers_up()) {
         hub_.send(peer.node, message);
     }
