--- a/lib/source/scheduling/admission_dispatch.cpp
+++ b/lib/source/scheduling/admission_dispatch.cpp
@@ -189,7 +189,10 @@
     const bool contended =
         !urgent || service_class.rank->running + light_headroom >=
                        slots_for(*service_class.rank);
-    const bool only_light = contended && free_slots <= kept + light_headroom;
+    // Work below its guarantee takes any slot: else a rank in which all
+    // accounts ask for more than they get would never reach its floor.
+    const bool only_light =
+        contended && !guaranteed && free_slots <= kept + light_headroom;
     auto* who = service_class.accounts.front([&](const queue::account& item) {
         return !only_light || !is_large(service_class, item);
     });
