--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -248,7 +248,8 @@
         added.length = std::max(
             1u, static_cast<unsigned>(factor(random_) * stream.mean_tokens));
         added.submitted = now_;
-        added.measured = in_flood();
+        // The last requests could not show their first token before the end.
+        added.measured = in_flood() && now_ < end_ - 5s;
         rank_outcome& rank = result_.ranks[stream.rank];
         account_outcome& account = result_.accounts[stream.account];
         account.small = stream.small;
--- a/lib/source/scheduling/admission_estimate.cpp
+++ b/lib/source/scheduling/admission_estimate.cpp
@@ -93,7 +93,13 @@
     }
     // A small account's wait is judged by the level, so it must be recent
     // compared with the targets; each refresh visits all active accounts.
-    levels_due = now + std::chrono::milliseconds(20);
+    // The interval grows with them to bound the cost per decision.
+    std::size_t visited = 0;
+    for (const auto& item : classes) {
+        visited += item->active_accounts.size();
+    }
+    levels_due = now + std::chrono::milliseconds(20) +
+                 visited * std::chrono::microseconds(100);
     for (auto& item : classes) {
         // Free slots count: they are kept for small accounts, and leaving them
         // out would make an account large for want of the slots kept for it.
