--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -67,8 +67,10 @@
 void print_outcome(const std::string& prefix, const scenario& what,
                    const outcome& seen)
 {
-    for (const auto& [name, rank] : seen.ranks) {
-        const std::string p = prefix + "." + name + ".";
+    for (const auto& entry : seen.ranks) {
+        const std::string& name = entry.first;
+        const rank_outcome& rank = entry.second;
+        const std::string p = fmt::format("{}.{}.", prefix, name);
         print(p + "wait_p50", quantile(rank.waits, 0.50), "s");
         print(p + "wait_p95", quantile(rank.waits, 0.95), "s");
         print(p + "wait_p99", quantile(rank.waits, 0.99), "s");
