--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -248,7 +248,8 @@
         added.length = std::max(
             1u, static_cast<unsigned>(factor(random_) * stream.mean_tokens));
         added.submitted = now_;
-        added.measured = in_flood();
+        // The last requests could not show their first token before the end.
+        added.measured = in_flood() && now_ < end_ - 5s;
         rank_outcome& rank = result_.ranks[stream.rank];
         account_outcome& account = result_.accounts[stream.account];
         account.small = stream.small;
@@ -560,8 +561,10 @@
     {
         gate& from = *gates_[index];
         from.ledger.add(from.admission.take_usage());
-        const auto report = from.ledger.make_report(from.admission.demand());
-        from.share.receive(from.name, report.demand, now_);
+        const auto report = from.ledger.make_report(
+            from.admission.demand(), from.admission.urgent_demand());
+        from.share.receive(from.name, {report.demand, report.urgent_demand},
+                           now_);
         if (what_.news_cut) {
             return;
         }
@@ -570,7 +573,8 @@
                 if (to.get() == &from) {
                     continue;
                 }
-                to->share.receive(from.name, report.demand, now_);
+                to->share.receive(from.name,
+                                  {report.demand, report.urgent_demand}, now_);
                 for (const auto& item : to->ledger.receive(from.name, report)) {
                     to->admission.remote_usage(item);
                 }
--- a/lib/source/scheduling/admission.cpp
+++ b/lib/source/scheduling/admission.cpp
@@ -91,7 +91,7 @@
     if (!who.active) {
         who.active = true;
         who.weight = weight_of(who.id);
-        service_class.active_weight += who.weight;
+        service_class.active_accounts.push_back(&who);
     }
 }
 
@@ -102,7 +102,7 @@
     if (who.items.size() < settings.assured_queue) {
         return std::nullopt;
     }
-    const double rate = slots_for(rank) / hold.seconds();
+    const double rate = slots_for(rank) / rank.hold.seconds();
     const double drain =
         rate > 0.0 ? static_cast<double>(rank.waiting.size()) / rate : 1.0;
     const duration retry_after(
@@ -168,7 +168,7 @@
     } else {
         --item.service_class->active;
     }
-    hold.count(now - item.started);
+    rank.hold.count(now - item.started);
     settle(item);
 }
 
@@ -218,10 +218,8 @@
         }
     }
     for (auto& item : state_->classes) {
-        item->active_weight = 0.0;
         for (auto& [id, who] : item->accounts.accounts()) {
             item->accounts.set_weight(who, state_->weight_of(id));
-            item->active_weight += who.active ? who.weight : 0.0;
         }
     }
 }
@@ -248,8 +246,9 @@
         s.light_arrivals.count(now);
     }
     constexpr double weight = 0.02;
-    s.mean_tokens += weight * (static_cast<double>(request.estimated_tokens) -
-                               s.mean_tokens);
+    service_class->mean_tokens +=
+        weight * (static_cast<double>(request.estimated_tokens) -
+                  service_class->mean_tokens);
     if (auto full = s.queue_problem(*rank, who)) {
         ++s.counters.refused_overloaded;
         return {.refused = std::move(full)};
@@ -295,8 +294,8 @@
     }
     // The slot was never used: it says nothing about the hold time.
     found->second.started =
-        now -
-        duration(static_cast<duration::rep>(state_->hold.seconds() * 1e9));
+        now - duration(static_cast<duration::rep>(
+                  found->second.rank().hold.seconds() * 1e9));
     state_->release(found->second, now);
     state_->enqueue(found->second, true);
 }
@@ -309,7 +308,12 @@
     }
     state::entry& item = found->second;
     item.generated = total;
-    item.account->unreported += total - item.reported;
+    const std::uint64_t fresh = total - item.reported;
+    item.account->unreported += fresh;
+    state_->repeat_credit =
+        std::min(state_->repeat_credit + state_->settings.repeat_budget *
+                                             static_cast<double>(fresh),
+                 state_->settings.max_repeat_credit);
     item.reported = total;
     if (total >= item.charged + correction_step) {
         state_->settle(item);
@@ -361,6 +365,10 @@
                               ? std::make_unique<state::rank_state>()
                               : std::move(*same));
         s.ranks.back()->policy = policy;
+        if (same == former.end()) {
+            s.ranks.back()->hold =
+                hold_time_estimate(s.settings.first_hold_guess);
+        }
     }
     std::vector<dropped_request> dropped;
     state::rank_state& lowest = *s.ranks.back();
@@ -414,9 +422,23 @@
     return usage;
 }
 
+std::size_t admission::size() const noexcept
+{
+    return state_->entries.size();
+}
+
 double admission::demand() const noexcept
 {
-    return static_cast<double>(state_->entries.size());
+    return static_cast<double>(state_->entries.size() +
+                               state_->urgent_headroom +
+                               state_->light_headroom);
+}
+
+double admission::urgent_demand() const noexcept
+{
+    const state::rank_state& urgent = *state_->ranks.front();
+    return static_cast<double>(urgent.running + urgent.waiting.size() +
+                               state_->urgent_headroom);
 }
 
 std::vector<admission::rank_view> admission::ranks() const
--- a/lib/source/scheduling/admission_estimate.cpp
+++ b/lib/source/scheduling/admission_estimate.cpp
@@ -6,7 +6,14 @@
 
 double admission::state::release_rate() const
 {
-    return static_cast<double>(capacity) / hold.seconds();
+    if (running == 0) {
+        return static_cast<double>(capacity) / ranks.back()->hold.seconds();
+    }
+    double releases = 0.0;
+    for (const auto& rank : ranks) {
+        releases += rank->running / rank->hold.seconds();
+    }
+    return releases * capacity / running;
 }
 
 /// Slots that the rank can count on while the others keep their demand.
@@ -44,7 +51,8 @@
     if (capacity == 0 || (rank.waiting.empty() && running < capacity)) {
         return duration::zero();
     }
-    const double rank_rate = std::max(slots_for(rank), 0.5) / hold.seconds();
+    const double rank_rate =
+        std::max(slots_for(rank), 0.5) / rank.hold.seconds();
     double shares = 0.0;
     double own_share = 0.0;
     for (const auto& item : classes) {
@@ -65,7 +73,7 @@
             1.0);
         const double ahead =
             std::max(0.0, who.tag - service_class.accounts.virtual_now()) *
-            who.weight / std::max(mean_tokens, 1.0);
+            who.weight / std::max(service_class.mean_tokens, 1.0);
         const auto own = static_cast<double>(who.items.size());
         starts_before = std::min(waiting, (own + ahead) * others);
     }
@@ -75,15 +83,49 @@
         static_cast<duration::rep>(std::min(seconds, longest) * 1e9));
 }
 
-bool admission::state::is_large(const class_state& service_class,
-                                const queue::account& who) const
+/// Finds each class's level L such that the accounts get min(demand, L *
+/// weight) of the slots that the class runs in or that are free. An account
+/// that asks for more is a large one: its waits are its own doing.
+void admission::state::refresh_fair_levels(unsigned free_slots, time_point now)
 {
-    if (service_class.active_weight <= who.weight) {
-        return false;
+    if (now < levels_due) {
+        return;
+    }
+    // A small account's wait is judged by the level, so it must be recent
+    // compared with the targets; each refresh visits all active accounts.
+    // The interval grows with them to bound the cost per decision.
+    std::size_t visited = 0;
+    for (const auto& item : classes) {
+        visited += item->active_accounts.size();
+    }
+    levels_due = now + std::chrono::milliseconds(20) +
+                 visited * std::chrono::microseconds(100);
+    for (auto& item : classes) {
+        // Free slots count: they are kept for small accounts, and leaving them
+        // out would make an account large for want of the slots kept for it.
+        double slots = item->running + static_cast<double>(free_slots);
+        double weight = 0.0;
+        level_scratch.clear();
+        for (const queue::account* who : item->active_accounts) {
+            const double demand = demand_of(*who);
+            if (demand > 0.0) {
+                level_scratch.emplace_back(demand / who->weight, who->weight);
+                weight += who->weight;
+            }
+        }
+        double level = std::numeric_limits<double>::infinity();
+        std::sort(level_scratch.begin(), level_scratch.end());
+        for (const auto& [demand, account_weight] : level_scratch) {
+            if (demand * weight > slots) {
+                level = slots / weight;
+                break;
+            }
+            slots -= demand * account_weight;
+            weight -= account_weight;
+        }
+        // With less than one slot each, nobody is large for having one.
+        item->fair_level = std::max(level, 1.0);
     }
-    const double fair_part = static_cast<double>(service_class.running) *
-                             who.weight / service_class.active_weight;
-    return who.running > 1.0 + settings.large_account_factor * fair_part;
 }
 
 void admission::state::refresh_headroom(time_point now)
@@ -99,12 +141,14 @@
     }
     const auto limit = static_cast<unsigned>(settings.max_headroom *
                                              static_cast<double>(capacity));
+    const auto light_limit = static_cast<unsigned>(
+        settings.max_light_headroom * static_cast<double>(capacity));
     urgent_headroom =
         slots_to_keep_free(ranks.front()->arrivals.per_second(now),
                            release_rate(), settings.headroom_risk, limit);
     light_headroom =
         slots_to_keep_free(light_arrivals.per_second(now), release_rate(),
-                           settings.headroom_risk, limit);
+                           settings.headroom_risk, light_limit);
 }
 
 void admission::state::forget_idle_accounts(time_point now)
@@ -114,11 +158,13 @@
     }
     sweep_due = now + std::chrono::seconds(1);
     for (auto& item : classes) {
-        item->active_weight = 0.0;
+        item->active_accounts.clear();
         for (auto& [id, who] : item->accounts.accounts()) {
             who.active = who.running > 0 || !who.items.empty() ||
                          now - who.last_active < settings.account_memory;
-            item->active_weight += who.active ? who.weight : 0.0;
+            if (who.active) {
+                item->active_accounts.push_back(&who);
+            }
         }
     }
 }
--- a/lib/source/scheduling/admission_state.hpp
+++ b/lib/source/scheduling/admission_state.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/scheduling/fair_queue.hpp>
 #include <bamboogate/scheduling/load_estimate.hpp>
 
+#include <limits>
 #include <list>
 #include <memory>
 #include <set>
@@ -28,6 +29,8 @@
         std::set<std::pair<std::uint64_t, entry*>> active; ///< by start number
         unsigned running = 0; ///< active or under preemption
         rate_estimate arrivals{std::chrono::seconds(5)};
+        hold_time_estimate hold{std::chrono::seconds(5)};
+        time_point last_start;
     };
 
     struct class_state
@@ -37,7 +40,10 @@
         double share = 0.0; ///< declared; 0 when there is none
         unsigned running = 0;
         unsigned active = 0;        ///< running and not under preemption
-        double active_weight = 0.0; ///< of accounts with recent requests
+        double mean_tokens = 256.0; ///< estimated per request, averaged
+        /// Max-min fair number of running generations per unit of weight.
+        double fair_level = std::numeric_limits<double>::infinity();
+        std::vector<queue::account*> active_accounts; ///< recent requests
         queue accounts;
     };
 
@@ -62,7 +68,8 @@
         std::uint64_t charged = 0; ///< tokens charged to the account
         std::uint64_t generated = 0;
         std::uint64_t reported = 0; ///< tokens counted as usage
-        unsigned preemptions = 0;
+        unsigned preemptions = 0;   ///< for more urgent work
+        bool yielded = false;       ///< preempted for a small account
         bool ran = false; ///< reached an engine: never refused as not run
 
         [[nodiscard]] rank_state& rank() const { return *service_class->rank; }
@@ -97,8 +104,16 @@
     [[nodiscard]] duration expected_wait(const class_state& service_class,
                                          const queue::account& who) const;
     [[nodiscard]] double release_rate() const;
-    [[nodiscard]] bool is_large(const class_state& service_class,
-                                const queue::account& who) const;
+    [[nodiscard]] static double demand_of(const queue::account& who)
+    {
+        return who.running + static_cast<double>(who.items.size());
+    }
+    [[nodiscard]] static bool is_large(const class_state& service_class,
+                                       const queue::account& who)
+    {
+        return demand_of(who) > service_class.fair_level * who.weight;
+    }
+    void refresh_fair_levels(unsigned free_slots, time_point now);
     void refresh_headroom(time_point now);
     void forget_idle_accounts(time_point now);
 
@@ -115,7 +130,16 @@
     [[nodiscard]] bool within_split(const class_state& item) const;
     void start(entry& item, time_point now);
     void preempt(dispatch& out, time_point now);
+    void stop(entry& victim, dispatch& out);
+    void preempt_for_rank(rank_state& rank, unsigned& promised, dispatch& out,
+                          time_point now);
+    void preempt_for_small(rank_state& rank, unsigned& promised, dispatch& out,
+                           time_point now);
+    template <typename Filter>
+    unsigned count_late(const rank_state& rank, time_point now,
+                        Filter filter) const;
     entry* choose_victim(const rank_state& urgent);
+    entry* choose_large_victim(const rank_state& rank);
 
     options settings;
     control::preset preset;
@@ -130,14 +154,15 @@
     unsigned running = 0;
     unsigned preempting = 0;
     std::uint64_t starts = 0;
-    unsigned starts_since_aged = 0;
-    hold_time_estimate hold{settings.first_hold_guess};
-    double mean_tokens = 256.0; ///< estimated tokens per request, averaged
     rate_estimate light_arrivals{std::chrono::seconds(5)};
+    /// Tokens that may be prefilled again for the sake of small accounts.
+    double repeat_credit = 0.0;
     unsigned urgent_headroom = 0;
     unsigned light_headroom = 0;
     time_point headroom_due;
     time_point sweep_due;
+    time_point levels_due;
+    std::vector<std::pair<double, double>> level_scratch;
 };
 
 /// Weight of a class without a declared share when classes are compared.
