Measure the gate against a direct connection to an engine

Cause: no figure of the gate existed. Change: bench_gate starts a deployment and measures the latency that the gate adds, tokens per core and memory per stream, with the direct connection as the baseline in the same run.

--- /dev/null
+++ b/bench/gate_bench.cpp
@@ -0,0 +1,276 @@
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "e2e/support/deployment.hpp"
+#include "support/loop_runner.hpp"
+
+// Figures of one gate, with the direct connection to the engine stand-in as
+// the baseline in the same run. One `name value unit` a line.
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+void print(const std::string& name, double value, const char* unit)
+{
+    fmt::print("{} {:.4g} {}\n", name, value, unit);
+}
+
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(std::lround(q * last))];
+}
+
+void print_quantiles(const std::string& name, const std::vector<double>& ms)
+{
+    print(name + "_p50", quantile(ms, 0.50), "ms");
+    print(name + "_p95", quantile(ms, 0.95), "ms");
+    print(name + "_p99", quantile(ms, 0.99), "ms");
+}
+
+double cpu_seconds(pid_t process)
+{
+    std::ifstream file(fmt::format("/proc/{}/stat", process));
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string word;
+    double ticks = 0;
+    // Fields 14 and 15 of the line are user and system time.
+    for (int field = 3; fields >> word && field <= 15; ++field) {
+        if (field >= 14) {
+            ticks += std::stod(word);
+        }
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double resident_kib(pid_t process)
+{
+    std::ifstream file(fmt::format("/proc/{}/status", process));
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stod(line.substr(6));
+        }
+    }
+    return 0;
+}
+
+/// A stream whose events are only counted, so that the load generator needs
+/// far less time than the gate.
+struct counted_stream
+{
+    std::uint64_t tokens = 0;
+    std::vector<time_point> arrivals;
+    time_point started;
+    bool keep_arrivals = false;
+    bool ended = false;
+    unsigned status = 0;
+    std::string tail;
+    std::unique_ptr<net::http_transfer> transfer;
+
+    void take(std::string_view bytes)
+    {
+        tail.append(bytes);
+        std::size_t from = 0;
+        for (auto end = tail.find("\n\n"); end != std::string::npos;
+             end = tail.find("\n\n", from)) {
+            if (tail.compare(from, 3, "id:") == 0) {
+                ++tokens;
+                if (keep_arrivals) {
+                    arrivals.push_back(monotonic_clock::now());
+                }
+            }
+            from = end + 2;
+        }
+        tail.erase(0, from);
+    }
+};
+
+std::unique_ptr<counted_stream> open_stream(deployment& system,
+                                            net::http_client::request what)
+{
+    auto stream = std::make_unique<counted_stream>();
+    auto* raw = stream.get();
+    raw->started = monotonic_clock::now();
+    raw->transfer = system.client.start(
+        std::move(what),
+        {.on_headers =
+             [raw](const net::http_client::response& head) {
+                 raw->status = head.status;
+             },
+         .on_data = [raw](std::string_view bytes) { raw->take(bytes); },
+         .on_done =
+             [raw](const net::http_client::outcome_type&) {
+                 raw->ended = true;
+             }});
+    return stream;
+}
+
+std::unique_ptr<counted_stream> through_gate(deployment& system,
+                                             const std::string& prompt)
+{
+    return open_stream(
+        system, {.method = "POST",
+                 .url = system.gate_url(0) + "/v1/completions",
+                 .headers = {{"authorization",
+                              std::string("Bearer ") + deployment::client_key}},
+                 .body = json{{"model", "draft"},
+                              {"prompt", prompt},
+                              {"max_tokens", 100'000},
+                              {"stream", true}}
+                             .dump()});
+}
+
+std::unique_ptr<counted_stream> direct(deployment& system,
+                                       const std::string& prompt)
+{
+    static int number = 0;
+    return open_stream(system,
+                       {.method = "POST",
+                        .url = system.engine_url(0) + "/v1/completions",
+                        .body = json{
+                            {"request_id", fmt::format("d{}", ++number)},
+                            {"attempt", 1},
+                            {"model", "draft"},
+                            {"prompt", prompt},
+                            {"max_tokens", 100'000},
+                            {"priority", 0},
+                            {"resume_tokens", json::array()},
+                            {"stream",
+                             true}}.dump()});
+}
+
+void raise_queue_limits(json& declared)
+{
+    for (auto& preset : declared["presets"]) {
+        preset["max_streams_per_gate"] = 10'000;
+        for (auto& rank : preset["ranks"]) {
+            rank["queue_limit"] = 20'000;
+            rank["max_queue_wait_ms"] = 60'000;
+        }
+    }
+}
+
+template <typename Open>
+void measure_latency(deployment& system, const std::string& name, Open open)
+{
+    constexpr int rounds = 40;
+    std::vector<double> first;
+    std::vector<double> gaps;
+    for (int i = 0; i < rounds; ++i) {
+        auto stream = open(system, fmt::format("latency {} tokens=60", i));
+        stream->keep_arrivals = true;
+        run_until(
+            system.loop, [&] { return stream->ended; }, 10s);
+        for (std::size_t k = 0; k < stream->arrivals.size(); ++k) {
+            const auto before =
+                k == 0 ? stream->started : stream->arrivals[k - 1];
+            (k == 0 ? first : gaps)
+                .push_back(to_milliseconds(stream->arrivals[k] - before));
+        }
+    }
+    print_quantiles(name + "_first_token", first);
+    print_quantiles(name + "_token_gap", gaps);
+}
+
+bool measure_latencies()
+{
+    deployment system({.replicas = 3, .gates = 2, .engines = 1});
+    if (!system.start()) {
+        fmt::print(stderr, "{}\n", system.problem);
+        return false;
+    }
+    measure_latency(system, "direct", direct);
+    measure_latency(system, "gate", through_gate);
+    return true;
+}
+
+/// Opens streams through gate 0 and measures its cost while they run.
+bool measure_load(const std::string& name, unsigned streams,
+                  double token_interval_ms)
+{
+    deployment system({.replicas = 1,
+                       .gates = 2,
+                       .engines = 4,
+                       .services = 0,
+                       .slots = 2000,
+                       .token_interval_ms = token_interval_ms,
+                       .adjust_declarations = raise_queue_limits});
+    if (!system.start()) {
+        fmt::print(stderr, "{}\n", system.problem);
+        return false;
+    }
+    const pid_t gate = system.gates[0].id();
+    const double memory_before = resident_kib(gate);
+    std::vector<std::unique_ptr<counted_stream>> open;
+    for (unsigned i = 0; i < streams; ++i) {
+        open.push_back(
+            through_gate(system, fmt::format("load {} tokens=100000", i)));
+        if (i % 50 == 49) {
+            run_until(
+                system.loop, [] { return false; }, 10ms);
+        }
+    }
+    const auto running = [&] {
+        return std::count_if(open.begin(), open.end(),
+                             [](const auto& each) { return each->tokens > 0; });
+    };
+    run_until(
+        system.loop, [&] { return running() == static_cast<long>(streams); },
+        30s);
+    const auto tokens = [&] {
+        std::uint64_t sum = 0;
+        for (const auto& each : open) {
+            sum += each->tokens;
+        }
+        return sum;
+    };
+    const std::uint64_t tokens_before = tokens();
+    const double cpu_before = cpu_seconds(gate);
+    const double buddy_before = cpu_seconds(system.gates[1].id());
+    const time_point start = system.loop.now();
+    run_until(
+        system.loop, [] { return false; }, 5s);
+    const double seconds = to_seconds(system.loop.now() - start);
+    const auto delivered = static_cast<double>(tokens() - tokens_before);
+    const double cpu = cpu_seconds(gate) - cpu_before;
+    print(name + "_streams_running", static_cast<double>(running()), "streams");
+    print(name + "_tokens_per_second", delivered / seconds, "tokens/s");
+    print(name + "_gate_cpu", cpu / seconds, "cores");
+    print(name + "_tokens_per_core_second", delivered / cpu, "tokens/s");
+    print(name + "_gate_cpu_per_token", cpu / delivered * 1e6, "us");
+    print(name + "_buddy_cpu_per_token",
+          (cpu_seconds(system.gates[1].id()) - buddy_before) / delivered * 1e6,
+          "us");
+    // Token texts are about 7 bytes; the gate keeps each with its overhead,
+    // so the upper bound without any subtraction is printed.
+    print(name + "_memory_per_stream",
+          (resident_kib(gate) - memory_before) / streams, "KiB");
+    return true;
+}
+
+} // namespace
+
+int main()
+{
+    const bool done = measure_latencies() &&
+                      measure_load("load_1000_streams", 1000, 20) &&
+                      measure_load("load_5000_streams", 5000, 500);
+    return done ? 0 : 1;
+}
--- a/tests/e2e/support/deployment.cpp
+++ b/tests/e2e/support/deployment.cpp
@@ -295,6 +295,11 @@
     return "http://" + local(ports_[service_http + index]);
 }
 
+std::string deployment::engine_url(unsigned index) const
+{
+    return "http://" + local(ports_[engine_http + index]);
+}
+
 net::http_client::response deployment::fetch(net::http_client::request what)
 {
     std::optional<net::http_client::response> end;
--- a/tests/e2e/support/deployment.hpp
+++ b/tests/e2e/support/deployment.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/net/http_client.hpp>
 
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,6 +55,8 @@
         bool proxy_gate_zero = false;
         std::vector<std::string> gate_flags;
         std::vector<std::string> service_flags;
+        /// Changes the declarations before they are applied. Optional.
+        std::function<void(json&)> adjust_declarations;
     };
 
     explicit deployment(options settings);
@@ -84,6 +87,7 @@
     [[nodiscard]] std::string gate_url(unsigned index) const;
     [[nodiscard]] std::string replica_url(unsigned index) const;
     [[nodiscard]] std::string service_url(unsigned index) const;
+    [[nodiscard]] std::string engine_url(unsigned index) const;
 
     /// @brief One request, whole. Status 0 when there was no answer.
     net::http_client::response fetch(net::http_client::request what);
