Add bamboogatectl

Cause: operators need one command line for declarations, presets, members, drains, orders and the burn report.

Ruled out: resending every request after a lost answer. Showing old revisions in full, because control keeps only who changed what.

Change: `control_session` tries the replicas in turn and follows the leader that a replica names (a node id, so `--control` accepts `id=ip:port`). An unknown flag before a positional argument is refused without showing its value; TCLAP took it as a positional argument.

--- a/lib/include/bamboogate/config/setting.hpp
+++ b/lib/include/bamboogate/config/setting.hpp
@@ -21,7 +21,7 @@
     identifier, ///< 1 to 64 of a-z, A-Z, 0-9, `.`, `_` and `-`
     text,       ///< any non-empty text
     listener,   ///< `ip:port`; port 0 lets the system choose
-    addresses,  ///< `ip:port`, separated by commas
+    endpoints,  ///< `ip:port` or `id=ip:port`, separated by commas
     peers,      ///< `id=ip:port`, separated by commas
     file,       ///< path of a file that can be read
     folder,     ///< path of a folder
@@ -92,9 +92,10 @@
 [[nodiscard]] result<std::vector<peer_address>>
 parse_peers(std::string_view text);
 
-/// @brief Reads `ip:port`, separated by commas; ports above 0.
-[[nodiscard]] result<std::vector<net::address>>
-parse_addresses(std::string_view text);
+/// @brief Reads `ip:port` or `id=ip:port`, separated by commas; ports above
+///     0. The id of an entry without one is empty.
+[[nodiscard]] result<std::vector<peer_address>>
+parse_endpoints(std::string_view text);
 
 /// @brief Reads a key from a file; spaces and line ends around it are cut.
 /// @return `invalid_argument` when the file cannot be read or is larger than
--- a/lib/source/config/registry.cpp
+++ b/lib/source/config/registry.cpp
@@ -169,10 +169,12 @@
 {
     static const std::vector<setting> registry = {
         {.name = "control",
-         .type = addresses,
-         .help = "Operator addresses of the control replicas, tried in turn."},
+         .type = endpoints,
+         .help =
+             "Operator addresses of the control replicas, tried in turn. With "
+             "ids, the leader that a replica names is tried next."},
         {.name = "gate-addresses",
-         .type = addresses,
+         .type = endpoints,
          .help = "HTTP addresses of the gates, for burn."},
         {.name = "operator-key-file",
          .type = file,
--- a/lib/source/config/setting.cpp
+++ b/lib/source/config/setting.cpp
@@ -90,8 +90,8 @@
         return !value.empty();
     case setting_type::listener:
         return net::parse_address(value).has_value();
-    case setting_type::addresses:
-        return parse_addresses(value).has_value();
+    case setting_type::endpoints:
+        return parse_endpoints(value).has_value();
     case setting_type::peers:
         return parse_peers(value).has_value();
     case setting_type::file:
@@ -141,8 +141,9 @@
         return "a text that is not empty";
     case setting_type::listener:
         return "an IP number and port, such as 10.0.0.1:7000";
-    case setting_type::addresses:
-        return "a list such as 10.0.0.1:7000,10.0.0.2:7000 with ports above 0";
+    case setting_type::endpoints:
+        return "a list such as 10.0.0.1:7000,10.0.0.2:7000 or "
+               "c1=10.0.0.1:7000,c2=10.0.0.2:7000 with ports above 0";
     case setting_type::peers:
         return "a list such as a=10.0.0.1:7000,b=10.0.0.2:7000 with different "
                "ids and ports above 0";
@@ -232,17 +233,24 @@
     return peers;
 }
 
-result<std::vector<net::address>> parse_addresses(std::string_view text)
+result<std::vector<peer_address>> parse_endpoints(std::string_view text)
 {
-    std::vector<net::address> addresses;
+    std::vector<peer_address> endpoints;
     for (const auto part : split(text)) {
-        BOOST_OUTCOME_TRY(where, parse_peer_address(part));
-        addresses.push_back(std::move(where));
+        const auto equals = part.find('=');
+        const bool named = equals != std::string_view::npos;
+        const auto id = part.substr(0, named ? equals : 0);
+        if (named && !is_identifier(id)) {
+            return fail(errc::invalid_argument, std::string(part));
+        }
+        BOOST_OUTCOME_TRY(
+            where, parse_peer_address(part.substr(named ? equals + 1 : 0)));
+        endpoints.push_back({node_id(std::string(id)), std::move(where)});
     }
-    if (addresses.empty()) {
+    if (endpoints.empty()) {
         return fail(errc::invalid_argument, "no address");
     }
-    return addresses;
+    return endpoints;
 }
 
 result<secret> read_secret_file(const std::string& path)
--- a/lib/source/config/setting_parser.cpp
+++ b/lib/source/config/setting_parser.cpp
@@ -79,8 +79,9 @@
                                 "", name, "", false, "", "value", line_));
         }
         if (!program.positional.empty()) {
+            // TCLAP compares arguments by description as well as by name.
             rest_ = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>(
-                "arguments", "", false, "text", line_);
+                "arguments", "positional arguments", false, "text", line_);
         }
     }
 
@@ -244,6 +245,14 @@
         return parsed;
     }
     line.fill(parsed);
+    // TCLAP takes an unknown flag as a positional argument where these are
+    // allowed. Its value may be a secret and is not shown.
+    for (const auto& argument : parsed.positional) {
+        if (argument.starts_with("-")) {
+            parsed.usage_problem = flag_part(argument) + ": no such flag";
+            return parsed;
+        }
+    }
     for (const auto& one : program.registry) {
         auto given = line.value(std::string(one.name));
         if (!given && one.source != setting_source::flag_only) {
--- /dev/null
+++ b/lib/source/operations/ctl_tables.hpp
@@ -0,0 +1,21 @@
+#ifndef BAMBOOGATE_SOURCE_OPERATIONS_CTL_TABLES_HPP
+#define BAMBOOGATE_SOURCE_OPERATIONS_CTL_TABLES_HPP
+
+#include <bamboogate/core/json.hpp>
+
+#include <string>
+
+namespace bamboogate::operations {
+
+// Each turns an answer of control into text; fields that are absent or of
+// another type become empty cells.
+[[nodiscard]] std::string status_table(const json& answer);
+[[nodiscard]] std::string members_table(const json& answer);
+[[nodiscard]] std::string history_table(const json& answer);
+[[nodiscard]] std::string difference_table(const json& answer);
+[[nodiscard]] std::string fields_table(const json& answer);
+[[nodiscard]] std::string document_text(const json& answer);
+
+} // namespace bamboogate::operations
+
+#endif
