--- a/bench/gate_bench.cpp
+++ b/bench/gate_bench.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -86,6 +87,10 @@
 
     void take(std::string_view bytes)
     {
+        if (status != 200) {
+            tail.append(bytes);
+            return;
+        }
         tail.append(bytes);
         std::size_t from = 0;
         for (auto end = tail.find("\n\n"); end != std::string::npos;
@@ -189,6 +194,36 @@
     print_quantiles(name + "_token_gap", gaps);
 }
 
+/// Prints the gate's own view of the pool, which explains streams that wait.
+void print_pool(deployment& system, const std::string& name)
+{
+    const auto got = system.fetch(
+        {.url = system.gate_url(0) + "/metrics", .total_timeout = 5s});
+    std::istringstream lines(got.body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("bamboogate_pool_") ||
+            line.starts_with("bamboogate_queued") ||
+            line.starts_with("bamboogate_completions_refused")) {
+            fmt::print("# {}: {}\n", name, line);
+        }
+    }
+}
+
+/// Prints one refusal of each kind.
+void print_refusals(const std::vector<std::unique_ptr<counted_stream>>& streams,
+                    const std::string& name)
+{
+    std::map<std::string, int> kinds;
+    for (const auto& each : streams) {
+        if (each->status != 200) {
+            ++kinds[fmt::format("{} {}", each->status, each->tail)];
+        }
+    }
+    for (const auto& [kind, count] : kinds) {
+        fmt::print("# {}: {} times {}\n", name, count, kind);
+    }
+}
+
 bool measure_latencies()
 {
     deployment system({.replicas = 3, .gates = 2, .engines = 1});
@@ -261,7 +296,11 @@
     // Token texts are about 7 bytes; the gate keeps each with its overhead,
     // so the upper bound without any subtraction is printed.
     print(name + "_memory_per_stream",
-          (resident_kib(gate) - memory_before) / streams, "KiB");
+          (resident_kib(gate) - memory_before) /
+              static_cast<double>(std::max(1L, running())),
+          "KiB");
+    print_pool(system, name);
+    print_refusals(open, name);
     return true;
 }
 
