--- a/tests/observability/event_catalogue_test.cpp
+++ b/tests/observability/event_catalogue_test.cpp
@@ -83,7 +83,8 @@
             CHECK_MESSAGE(documented.insert(line).second, "listed twice");
         }
     }
-    for (const auto& [number, line] : declared) {
+    for (const auto& one : declared) {
+        const auto& line = one.second;
         CHECK_MESSAGE(documented.erase(line) == 1,
                       "docs/events.md lacks the line: " << line);
     }
