Give the gate its home slots and its urgent demand

It now reports urgent demand and passes its place among the gates to the selector; without that place every gate would take all slots for its own.

--- a/lib/source/gate/completion_scheduler.cpp
+++ b/lib/source/gate/completion_scheduler.cpp
@@ -114,13 +114,18 @@
                         return std::max(created->queue.demand(),
                                         static_cast<double>(created->held));
                     },
+                .urgent_demand =
+                    [created] { return created->queue.urgent_demand(); },
                 .charge =
                     [created](const scheduling::usage_item& item) {
                         created->queue.remote_usage(item);
                     },
                 .on_demand =
-                    [this, created](const node_id& gate, double demand) {
-                        created->share.receive(gate, demand, loop.now());
+                    [this, created](const node_id& gate, double demand,
+                                    double urgent_demand) {
+                        created->share.receive(
+                            gate, {.total = demand, .urgent = urgent_demand},
+                            loop.now());
                     }});
         return *created;
     }
@@ -128,7 +133,10 @@
     unsigned slots(pool& which)
     {
         const time_point now = loop.now();
-        which.share.receive(settings.self, which.queue.demand(), now);
+        which.share.receive(settings.self,
+                            {.total = which.queue.demand(),
+                             .urgent = which.queue.urgent_demand()},
+                            now);
         return which.share.slots(functions.slots_of(which.model), now);
     }
 
--- a/lib/source/gate/gate.cpp
+++ b/lib/source/gate/gate.cpp
@@ -44,6 +44,17 @@
     return out;
 }
 
+/// The place among the sorted gates decides which engine slots are at home.
+routing::selector::options
+selector_settings(const config::gate_settings& settings)
+{
+    auto gates = all_gates(settings);
+    std::sort(gates.begin(), gates.end());
+    const auto self = std::find(gates.begin(), gates.end(), settings.node);
+    return {.gate_index = static_cast<unsigned>(self - gates.begin()),
+            .gates = static_cast<unsigned>(gates.size())};
+}
+
 std::vector<node_id> replica_ids(const config::gate_settings& settings)
 {
     std::vector<node_id> out;
@@ -88,7 +99,7 @@
                   .shared_secret = settings.shared_secret}),
           client(l),
           table({.self = settings.node, .gates = all_gates(settings)}),
-          membership(l, hub, table, {}),
+          selector(selector_settings(settings)), membership(l, hub, table, {}),
           control(l, hub, {.replicas = replica_ids(settings)}),
           directory(table, selector, random_u64()),
           generations(l, hub, client, directory, generation_settings()),
