--- a/lib/source/net/link_hub.cpp
+++ b/lib/source/net/link_hub.cpp
@@ -336,7 +336,15 @@
 
 void link_hub::forget(const node_id& peer)
 {
-    impl_->targets.erase(peer);
+    if (const auto target = impl_->targets.find(peer);
+        target != impl_->targets.end()) {
+        // A link that is still being dialled is not in by_peer yet.
+        link* dialled = target->second.current;
+        impl_->targets.erase(target);
+        if (dialled != nullptr) {
+            dialled->close(link::close_reason::dropped);
+        }
+    }
     const auto found = impl_->by_peer.find(peer);
     if (found == impl_->by_peer.end()) {
         return;
--- a/tests/e2e/gate_loss_test.cpp
+++ b/tests/e2e/gate_loss_test.cpp
@@ -221,6 +221,7 @@
     deployment system({.engines = 3});
     REQUIRE(system.start());
     std::vector<std::unique_ptr<event_stream>> streams;
+    streams.reserve(20);
     for (int i = 0; i < 20; ++i) {
         streams.push_back(
             system.generate(0, "brief tokens=200 number " + std::to_string(i)));
--- a/tests/e2e/support/child_process.cpp
+++ b/tests/e2e/support/child_process.cpp
@@ -8,8 +8,6 @@
 #include <stdexcept>
 #include <utility>
 
-extern char** environ;
-
 namespace bamboogate::tests {
 
 child_process::child_process(const std::filesystem::path& program,
@@ -19,6 +17,7 @@
     std::vector<std::string> texts{program.string()};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(texts.size() + 1);
     for (auto& text : texts) {
         pointers.push_back(text.data());
     }
--- a/tests/e2e/upstream_leave_test.cpp
+++ b/tests/e2e/upstream_leave_test.cpp
@@ -21,6 +21,7 @@
     deployment system({});
     REQUIRE(system.start());
     std::vector<std::unique_ptr<event_stream>> streams;
+    streams.reserve(8);
     for (unsigned i = 0; i < 8; ++i) {
         streams.push_back(system.generate(i % 3, "brief tokens=500 stream " +
                                                      std::to_string(i)));
