--- a/tests/streaming/parts_test.cpp
+++ b/tests/streaming/parts_test.cpp
@@ -177,9 +177,12 @@
 
 TEST_CASE("silence_detector_follows_the_streams_own_interval")
 {
-    for (const auto& [interval, low, high] :
+    for (const auto& bounds :
          {std::tuple{10ms, 250ms, 250ms}, std::tuple{100ms, 600ms, 900ms},
           std::tuple{2000ms, 3000ms, 3000ms}}) {
+        const auto interval = std::get<0>(bounds);
+        const auto low = std::get<1>(bounds);
+        const auto high = std::get<2>(bounds);
         CAPTURE(interval.count());
         silence_detector detector({});
         time_point now{};
