Let callers return the epoch of the tokens they hold

Cause: the streaming work found two cases (the buddy frozen while a new one asks it, or lost right after a takeover) in which only the epoch that the caller hands back prevents a mixed answer. Ruled out: the epoch inside the event id, because clients read the id as the token index. Change: a comment names the epoch, X-Generation-Epoch returns it. Result: builds; the two cases are not covered by a process-level test yet.

--- a/lib/include/bamboogate/gate/completion_sinks.hpp
+++ b/lib/include/bamboogate/gate/completion_sinks.hpp
@@ -40,6 +40,7 @@
         return out_;
     }
 
+    void epoch(std::uint64_t number) override;
     void token(std::uint64_t index, std::string_view text) override;
     void finished(const streaming::finish_info& info) override;
     void failed(const error& reason) override;
--- a/lib/source/gate/caller_api.cpp
+++ b/lib/source/gate/caller_api.cpp
@@ -36,6 +36,17 @@
     return last + 1;
 }
 
+/// The lineage of the tokens that the caller holds; 0 when it names none.
+std::uint64_t caller_epoch(const net::http_request& request)
+{
+    const auto text = request.headers.find("x-generation-epoch");
+    std::uint64_t epoch = 0;
+    if (text) {
+        std::from_chars(text->data(), text->data() + text->size(), epoch);
+    }
+    return epoch;
+}
+
 result<std::string> idempotency_key(const net::http_request& request)
 {
     const auto key = request.headers.find("idempotency-key");
@@ -266,7 +277,11 @@
     }
     const auto sink = std::make_shared<sse_sink>(
         out, sse_sink::options{.caller_token = token});
-    use_.generations.attach(id.value(), from.value(), sink);
+    use_.generations.attach(
+        id.value(),
+        streaming::attach_point{.from_index = from.value(),
+                                .epoch = caller_epoch(request)},
+        sink);
     follow(id.value(), sink, sink);
 }
 
--- a/lib/source/gate/completion_sinks.cpp
+++ b/lib/source/gate/completion_sinks.cpp
@@ -69,6 +69,12 @@
     out_->write(": ping\n\n");
 }
 
+void sse_sink::epoch(std::uint64_t number)
+{
+    begin();
+    out_->write(fmt::format(": epoch {}\n\n", number));
+}
+
 void sse_sink::token(std::uint64_t index, std::string_view text)
 {
     begin();
