--- a/bench/gate_bench.cpp
+++ b/bench/gate_bench.cpp
@@ -1,9 +1,7 @@
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cmath>
-#include <fstream>
 #include <map>
 #include <memory>
 #include <sstream>
@@ -11,6 +9,7 @@
 #include <vector>
 
 #include "e2e/support/deployment.hpp"
+#include "e2e/support/process_usage.hpp"
 #include "support/loop_runner.hpp"
 
 // Figures of one gate, with the direct connection to the engine stand-in as
@@ -44,34 +43,6 @@
     print(name + "_p99", quantile(ms, 0.99), "ms");
 }
 
-double cpu_seconds(pid_t process)
-{
-    std::ifstream file(fmt::format("/proc/{}/stat", process));
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string word;
-    double ticks = 0;
-    // Fields 14 and 15 of the line are user and system time.
-    for (int field = 3; fields >> word && field <= 15; ++field) {
-        if (field >= 14) {
-            ticks += std::stod(word);
-        }
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double resident_kib(pid_t process)
-{
-    std::ifstream file(fmt::format("/proc/{}/status", process));
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::stod(line.substr(6));
-        }
-    }
-    return 0;
-}
-
 /// A stream whose events are only counted, so that the load generator needs
 /// far less time than the gate.
 struct counted_stream
