--- a/lib/source/control/operator_api.cpp
+++ b/lib/source/control/operator_api.cpp
@@ -2,6 +2,7 @@
 #include <bamboogate/control/declaration_json.hpp>
 #include <bamboogate/control/log_events.hpp>
 #include <bamboogate/control/operator_api.hpp>
+#include <bamboogate/net/http_router.hpp>
 
 #include <map>
 #include <utility>
@@ -262,9 +263,13 @@
                       {"ended", target.state.ended_orders()}});
     }
 
-    void status(const net::http_request& /*request*/,
-                const std::string& /*who*/, const responder_ptr& out)
+    void status(const net::http_request& request, const std::string& /*who*/,
+                const responder_ptr& out)
     {
+        if (net::query_value(request.query, "leader") == "1" &&
+            !require_leader(out)) {
+            return;
+        }
         const auto& current = target.state.current();
         const auto now = target.loop.now();
         const auto leader = target.log.leader();
@@ -287,7 +292,7 @@
              {"revision", current.revision},
              {"preset", current.preset_in_force},
              {"in_force_everywhere",
-              leads && target.server.in_force(current.revision)},
+              leads ? json(target.server.in_force(current.revision)) : json()},
              {"gates", leads ? std::move(gates) : json::array()},
              {"journal",
               {{"entries", target.state.calls().size()},
--- a/lib/source/gate/gate.cpp
+++ b/lib/source/gate/gate.cpp
@@ -121,6 +121,10 @@
         });
         control.on_configuration(
             [this](const control::configuration& c) { apply(c); });
+        hub.on<control::drain_request>(
+            [this](const net::peer_info& peer, const control::drain_request&) {
+                on_drain_request(peer.node);
+            });
         callers.add_routes(router);
         upstreams.add_routes(router);
         add_own_routes();
@@ -327,6 +331,18 @@
         }
     }
 
+    /// Operators drain a gate through control; the gate then ends as after
+    /// SIGTERM.
+    void on_drain_request(const node_id& from)
+    {
+        const auto replicas = replica_ids(settings);
+        const bool from_control =
+            std::find(replicas.begin(), replicas.end(), from) != replicas.end();
+        if (from_control && !drained) {
+            start_drain([this] { loop.stop(); });
+        }
+    }
+
     void start_drain(std::function<void()> done)
     {
         drained = std::move(done);
--- a/lib/source/operations/ctl.cpp
+++ b/lib/source/operations/ctl.cpp
@@ -43,7 +43,7 @@
         case ctl_verb::preset_use:
             return change("/v1/preset", {{"preset", arguments[0]}});
         case ctl_verb::status:
-            return read("/v1/status", status_table);
+            return status();
         case ctl_verb::members_list:
             return read("/v1/members", members_table);
         case ctl_verb::members_add:
@@ -92,6 +92,18 @@
                             : table(document));
     }
 
+    /// Only the leader knows the gates' leases; any replica's view must do
+    /// when there is none.
+    exit_code status()
+    {
+        const auto leader = session_.call({.path = "/v1/status?leader=1"});
+        if (!leader) {
+            return read("/v1/status", status_table);
+        }
+        print(leader.value(), status_table);
+        return exit_code::ok;
+    }
+
     exit_code read(const std::string& path, std::string (*table)(const json&))
     {
         const auto answer = session_.call({.path = path});
--- a/tests/e2e/upstream_leave_test.cpp
+++ b/tests/e2e/upstream_leave_test.cpp
@@ -59,3 +59,22 @@
     CHECK(run_until(
         system.loop, [&] { return !system.engines[0].running(); }, 10s));
 }
+
+// Guards I7 for the operators' way to stop a gate.
+TEST_CASE("gate_drained_by_operator_running_stream_finishes_and_gate_exits")
+{
+    deployment system({.services = 0});
+    REQUIRE(system.start());
+    const std::string prompt = "brief tokens=300 drained";
+    auto stream = system.generate(0, prompt);
+    REQUIRE(run_until(system.loop, [&] { return stream->texts.size() > 5; }));
+    CHECK(system.change("/v1/drain", {{"node", "g0"}}).status == 202);
+    CHECK(run_until(
+        system.loop, [&] { return stream->ended; }, 10s));
+    received_answer answer(prompt);
+    answer.add(*stream);
+    answer.check();
+    CHECK(run_until(
+        system.loop, [&] { return !system.gates[0].running(); }, 10s));
+    CHECK(system.gates[0].exit_code() == 0);
+}
