Let the engine stand-in name prefixes as the gates do

Cause: the stand-in published plain hashes of 64-byte blocks, the gates look up chained hashes of 256-byte blocks, so the choice by cached prefix was never hit in any test with engines. Ruled out: a second hash in the gates, because the protocol should have one. The tests of net use the shared loop runner instead of two copies of it.

--- a/tests/fakes/engine_stand_in.hpp
+++ b/tests/fakes/engine_stand_in.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http_client.hpp>
 #include <bamboogate/net/http_server.hpp>
+#include <bamboogate/routing/prefix_index.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -445,18 +446,18 @@
     [[nodiscard]] std::size_t cached_bytes(std::string_view prompt) const
     {
         std::size_t blocks = 0;
-        for (const auto hash : prefix_hashes(prompt)) {
+        for (const auto hash : routing::prefix_hashes(prompt)) {
             if (!cached_.contains(hash)) {
                 break;
             }
             ++blocks;
         }
-        return blocks * prefix_block_bytes;
+        return blocks * routing::prefix_block_bytes;
     }
 
     void store_prefix(std::string_view prompt)
     {
-        for (const auto hash : prefix_hashes(prompt)) {
+        for (const auto hash : routing::prefix_hashes(prompt)) {
             if (!cached_.insert(hash).second) {
                 continue;
             }
--- a/tests/fakes/token_source.hpp
+++ b/tests/fakes/token_source.hpp
@@ -130,21 +130,6 @@
     return text.size() / bytes_per_token + 1;
 }
 
-constexpr std::size_t prefix_block_bytes = 64;
-
-/// @brief Hashes of the whole blocks at the start of a prompt; hash k covers
-///     the first (k + 1) * 64 bytes. Engines publish these as cache events.
-[[nodiscard]] inline std::vector<std::uint64_t>
-prefix_hashes(std::string_view prompt)
-{
-    std::vector<std::uint64_t> out;
-    for (std::size_t end = prefix_block_bytes; end <= prompt.size();
-         end += prefix_block_bytes) {
-        out.push_back(XXH64(prompt.data(), end, 0));
-    }
-    return out;
-}
-
 } // namespace bamboogate::fakes
 
 #endif
--- a/tests/net/link_hub_test.cpp
+++ b/tests/net/link_hub_test.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "support/loop_runner.hpp"
+
 using namespace bamboogate;
 using namespace bamboogate::net;
 using namespace std::chrono_literals;
@@ -50,17 +52,10 @@
                                     .redial_interval = 10ms});
     }
 
-    /// Runs the loop until the condition holds; false after the limit.
     template <typename Condition>
-    bool run_until(Condition condition, duration limit = 3s)
+    bool run_until(Condition condition)
     {
-        timer tick(loop, [] {});
-        tick.start_periodic(1ms);
-        const time_point end = loop.now() + limit;
-        while (!condition() && loop.now() < end) {
-            loop.run_once();
-        }
-        return condition();
+        return tests::run_until(loop, condition);
     }
 };
 
