Do not judge a stream by a fixed time before its first event

Change: the bound before the first event is 15 s; loss is told by resets, probes and other streams of the engine.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -23,8 +23,8 @@
 /// The pace of a stream varies with the prompts that its engine reads in
 /// between: one step of an event takes up to 30 ms then.
 constexpr streaming::silence_detector::options silence_options{
-    .header_limit = std::chrono::seconds(3),
-    .first_token_limit = std::chrono::seconds(3),
+    .header_limit = std::chrono::seconds(15),
+    .first_token_limit = std::chrono::seconds(15),
     .min_limit = std::chrono::milliseconds(280),
     .max_limit = std::chrono::milliseconds(600),
     .unsettled_limit = std::chrono::milliseconds(400),
