Let the leader place streams for all gates and watch the engines

Cause: each gate balanced its own streams only, so engines had up to three times the mean load; copies were placed without counting their memory; and streams before their first event had no sign of an engine that went dark. Change: the leader of the control replicas places streams with all load in view (urgent first, small accounts first, room required, copies only while memory is free), refuses at once what cannot start in time, and keeps one waiting call open at each engine. Gates choose alone while no leader answers.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -39,6 +39,7 @@
         std::function<void(const announcement&)> on_announcement;
         std::function<void(const announcement&)> on_leave;
         std::function<void(const upstream_id&)> on_suspicion;
+        std::function<void()> on_new_leader;
     };
 
     control_feed(net::event_loop& loop, relay_protocol protocol,
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -5,8 +5,10 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/link_hub.hpp>
 #include <bamboogate/relay/configuration_store.hpp>
+#include <bamboogate/relay/engine_watcher.hpp>
 #include <bamboogate/relay/instance_registry.hpp>
 #include <bamboogate/relay/membership_plan.hpp>
+#include <bamboogate/relay/placement_server.hpp>
 #include <bamboogate/relay/protocol.hpp>
 
 #include <filesystem>
@@ -113,7 +115,10 @@
     void store_through_leader(const std::shared_ptr<pending_store>& job);
     void acknowledge_when_safe(std::uint64_t version, time_point deadline,
                                version_callback callback);
-    void send_news(announcement_news news);
+    void send_news(const announcement_news& news);
+    void on_news(const announcement_news& news);
+    void on_suspicion(const node_id& from, const upstream_suspicion& said);
+    void watch_engines();
     void on_configuration(
         const std::shared_ptr<const configuration_document>& document);
 
@@ -125,6 +130,9 @@
     configuration_store store_;
     std::unique_ptr<consensus::replica> replica_;
     instance_registry registry_;
+    placement_server placements_;
+    engine_watcher watcher_;
+    std::set<service_id> engine_services_;
     std::map<upstream_id, time_point> refreshed_;
     std::set<node_id> gates_;
     std::set<std::string> known_replicas_;
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/retry_allowance.hpp>
+#include <bamboogate/relay/stream_placer.hpp>
 #include <bamboogate/relay/stream_planner.hpp>
 #include <bamboogate/relay/upstream_directory.hpp>
 
@@ -27,6 +28,7 @@
     const relay_protocol& protocol;
     upstream_directory& directory;
     retry_allowance& retries;
+    stream_placer& placer;
     gate_metrics& metrics;
     /// A connection to the upstream broke or fell silent: others that use it
     /// are told.
@@ -66,6 +68,9 @@
     /// @brief The upstream is known to be lost: its attempts end now.
     virtual void on_upstream_lost(const upstream_id& id) = 0;
 
+    /// @brief Tells a new leader where this stream runs.
+    virtual void report_placement() {}
+
 protected:
     virtual void begin() = 0;
     /// Ends attempts; the caller has left or the time is over.
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -57,6 +57,10 @@
 inline constexpr log_event upstream_suspended{
     1022, severity::warning, "upstream_suspended",
     "An upstream failed and gets no new work for a while."};
+inline constexpr log_event stream_placed{
+    1023, severity::info, "stream_placed",
+    "The leader gave a stream its engine and the holder of its copy, or "
+    "refused it."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused without being sent to an upstream."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -107,6 +107,63 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(upstream_suspicion, upstream)
 };
 
+/// Gate to leader: asks for a place for a stream. The reply comes when there
+/// is one, or when the stream is refused.
+struct place_request
+{
+    static constexpr std::string_view type = "relay_place_request";
+    service_id service;
+    request_id id;
+    client_account_id account;
+    unsigned rank = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    std::vector<upstream_id> excluded;
+    bool resuming = false;
+    std::int64_t start_within_ms = 0; ///< later is too late for its objective
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_request, service, id, account, rank,
+                                   prompt_tokens, output_tokens, excluded,
+                                   resuming, start_within_ms)
+};
+
+/// The leader's decision.
+struct place_reply
+{
+    static constexpr std::string_view type = "relay_place_reply";
+    upstream_id engine;      ///< empty: refused
+    upstream_id copy_holder; ///< empty: no copy
+    std::int64_t retry_after_ms = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_reply, engine, copy_holder,
+                                   retry_after_ms)
+};
+
+/// Gate to leader: what became of a run. A new leader gets one for each
+/// stream that runs.
+struct run_update
+{
+    static constexpr std::string_view type = "relay_run_update";
+    enum class change : std::uint8_t
+    {
+        placed = 0,  ///< runs on `engine`, by the gate's own choice
+        started = 1, ///< its first event was seen
+        ended = 2,
+    };
+
+    service_id service;
+    request_id id;
+    std::uint8_t what = 0; ///< a `change`
+    client_account_id account;
+    unsigned rank = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    std::uint64_t unread_tokens = 0;
+    upstream_id engine;
+    upstream_id copy_holder;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(run_update, service, id, what, account, rank,
+                                   prompt_tokens, output_tokens, unread_tokens,
+                                   engine, copy_holder)
+};
+
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/core/time.hpp>
 #include <bamboogate/net/address.hpp>
 #include <bamboogate/net/http1.hpp>
+#include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/relay/configuration.hpp>
 
 #include <concepts>
@@ -92,6 +93,9 @@
     {
         T::read_configuration(text)
         } -> std::same_as<result<configuration>>;
+    {
+        T::liveness_call(delay)
+        } -> std::same_as<net::http1_client::request>;
 };
 
 /// The functions of one `RelayProtocol`, for code that is compiled once.
@@ -108,6 +112,8 @@
     /// Fields that tell a caller when to come back.
     std::function<net::header_list(duration)> retry_after;
     std::function<result<configuration>(std::string_view)> read_configuration;
+    /// A call that a live engine answers after about the given time.
+    std::function<net::http1_client::request(duration)> liveness_call;
 };
 
 template <RelayProtocol Protocol>
@@ -117,7 +123,8 @@
             .write_attempt = &Protocol::write_attempt,
             .describe_answer = &Protocol::describe_answer,
             .retry_after = &Protocol::retry_after,
-            .read_configuration = &Protocol::read_configuration};
+            .read_configuration = &Protocol::read_configuration,
+            .liveness_call = &Protocol::liveness_call};
 }
 
 } // namespace bamboogate::relay
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -71,6 +71,7 @@
     void on_probe_failed(const upstream_id& id);
     void fail_attempts_at(const upstream_id& id);
     void refresh_planner(const service_id& service);
+    void on_new_leader();
     void tick();
     void check_stopped();
 
@@ -84,6 +85,7 @@
     std::map<service_id, stream_planner> planners_;
     retry_allowance retries_;
     control_feed feed_;
+    stream_placer placer_;
     upstream_prober prober_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -55,6 +55,21 @@
         /// Share of an engine's memory that runs may plan to fill; the rest
         /// is for output beyond the estimate.
         double memory_share = 0.95;
+        /// A copy is kept only while its holder is filled to at most this
+        /// share: memory that copies take is missing for runs.
+        double copy_memory_share = 0.65;
+        /// The same for the most urgent rank, whose loss costs most.
+        double urgent_copy_memory_share = 0.85;
+        /// Unread prompt tokens that an engine may have before a new one, so
+        /// that the new prompt is read in time.
+        std::uint64_t max_unread_tokens = 24000;
+    };
+
+    /// Whether a run may be put on an engine that has no room for it yet.
+    enum class room : std::uint8_t
+    {
+        required,
+        preferred,
     };
 
     stream_planner() : stream_planner(options{}) {}
@@ -63,14 +78,20 @@
     /// @brief Adds an engine or replaces what is known of it.
     void update_engine(const planned_engine& engine);
 
+    /// @brief Marks every engine as not usable, before those that are get
+    ///     their update.
+    void suspend_all();
+
     /// @brief Removes an engine; its runs stay until they end.
     void remove_engine(const upstream_id& id);
 
     /// @brief Picks an engine and a holder for the copy.
     /// @param excluded engines that this run has failed on
-    /// @return nothing when no usable engine is left
+    /// @return nothing when no usable engine is left, or none has room where
+    ///     that is required
     [[nodiscard]] std::optional<placement>
-    choose(const planned_run& run, const std::set<upstream_id>& excluded) const;
+    choose(const planned_run& run, const std::set<upstream_id>& excluded,
+           room needed = room::preferred) const;
 
     /// @brief Picks a holder for the copy of a run on `engine`.
     [[nodiscard]] std::optional<upstream_id>
@@ -87,12 +108,18 @@
 
     void release(const request_id& run);
 
-    /// @brief Milliseconds of prompt reading that an engine has before it.
+    [[nodiscard]] bool tracks(const request_id& run) const
+    {
+        return runs_.contains(run);
+    }
+    /// @brief Prompt tokens that an engine has yet to read.
     [[nodiscard]] std::uint64_t unread_tokens(const upstream_id& id) const;
     /// @brief Tokens of runs and copies on an engine.
     [[nodiscard]] std::uint64_t resident_tokens(const upstream_id& id) const;
     [[nodiscard]] std::size_t runs(const upstream_id& id) const;
     [[nodiscard]] std::size_t engines() const { return engines_.size(); }
+    /// @brief Number of engines that may be given work.
+    [[nodiscard]] std::size_t usable() const;
 
 private:
     struct load
@@ -112,8 +139,10 @@
     [[nodiscard]] double cost(const planned_engine& engine,
                               std::uint64_t prompt_tokens) const;
     [[nodiscard]] const load& load_of(const upstream_id& id) const;
-    [[nodiscard]] bool fits(const planned_engine& engine,
-                            std::uint64_t tokens) const;
+    [[nodiscard]] bool fits(const planned_engine& engine, std::uint64_t tokens,
+                            double share) const;
+    [[nodiscard]] bool has_room(const planned_engine& engine,
+                                std::uint64_t tokens) const;
 
     options settings_;
     std::map<upstream_id, planned_engine> engines_;
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -24,6 +24,9 @@
         if (up) {
             hub_.send(peer.node, subscribe{version_});
         }
+        if (up && peer.node == leader_) {
+            functions_.on_new_leader();
+        }
     });
     hub_.on<control_view>(
         [this](const net::peer_info& peer, const control_view& said) {
@@ -68,8 +71,14 @@
     for (const auto& node : said.replicas) {
         learn_replica(node);
     }
-    if (!said.leader.empty()) {
-        leader_ = node_id(said.leader);
+    // A replica that leads knows it; the others may still name the one
+    // before.
+    const node_id leader(said.leader);
+    const bool says_itself = leader == peer.node;
+    if (leader != leader_ && !leader.empty() &&
+        (says_itself || !hub_.is_up(leader_))) {
+        leader_ = leader;
+        functions_.on_new_leader();
     }
     gates_ = std::max<std::uint64_t>(said.gates, 1);
     if (said.version <= version_) {
@@ -132,10 +141,14 @@
 
 void control_feed::report_suspicion(const upstream_id& id)
 {
-    // One replica reaches all gates that are linked to it.
+    // The leader places streams; any other replica at least tells the gates.
+    const upstream_suspicion said{id.value()};
+    if (hub_.send(leader_, said)) {
+        return;
+    }
     const auto peers = hub_.peers_up();
     if (!peers.empty()) {
-        hub_.send(peers.front().node, upstream_suspicion{id.value()});
+        hub_.send(peers.front().node, said);
     }
 }
 
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -51,7 +51,14 @@
            {.self = {self_, settings_.incarnation, settings_.failure_domain},
             .shared_secret = settings_.shared_secret,
             .heartbeat_interval = std::chrono::milliseconds(400)}),
-      registry_({}), tick_timer_(loop, [this] { tick(); })
+      registry_({}),
+      placements_(loop, hub_, registry_,
+                  [this] { return replica_ && replica_->is_leader(); }),
+      watcher_(loop, protocol_, {},
+               [this](const upstream_id& id) {
+                   on_suspicion(self_, upstream_suspicion{id.value()});
+               }),
+      tick_timer_(loop, [this] { tick(); })
 {}
 
 control_node::~control_node()
@@ -93,7 +100,12 @@
     for (const auto& member : replica_->members()) {
         learn_replica(member.node.value());
     }
-    replica_->on_role_change([this](bool) { publish_view(true); });
+    replica_->on_role_change([this](bool leading) {
+        if (!leading) {
+            placements_.reset();
+        }
+        publish_view(true);
+    });
     tick_timer_.start_periodic(tick_interval);
     return outcome::success();
 }
@@ -124,11 +136,11 @@
     });
     hub_.on<upstream_suspicion>(
         [this](const net::peer_info& peer, upstream_suspicion said) {
-            for (const auto& gate : gates_) {
-                if (gate != peer.node) {
-                    hub_.send(gate, said);
-                }
-            }
+            on_suspicion(peer.node, said);
+        });
+    hub_.on<announcement_news>(
+        [this](const net::peer_info&, const announcement_news& news) {
+            on_news(news);
         });
     hub_.on<join_request>([this](const net::peer_info&, join_request said) {
         learn_replica(said.node);
@@ -187,6 +199,7 @@
         {{"peer", peer.node.value()}, {"domain", peer.failure_domain.value()}});
     if (!up) {
         gates_.erase(peer.node);
+        placements_.forget_gate(peer.node);
         return;
     }
     hub_.send(peer.node, view());
@@ -220,6 +233,7 @@
         log(events::upstream_changed,
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
+    watch_engines();
     join_group();
     keep_membership();
     publish_view(false);
@@ -320,6 +334,15 @@
 {
     log(events::configuration_stored,
         {{"version", document->version}, {"bytes", document->text.size()}});
+    if (const auto current = protocol_.read_configuration(document->text)) {
+        placements_.on_configuration(current.value());
+        engine_services_.clear();
+        for (const auto& each : current.value().services) {
+            if (each.engine) {
+                engine_services_.insert(each.name);
+            }
+        }
+    }
     if (replica_) {
         publish_view(true);
     }
@@ -522,11 +545,51 @@
     send_news({.heard = {}, .leaving = {said}});
 }
 
-void control_node::send_news(announcement_news news)
+void control_node::send_news(const announcement_news& news)
+{
+    for (const auto& peer : hub_.peers_up()) {
+        hub_.send(peer.node, news);
+    }
+}
+
+void control_node::on_news(const announcement_news& news)
 {
+    const time_point now = loop_.now();
+    for (const auto& each : news.heard) {
+        registry_.hear(each, now);
+    }
+    for (const auto& each : news.leaving) {
+        registry_.leave(each.id, each.started_at, now);
+    }
+}
+
+void control_node::on_suspicion(const node_id& from,
+                                const upstream_suspicion& said)
+{
+    placements_.on_suspicion(upstream_id(said.upstream));
+    if (from == self_) {
+        log(events::upstream_suspended,
+            {{"upstream", said.upstream}, {"cause", "no_sign_of_life"}});
+    }
     for (const auto& gate : gates_) {
-        hub_.send(gate, news);
+        if (gate != from) {
+            hub_.send(gate, said);
+        }
+    }
+}
+
+void control_node::watch_engines()
+{
+    std::map<upstream_id, net::address> engines;
+    if (replica_->is_leader()) {
+        for (const auto& [id, each] : registry_.instances()) {
+            if (each.state != instance_state::lost &&
+                engine_services_.contains(each.said.service)) {
+                engines.emplace(id, each.said.where);
+            }
+        }
     }
+    watcher_.watch(engines);
 }
 
 void control_node::stop(std::function<void()> done)
--- /dev/null
+++ b/lib/source/relay/placement_server.cpp
@@ -0,0 +1,243 @@
+#include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/placement_server.hpp>
+
+#include <vector>
+
+namespace bamboogate::relay {
+
+using observability::log;
+namespace events = log_events;
+
+namespace {
+
+/// Demands that wait are looked at again this often, for those that can no
+/// longer start in time.
+constexpr duration decide_interval = std::chrono::milliseconds(100);
+/// An engine that a gate has lost gets no stream for this long, unless it
+/// starts anew. Engines that crash are back after about a second.
+constexpr duration suspension = std::chrono::milliseconds(1000);
+/// Memory assumed of an engine whose service declares none.
+constexpr std::uint64_t default_memory_tokens = 100000;
+
+} // namespace
+
+placement_server::placement_server(net::event_loop& loop, net::link_hub& hub,
+                                   const instance_registry& registry,
+                                   std::function<bool()> is_leader)
+    : loop_(loop), registry_(registry), is_leader_(std::move(is_leader)),
+      decide_timer_(loop, [this] { decide_all(); })
+{
+    hub.serve<place_request, place_reply>(
+        [this](const net::peer_info& peer, const place_request& request,
+               const auto& reply) { on_request(peer, request, reply); });
+    hub.on<run_update>(
+        [this](const net::peer_info& peer, const run_update& update) {
+            on_update(peer, update);
+        });
+    decide_timer_.start_periodic(decide_interval);
+}
+
+void placement_server::on_configuration(const configuration& current)
+{
+    profiles_.clear();
+    for (const auto& each : current.services) {
+        if (each.engine) {
+            profiles_[each.name] = *each.engine;
+        }
+    }
+}
+
+void placement_server::on_suspicion(const upstream_id& id)
+{
+    suspended_until_[id] = loop_.now() + suspension;
+}
+
+void placement_server::forget_gate(const node_id& gate)
+{
+    std::vector<request_id> gone;
+    for (const auto& [id, owner] : owners_) {
+        if (owner.first == gate) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        schedulers_[owners_[id].second].end(id);
+        owners_.erase(id);
+        pending_.erase(id);
+    }
+}
+
+void placement_server::reset()
+{
+    schedulers_.clear();
+    owners_.clear();
+    const auto open = std::exchange(pending_, {});
+    for (const auto& [id, each] : open) {
+        each.reply(fail(errc::not_leader));
+    }
+}
+
+void placement_server::on_request(
+    const net::peer_info& peer, const place_request& request,
+    std::function<void(result<place_reply>)> reply)
+{
+    if (!is_leader_()) {
+        reply(fail(errc::not_leader));
+        return;
+    }
+    const time_point now = loop_.now();
+    stream_demand demand{
+        .run = {.id = request.id,
+                .rank = request.rank,
+                .prompt_tokens = request.prompt_tokens,
+                .output_tokens = request.output_tokens},
+        .account = request.account,
+        .excluded = {request.excluded.begin(), request.excluded.end()},
+        .resuming = request.resuming,
+        .arrived = now,
+        .latest_start =
+            now + std::chrono::milliseconds(request.start_within_ms)};
+    pending_[request.id] = {request.service, peer.node, std::move(reply)};
+    owners_[request.id] = {peer.node, request.service};
+    schedulers_[request.service].submit(std::move(demand));
+    decide(request.service);
+}
+
+void placement_server::on_update(const net::peer_info& peer,
+                                 const run_update& update)
+{
+    if (!is_leader_()) {
+        return;
+    }
+    stream_scheduler& scheduler = schedulers_[update.service];
+    switch (static_cast<run_update::change>(update.what)) {
+    case run_update::change::placed:
+        scheduler.adopt(
+            {.id = update.id,
+             .rank = update.rank,
+             .prompt_tokens = update.prompt_tokens,
+             .output_tokens = update.output_tokens},
+            update.account,
+            {.engine = update.engine,
+             .copy_holder = update.copy_holder.empty()
+                                ? std::nullopt
+                                : std::optional(update.copy_holder)},
+            update.unread_tokens);
+        owners_[update.id] = {peer.node, update.service};
+        return;
+    case run_update::change::started:
+        scheduler.note_started(update.id);
+        break;
+    case run_update::change::ended:
+        scheduler.end(update.id);
+        owners_.erase(update.id);
+        answer(update.id, fail(errc::cancelled));
+        break;
+    }
+    if (scheduler.waiting() > 0) {
+        decide(update.service);
+    }
+}
+
+void placement_server::refresh(const service_id& service,
+                               stream_scheduler& scheduler)
+{
+    const time_point now = loop_.now();
+    const auto profile = profiles_.find(service);
+    scheduler.planner().suspend_all();
+    for (const auto& [id, each] : registry_.instances()) {
+        if (each.said.service != service) {
+            continue;
+        }
+        const auto suspended = suspended_until_.find(id);
+        const bool usable =
+            each.state == instance_state::ready &&
+            (suspended == suspended_until_.end() || now >= suspended->second);
+        scheduler.planner().update_engine(
+            {.id = id,
+             .domain = each.said.domain,
+             .memory_tokens = profile != profiles_.end()
+                                  ? profile->second.memory_tokens
+                                  : default_memory_tokens,
+             .slots = each.said.slots,
+             .usable = usable});
+    }
+}
+
+void placement_server::decide(const service_id& service)
+{
+    stream_scheduler& scheduler = schedulers_[service];
+    refresh(service, scheduler);
+    for (const auto& decision : scheduler.decide(loop_.now())) {
+        place_reply reply;
+        if (decision.where) {
+            reply.engine = decision.where->engine;
+            reply.copy_holder =
+                decision.where->copy_holder.value_or(upstream_id());
+        } else {
+            owners_.erase(decision.id);
+            reply.retry_after_ms =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    decision.retry_after)
+                    .count();
+        }
+        log(events::stream_placed,
+            {{"request", decision.id.value()},
+             {"engine", reply.engine.value()},
+             {"copy_holder", reply.copy_holder.value()},
+             {"unread_tokens", scheduler.planner().unread_tokens(reply.engine)},
+             {"resident_tokens",
+              scheduler.planner().resident_tokens(reply.engine)},
+             {"waiting", scheduler.waiting()},
+             {"running", scheduler.running()},
+             {"retry_after_ms", reply.retry_after_ms}});
+        answer(decision.id, reply);
+    }
+}
+
+void placement_server::decide_all()
+{
+    std::vector<service_id> services;
+    for (const auto& [service, scheduler] : schedulers_) {
+        if (scheduler.waiting() > 0) {
+            services.push_back(service);
+        }
+    }
+    for (const auto& service : services) {
+        decide(service);
+    }
+    const time_point now = loop_.now();
+    std::erase_if(suspended_until_,
+                  [&](const auto& each) { return now >= each.second; });
+}
+
+void placement_server::answer(const request_id& id, result<place_reply> reply)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+        return;
+    }
+    const auto function = std::move(found->second.reply);
+    pending_.erase(found);
+    function(std::move(reply));
+}
+
+std::size_t placement_server::running() const
+{
+    std::size_t total = 0;
+    for (const auto& [service, scheduler] : schedulers_) {
+        total += scheduler.running();
+    }
+    return total;
+}
+
+std::size_t placement_server::waiting() const
+{
+    std::size_t total = 0;
+    for (const auto& [service, scheduler] : schedulers_) {
+        total += scheduler.waiting();
+    }
+    return total;
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -39,7 +39,9 @@
                  [this](const announcement& said) { on_announcement(said); },
              .on_leave = [this](const announcement& said) { on_leave(said); },
              .on_suspicion =
-                 [this](const upstream_id& id) { on_suspicion(id, false); }}),
+                 [this](const upstream_id& id) { on_suspicion(id, false); },
+             .on_new_leader = [this] { on_new_leader(); }}),
+      placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
       prober_(loop, {}, [this](const upstream_id& id) { on_probe_failed(id); }),
       context_{
           .loop = loop,
@@ -47,6 +49,7 @@
           .protocol = protocol_,
           .directory = directory_,
           .retries = retries_,
+          .placer = placer_,
           .metrics = metrics_,
           .suspect = [this](const upstream_id& id) { on_suspicion(id, true); },
           .planner = [this](const service_id& service) -> stream_planner& {
@@ -227,6 +230,7 @@
     const relay::service* declared =
         table_ ? table_->find_service(service) : nullptr;
     stream_planner& planner = planners_[service];
+    planner.suspend_all();
     for (const auto& [id, each] : directory_.registry().instances()) {
         if (each.said.service != service) {
             continue;
@@ -242,6 +246,13 @@
     }
 }
 
+void relay_gate::on_new_leader()
+{
+    for (const auto& each : exchanges_) {
+        each->report_placement();
+    }
+}
+
 void relay_gate::tick()
 {
     for (const auto& id : directory_.expire(loop_.now())) {
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -16,6 +16,9 @@
 constexpr duration refusal_delay = std::chrono::milliseconds(1000);
 /// An engine that refused a stream is passed over for this long.
 constexpr duration full_pause = std::chrono::milliseconds(300);
+/// Percentage of the latency objective within which the first event should
+/// come; the rest covers the engine's own variation.
+constexpr int start_share = 85;
 /// Prompt tokens that a usual engine reads in a millisecond, with the decode
 /// steps of its other streams in between.
 constexpr double prompt_tokens_per_ms = 6.0;
@@ -62,6 +65,69 @@
 }
 
 void stream_exchange::place()
+{
+    const duration reading =
+        std::chrono::milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(accepted_.description.prompt_tokens) /
+            prompt_tokens_per_ms));
+    const bool resuming = last_event_ != accepted_.description.resume_after;
+    // A stream that has begun is waited for as long as its caller waits.
+    const duration start_within =
+        resuming ? time_left()
+                 : accepted_.where->latency_objective * start_share / 100 -
+                       (context_.loop.now() - started_) - reading;
+    place_request request{
+        .service = accepted_.service,
+        .id = accepted_.description.attempt,
+        .account = accepted_.account,
+        .rank = accepted_.rank,
+        .prompt_tokens = accepted_.description.prompt_tokens,
+        .output_tokens = accepted_.description.max_output_tokens,
+        .excluded = {excluded_.begin(), excluded_.end()},
+        .resuming = resuming,
+        .start_within_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(start_within)
+                .count()};
+    awaiting_place_ = true;
+    told_leader_ = true;
+    context_.placer.ask(request, [weak = weak_from_this()](
+                                     const result<place_reply>& reply) {
+        if (const auto self = weak.lock()) {
+            std::static_pointer_cast<stream_exchange>(self)->on_placed(reply);
+        }
+    });
+}
+
+void stream_exchange::on_placed(const result<place_reply>& reply)
+{
+    if (ended_ || !awaiting_place_) {
+        return;
+    }
+    awaiting_place_ = false;
+    if (!reply) {
+        told_leader_ = false;
+        place_by_own_choice();
+        return;
+    }
+    const place_reply& decision = reply.value();
+    if (decision.engine.empty()) {
+        told_leader_ = false;
+        if (runs_ == 0 && !head_sent_) {
+            refuse("engines_full",
+                   std::chrono::milliseconds(decision.retry_after_ms));
+        } else {
+            give_up(502, "engines_full");
+        }
+        return;
+    }
+    send({.engine = decision.engine,
+          .copy_holder = decision.copy_holder.empty()
+                             ? std::nullopt
+                             : std::optional(decision.copy_holder)},
+         false);
+}
+
+void stream_exchange::place_by_own_choice()
 {
     context_.refresh_planner(accepted_.service);
     auto where = planner().choose(run(), excluded_);
@@ -99,6 +165,9 @@
     from_copy_ = from_copy;
     const planned_run planned = run();
     planner().assign(planned, where, from_copy ? 0 : planned.prompt_tokens);
+    if (!told_leader_) {
+        tell(run_update::change::placed);
+    }
     attempt_options options{.time_left = time_left(),
                             .expected_upstream = where.engine,
                             .account = accepted_.account,
@@ -214,6 +283,7 @@
     if (!event_seen_) {
         event_seen_ = true;
         planner().note_started(accepted_.description.attempt);
+        tell(run_update::change::started);
         context_.directory.health(placement_.engine)
             .note_success(now - attempt_started_);
     }
@@ -270,7 +340,7 @@
             return;
         }
         health.end();
-        planner().release(accepted_.description.attempt);
+        release();
         if (!head_sent_) {
             // A stream without events behind the caller's last one.
             net::header_list headers = head_.headers;
@@ -288,7 +358,7 @@
                                 head_.status != 429;
     if (engine_failure) {
         health.end();
-        planner().release(accepted_.description.attempt);
+        release();
         net::header_list headers = head_.headers;
         net::remove_hop_fields(headers);
         accepted_.responder->respond(head_.status, std::move(headers),
@@ -316,7 +386,7 @@
     log_failure(placement_.engine, cause);
     silence_timer_.stop();
     context_.directory.health(placement_.engine).end();
-    planner().release(accepted_.description.attempt);
+    release();
     runs_ += may_have_run ? 1 : 0;
     excluded_.insert(placement_.engine);
     const bool may_go_on =
@@ -350,13 +420,47 @@
          true);
 }
 
+void stream_exchange::release()
+{
+    planner().release(accepted_.description.attempt);
+    tell(run_update::change::ended);
+    told_leader_ = false;
+}
+
+void stream_exchange::tell(run_update::change what)
+{
+    const planned_run planned = run();
+    context_.placer.tell(
+        {.service = accepted_.service,
+         .id = planned.id,
+         .what = static_cast<std::uint8_t>(what),
+         .account = accepted_.account,
+         .rank = planned.rank,
+         .prompt_tokens = planned.prompt_tokens,
+         .output_tokens = planned.output_tokens,
+         .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
+         .engine = placement_.engine,
+         .copy_holder = placement_.copy_holder.value_or(upstream_id())});
+    told_leader_ = what != run_update::change::ended;
+}
+
+void stream_exchange::report_placement()
+{
+    if (attempt_ && !ended_) {
+        tell(run_update::change::placed);
+    }
+}
+
 void stream_exchange::cancel_attempts()
 {
     silence_timer_.stop();
     if (attempt_) {
         attempt_.reset();
         context_.directory.health(placement_.engine).end();
-        planner().release(accepted_.description.attempt);
+    }
+    if (attempt_ || awaiting_place_ || told_leader_) {
+        awaiting_place_ = false;
+        release();
     }
 }
 
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -19,6 +19,7 @@
                     std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
+    void report_placement() override;
 
 private:
     void begin() override;
@@ -26,6 +27,10 @@
     void on_deadline() override;
 
     void place();
+    void on_placed(const result<place_reply>& reply);
+    void place_by_own_choice();
+    void release();
+    void tell(run_update::change what);
     void send(const placement& where, bool from_copy);
     bool on_head(const net::http1_response_head& head);
     void on_body(std::string_view part);
@@ -46,6 +51,8 @@
     std::unique_ptr<net::http1_client::exchange> attempt_;
     placement placement_;
     bool from_copy_ = false;
+    bool awaiting_place_ = false;
+    bool told_leader_ = false;
     net::http1_response_head head_;
     answer_description answer_;
     event_splitter splitter_;
--- /dev/null
+++ b/lib/source/relay/stream_placer.cpp
@@ -0,0 +1,28 @@
+#include <bamboogate/relay/stream_placer.hpp>
+
+#include <algorithm>
+
+namespace bamboogate::relay {
+
+stream_placer::stream_placer(net::link_hub& hub, options settings,
+                             std::function<node_id()> leader)
+    : hub_(hub), settings_(settings), leader_(std::move(leader))
+{}
+
+void stream_placer::ask(const place_request& request,
+                        std::function<void(result<place_reply>)> callback)
+{
+    const duration limit =
+        std::max<duration>(std::chrono::milliseconds(request.start_within_ms),
+                           duration::zero()) +
+        settings_.reply_margin;
+    hub_.call<place_request, place_reply>(leader_(), request, limit,
+                                          std::move(callback));
+}
+
+void stream_placer::tell(const run_update& update)
+{
+    hub_.send(leader_(), update);
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/stream_planner.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace bamboogate::relay {
@@ -9,6 +10,13 @@
     engines_[engine.id] = engine;
 }
 
+void stream_planner::suspend_all()
+{
+    for (auto& [id, engine] : engines_) {
+        engine.usable = false;
+    }
+}
+
 void stream_planner::remove_engine(const upstream_id& id)
 {
     engines_.erase(id);
@@ -21,14 +29,20 @@
     return found == loads_.end() ? none : found->second;
 }
 
-bool stream_planner::fits(const planned_engine& engine,
-                          std::uint64_t tokens) const
+bool stream_planner::fits(const planned_engine& engine, std::uint64_t tokens,
+                          double share) const
+{
+    return static_cast<double>(load_of(engine.id).resident + tokens) <=
+           share * static_cast<double>(engine.memory_tokens);
+}
+
+bool stream_planner::has_room(const planned_engine& engine,
+                              std::uint64_t tokens) const
 {
     const load& current = load_of(engine.id);
     return current.runs < engine.slots &&
-           static_cast<double>(current.resident + tokens) <=
-               settings_.memory_share *
-                   static_cast<double>(engine.memory_tokens);
+           current.unread <= settings_.max_unread_tokens &&
+           fits(engine, tokens, settings_.memory_share);
 }
 
 double stream_planner::cost(const planned_engine& engine,
@@ -42,7 +56,7 @@
 
 std::optional<placement>
 stream_planner::choose(const planned_run& run,
-                       const std::set<upstream_id>& excluded) const
+                       const std::set<upstream_id>& excluded, room needed) const
 {
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
@@ -53,8 +67,11 @@
             tokens > engine.memory_tokens) {
             continue;
         }
-        const std::tuple key{!fits(engine, tokens),
-                             cost(engine, run.prompt_tokens)};
+        const bool full = !has_room(engine, tokens);
+        if (full && needed == room::required) {
+            continue;
+        }
+        const std::tuple key{full, cost(engine, run.prompt_tokens)};
         if (best == nullptr || key < best_key) {
             best = &engine;
             best_key = key;
@@ -73,16 +90,18 @@
 {
     const auto home = engines_.find(engine);
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
+    const double share = run.rank == 0 ? settings_.urgent_copy_memory_share
+                                       : settings_.copy_memory_share;
     const planned_engine* best = nullptr;
-    std::tuple<bool, bool, std::uint64_t> best_key;
+    std::tuple<bool, std::uint64_t> best_key;
     for (const auto& [id, candidate] : engines_) {
-        if (id == engine || !candidate.usable || excluded.contains(id)) {
+        if (id == engine || !candidate.usable || excluded.contains(id) ||
+            !fits(candidate, tokens, share)) {
             continue;
         }
         const bool same_domain =
             home != engines_.end() && home->second.domain == candidate.domain;
-        const std::tuple key{same_domain, !fits(candidate, tokens),
-                             load_of(id).resident};
+        const std::tuple key{same_domain, load_of(id).resident};
         if (best == nullptr || key < best_key) {
             best = &candidate;
             best_key = key;
@@ -152,6 +171,13 @@
     return load_of(id).resident;
 }
 
+std::size_t stream_planner::usable() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(engines_.begin(), engines_.end(),
+                      [](const auto& each) { return each.second.usable; }));
+}
+
 std::size_t stream_planner::runs(const upstream_id& id) const
 {
     return load_of(id).runs;
