Place no stream on a suspected engine before it announces itself again

Change: a suspicion lasts until the next announcement, at most 6 s; replicas pass every announcement to one another; a 421 is a suspicion too.

--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -61,7 +61,7 @@
     std::function<bool()> is_leader_;
     std::map<service_id, engine_profile> profiles_;
     std::map<service_id, stream_scheduler> schedulers_;
-    std::map<upstream_id, time_point> suspended_until_;
+    std::map<upstream_id, time_point> suspected_at_;
     std::map<request_id, pending> pending_;
     std::map<request_id, std::pair<node_id, service_id>> owners_;
     net::timer decide_timer_;
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -515,6 +515,11 @@
     if (change == instance_registry::change::none) {
         return;
     }
+    // The other replicas take every announcement as a sign of life.
+    const announcement_news news{.heard = {said}, .leaving = {}};
+    for (const auto& node : known_replicas_) {
+        hub_.send(node_id(node), news);
+    }
     time_point& sent = refreshed_[said.id];
     if (change == instance_registry::change::refreshed &&
         now - sent < settings_.refresh_interval) {
@@ -529,7 +534,9 @@
              {"state", said.draining ? "leaving" : "ready"},
              {"sequence", said.sequence}});
     }
-    send_news({.heard = {said}, .leaving = {}});
+    for (const auto& gate : gates_) {
+        hub_.send(gate, news);
+    }
 }
 
 void control_node::leave(const announcement& said)
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -13,9 +13,9 @@
 /// Demands that wait are looked at again this often, for those that can no
 /// longer start in time.
 constexpr duration decide_interval = std::chrono::milliseconds(100);
-/// An engine that a gate has lost gets no stream for this long, unless it
-/// starts anew. Engines that crash are back after about a second.
-constexpr duration suspension = std::chrono::milliseconds(1000);
+/// An engine that a gate has lost gets no stream until it announces itself
+/// again, or for this long when only its announcements are cut off.
+constexpr duration suspension = std::chrono::seconds(6);
 /// Memory assumed of an engine whose service declares none.
 constexpr std::uint64_t default_memory_tokens = 100000;
 
@@ -49,7 +49,7 @@
 
 void placement_server::on_suspicion(const upstream_id& id)
 {
-    suspended_until_[id] = loop_.now() + suspension;
+    suspected_at_[id] = loop_.now();
 }
 
 void placement_server::forget_gate(const node_id& gate)
@@ -149,10 +149,11 @@
         if (each.said.service != service) {
             continue;
         }
-        const auto suspended = suspended_until_.find(id);
-        const bool usable =
-            each.state == instance_state::ready &&
-            (suspended == suspended_until_.end() || now >= suspended->second);
+        const auto suspected = suspected_at_.find(id);
+        const bool suspended = suspected != suspected_at_.end() &&
+                               each.heard <= suspected->second &&
+                               now - suspected->second < suspension;
+        const bool usable = each.state == instance_state::ready && !suspended;
         scheduler.planner().update_engine(
             {.id = id,
              .domain = each.said.domain,
@@ -207,8 +208,9 @@
         decide(service);
     }
     const time_point now = loop_.now();
-    std::erase_if(suspended_until_,
-                  [&](const auto& each) { return now >= each.second; });
+    std::erase_if(suspected_at_, [&](const auto& each) {
+        return now - each.second >= suspension;
+    });
 }
 
 void placement_server::answer(const request_id& id, result<place_reply> reply)
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -16,6 +16,7 @@
 constexpr duration refusal_delay = std::chrono::milliseconds(1000);
 /// An engine that refused a stream is passed over for this long.
 constexpr duration full_pause = std::chrono::milliseconds(300);
+constexpr unsigned misdirected_status = 421;
 /// Percentage of the latency objective within which the first event should
 /// come; the rest covers the engine's own variation.
 constexpr int start_share = 85;
@@ -328,7 +329,11 @@
     upstream_health& health = context_.directory.health(placement_.engine);
     const time_point now = context_.loop.now();
     if (answer_.not_run) {
-        if (!from_copy_) {
+        if (head_.status == misdirected_status) {
+            // Another start holds the address: this one has ended.
+            health.note_failure(now);
+            context_.suspect(placement_.engine);
+        } else if (!from_copy_) {
             health.note_full(now, full_pause);
         }
         lose_attempt(fmt::format("refused_{}", head_.status), false);
