Bound the prompts that an engine is given in a window of 8 s

Cause: an engine that reads prompts all the time gives each of its streams one token per chunk (28 ms); 1,170 tokens take 33 s then, beyond every deadline. Change: the planner gives an engine at most 39,000 prompt tokens in 8 s (70% of its rate), 47,000 for the first rank; demands beyond wait or are refused.

--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/core/time.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -63,6 +64,17 @@
         /// Unread prompt tokens that an engine may have before a new one, so
         /// that the new prompt is read in time.
         std::uint64_t max_unread_tokens = 24000;
+        /// Prompt tokens that an engine may be given within `read_window`.
+        /// While an engine reads a prompt, its streams get one token per
+        /// chunk; an engine that reads all the time finishes none of them
+        /// before its deadline. This is 70% of what it could read.
+        std::uint64_t max_read_tokens = 39000;
+        duration read_window = std::chrono::seconds(8);
+        /// The same for the most urgent rank.
+        std::uint64_t urgent_max_read_tokens = 47000;
+        /// Cost of one prompt token given within the window, in units of one
+        /// unread prompt token.
+        double read_weight = 0.15;
     };
 
     /// Whether a run may be put on an engine that has no room for it yet.
@@ -91,7 +103,7 @@
     ///     that is required
     [[nodiscard]] std::optional<placement>
     choose(const planned_run& run, const std::set<upstream_id>& excluded,
-           room needed = room::preferred) const;
+           time_point now, room needed = room::preferred) const;
 
     /// @brief Picks a holder for the copy of a run on `engine`.
     [[nodiscard]] std::optional<upstream_id>
@@ -101,7 +113,7 @@
     /// @brief Notes that a run is on an engine from now on.
     /// @param unread_tokens of its prompt that the engine has to read
     void assign(const planned_run& run, const placement& where,
-                std::uint64_t unread_tokens);
+                std::uint64_t unread_tokens, time_point now);
 
     /// @brief The run's first event was seen: its prompt is read.
     void note_started(const request_id& run);
@@ -127,6 +139,8 @@
         std::uint64_t unread = 0;
         std::uint64_t resident = 0;
         std::size_t runs = 0;
+        /// Prompts given within the window, and their sum.
+        std::deque<std::pair<time_point, std::uint64_t>> reads;
     };
     struct assigned_run
     {
@@ -137,12 +151,15 @@
     };
 
     [[nodiscard]] double cost(const planned_engine& engine,
-                              std::uint64_t prompt_tokens) const;
+                              std::uint64_t prompt_tokens,
+                              time_point now) const;
+    [[nodiscard]] std::uint64_t recent_reads(const load& current,
+                                             time_point now) const;
     [[nodiscard]] const load& load_of(const upstream_id& id) const;
     [[nodiscard]] bool fits(const planned_engine& engine, std::uint64_t tokens,
                             double share) const;
     [[nodiscard]] bool has_room(const planned_engine& engine,
-                                std::uint64_t tokens) const;
+                                const planned_run& run, time_point now) const;
 
     options settings_;
     std::map<upstream_id, planned_engine> engines_;
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -46,9 +46,9 @@
     struct options
     {
         stream_planner::options planner;
-        /// Prompt tokens that a usual engine reads in a millisecond beside
-        /// the decode steps of its other streams.
-        double prompt_tokens_per_ms = 6.0;
+        /// Prompt tokens that an engine is given in a millisecond at most:
+        /// the planner's limit over its window.
+        double prompt_tokens_per_ms = 4.9;
         duration min_retry_after = std::chrono::milliseconds(500);
         duration max_retry_after = std::chrono::seconds(6);
     };
@@ -66,7 +66,8 @@
 
     /// @brief Notes a run that was placed elsewhere or before.
     void adopt(const planned_run& run, const client_account_id& account,
-               const placement& where, std::uint64_t unread_tokens);
+               const placement& where, std::uint64_t unread_tokens,
+               time_point now);
 
     void note_started(const request_id& id) { planner_.note_started(id); }
 
@@ -90,7 +91,8 @@
 
     [[nodiscard]] demand_list::iterator next_demand();
     [[nodiscard]] duration expected_wait(const stream_demand& demand) const;
-    void place(const stream_demand& demand, const placement& where);
+    void place(const stream_demand& demand, const placement& where,
+               time_point now);
 
     options settings_;
     stream_planner planner_;
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -122,7 +122,7 @@
              .copy_holder = update.copy_holder.empty()
                                 ? std::nullopt
                                 : std::optional(update.copy_holder)},
-            update.unread_tokens);
+            update.unread_tokens, loop_.now());
         owners_[update.id] = {peer.node, update.service};
         return;
     case run_update::change::started:
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -131,10 +131,10 @@
 void stream_exchange::place_by_own_choice()
 {
     context_.refresh_planner(accepted_.service);
-    auto where = planner().choose(run(), excluded_);
+    auto where = planner().choose(run(), excluded_, context_.loop.now());
     if (!where && !excluded_.empty()) {
         excluded_.clear();
-        where = planner().choose(run(), excluded_);
+        where = planner().choose(run(), excluded_, context_.loop.now());
     }
     if (!where) {
         if (runs_ == 0 && !head_sent_) {
@@ -165,7 +165,8 @@
     placement_ = where;
     from_copy_ = from_copy;
     const planned_run planned = run();
-    planner().assign(planned, where, from_copy ? 0 : planned.prompt_tokens);
+    planner().assign(planned, where, from_copy ? 0 : planned.prompt_tokens,
+                     context_.loop.now());
     if (!told_leader_) {
         tell(run_update::change::placed);
     }
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -20,6 +20,11 @@
 void stream_planner::remove_engine(const upstream_id& id)
 {
     engines_.erase(id);
+    const auto found = loads_.find(id);
+    if (found != loads_.end() && found->second.runs == 0 &&
+        found->second.resident == 0) {
+        loads_.erase(found);
+    }
 }
 
 const stream_planner::load& stream_planner::load_of(const upstream_id& id) const
@@ -36,27 +41,48 @@
            share * static_cast<double>(engine.memory_tokens);
 }
 
+std::uint64_t stream_planner::recent_reads(const load& current,
+                                           time_point now) const
+{
+    std::uint64_t total = 0;
+    for (const auto& [at, tokens] : current.reads) {
+        total += now - at <= settings_.read_window ? tokens : 0;
+    }
+    return total;
+}
+
 bool stream_planner::has_room(const planned_engine& engine,
-                              std::uint64_t tokens) const
+                              const planned_run& run, time_point now) const
 {
     const load& current = load_of(engine.id);
+    const std::uint64_t max_reads = run.rank == 0
+                                        ? settings_.urgent_max_read_tokens
+                                        : settings_.max_read_tokens;
+    const double reads =
+        engine.slowness *
+        static_cast<double>(recent_reads(current, now) + run.prompt_tokens);
     return current.runs < engine.slots &&
            current.unread <= settings_.max_unread_tokens &&
-           fits(engine, tokens, settings_.memory_share);
+           (reads <= static_cast<double>(max_reads) || current.runs == 0) &&
+           fits(engine, run.prompt_tokens + run.output_tokens,
+                settings_.memory_share);
 }
 
 double stream_planner::cost(const planned_engine& engine,
-                            std::uint64_t prompt_tokens) const
+                            std::uint64_t prompt_tokens, time_point now) const
 {
     const load& current = load_of(engine.id);
     return engine.slowness *
            (static_cast<double>(current.unread + prompt_tokens) +
-            settings_.resident_weight * static_cast<double>(current.resident));
+            settings_.resident_weight * static_cast<double>(current.resident) +
+            settings_.read_weight *
+                static_cast<double>(recent_reads(current, now)));
 }
 
 std::optional<placement>
 stream_planner::choose(const planned_run& run,
-                       const std::set<upstream_id>& excluded, room needed) const
+                       const std::set<upstream_id>& excluded, time_point now,
+                       room needed) const
 {
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
@@ -67,11 +93,11 @@
             tokens > engine.memory_tokens) {
             continue;
         }
-        const bool full = !has_room(engine, tokens);
+        const bool full = !has_room(engine, run, now);
         if (full && needed == room::required) {
             continue;
         }
-        const std::tuple key{full, cost(engine, run.prompt_tokens)};
+        const std::tuple key{full, cost(engine, run.prompt_tokens, now)};
         if (best == nullptr || key < best_key) {
             best = &engine;
             best_key = key;
@@ -111,7 +137,7 @@
 }
 
 void stream_planner::assign(const planned_run& run, const placement& where,
-                            std::uint64_t unread_tokens)
+                            std::uint64_t unread_tokens, time_point now)
 {
     release(run.id);
     assigned_run entry{.engine = where.engine,
@@ -119,6 +145,13 @@
                        .tokens = run.prompt_tokens + run.output_tokens,
                        .unread = unread_tokens};
     load& engine = loads_[where.engine];
+    while (!engine.reads.empty() &&
+           now - engine.reads.front().first > settings_.read_window) {
+        engine.reads.pop_front();
+    }
+    if (entry.unread > 0) {
+        engine.reads.emplace_back(now, entry.unread);
+    }
     engine.unread += entry.unread;
     engine.resident += entry.tokens;
     ++engine.runs;
@@ -148,15 +181,9 @@
     engine.unread -= found->second.unread;
     engine.resident -= found->second.tokens;
     --engine.runs;
-    if (engine.runs == 0 && engine.resident == 0) {
-        loads_.erase(found->second.engine);
-    }
     if (found->second.copy_holder) {
         const auto holder = loads_.find(*found->second.copy_holder);
         holder->second.resident -= found->second.tokens;
-        if (holder->second.runs == 0 && holder->second.resident == 0) {
-            loads_.erase(holder);
-        }
     }
     runs_.erase(found);
 }
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -14,10 +14,10 @@
 void stream_scheduler::adopt(const planned_run& run,
                              const client_account_id& account,
                              const placement& where,
-                             std::uint64_t unread_tokens)
+                             std::uint64_t unread_tokens, time_point now)
 {
     end(run.id);
-    planner_.assign(run, where, unread_tokens);
+    planner_.assign(run, where, unread_tokens, now);
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     running_[run.id] = {account, tokens};
     tokens_by_account_[account] += tokens;
@@ -73,11 +73,11 @@
 }
 
 void stream_scheduler::place(const stream_demand& demand,
-                             const placement& where)
+                             const placement& where, time_point now)
 {
     const std::uint64_t tokens =
         demand.run.prompt_tokens + demand.run.output_tokens;
-    planner_.assign(demand.run, where, demand.run.prompt_tokens);
+    planner_.assign(demand.run, where, demand.run.prompt_tokens, now);
     running_[demand.run.id] = {demand.account, tokens};
     tokens_by_account_[demand.account] += tokens;
 }
@@ -88,15 +88,15 @@
     demand_list blocked;
     while (!waiting_.empty()) {
         const auto next = next_demand();
-        auto where = planner_.choose(next->run, next->excluded,
+        auto where = planner_.choose(next->run, next->excluded, now,
                                      stream_planner::room::required);
         if (!where && !next->excluded.empty()) {
             // Better an engine that has failed before than none.
-            where =
-                planner_.choose(next->run, {}, stream_planner::room::required);
+            where = planner_.choose(next->run, {}, now,
+                                    stream_planner::room::required);
         }
         if (where) {
-            place(*next, *where);
+            place(*next, *where, now);
             out.push_back({next->run.id, where, {}});
             waiting_.erase(next);
             continue;
