Judge dark engines faster

Change: watch calls wait 205 ms with a margin of 75 ms, probes 70 ms; a stream with a copy that has itself been silent for 200 ms goes on without a probe; the stream's own bound follows its pace more closely. Streams log their first event and longest pause.

--- a/lib/include/bamboogate/relay/engine_watcher.hpp
+++ b/lib/include/bamboogate/relay/engine_watcher.hpp
@@ -22,9 +22,9 @@
     {
         /// The engine answers after this time; shorter calls are charged as
         /// health checks.
-        duration wait = std::chrono::milliseconds(240);
+        duration wait = std::chrono::milliseconds(205);
         /// An answer later than the wait by this much counts as missing.
-        duration margin = std::chrono::milliseconds(110);
+        duration margin = std::chrono::milliseconds(75);
     };
 
     /// @param on_silent called from the loop when an engine gives no answer
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -68,6 +68,11 @@
     /// @brief The upstream is known to be lost: its attempts end now.
     virtual void on_upstream_lost(const upstream_id& id) = 0;
 
+    /// @brief The upstream gave another process no sign of life. An exchange
+    ///     that has a cheap way to go on and has heard nothing itself takes
+    ///     that as its loss.
+    virtual void on_upstream_suspected(const upstream_id&) {}
+
     /// @brief Tells a new leader where this stream runs.
     virtual void report_placement() {}
 
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -73,6 +73,10 @@
 inline constexpr log_event request_ended{
     1033, severity::info, "relay_request_ended",
     "The caller has its final answer, or none can be given."};
+inline constexpr log_event stream_ended{
+    1035, severity::info, "relay_stream_ended",
+    "A stream is over: its first event, its longest pause and where that "
+    "pause was."};
 inline constexpr log_event caller_left{
     1034, severity::info, "relay_caller_left",
     "The caller closed its connection; its work is cancelled."};
--- a/lib/include/bamboogate/relay/upstream_prober.hpp
+++ b/lib/include/bamboogate/relay/upstream_prober.hpp
@@ -23,7 +23,7 @@
     {
         /// Many times a round trip between failure domains (1 ms), and less
         /// than the shortest pause that callers notice.
-        duration deadline = std::chrono::milliseconds(120);
+        duration deadline = std::chrono::milliseconds(70);
     };
 
     /// @param on_failed called from the loop for each probe that failed
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -202,6 +202,10 @@
         client_.forget(which->said.where);
         feed_.report_suspicion(id);
     }
+    const auto all = exchanges_;
+    for (const auto& each : all) {
+        each->on_upstream_suspected(id);
+    }
     prober_.probe(id, which->said.where);
 }
 
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -29,12 +29,16 @@
 constexpr streaming::silence_detector::options silence_options{
     .header_limit = std::chrono::seconds(15),
     .first_token_limit = std::chrono::seconds(15),
-    .min_limit = std::chrono::milliseconds(280),
-    .max_limit = std::chrono::milliseconds(600),
+    .min_limit = std::chrono::milliseconds(250),
+    .max_limit = std::chrono::milliseconds(450),
     .unsettled_limit = std::chrono::milliseconds(400),
     .settled_intervals = 4,
-    .interval_factor = 3.0,
-    .deviation_factor = 4.0};
+    .interval_factor = 2.0,
+    .deviation_factor = 2.0};
+
+/// Silence that confirms another process's suspicion. Streams of a live
+/// engine that reads prompts have pauses of up to 185 ms.
+constexpr duration confirming_silence = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -293,6 +297,13 @@
         resuming_ = false;
         context_.metrics.pause.record(to_seconds(now - last_event_at_));
     }
+    if (!head_sent_) {
+        first_event_after_ = now - started_;
+    } else if (now - last_event_at_ > longest_pause_) {
+        longest_pause_ = now - last_event_at_;
+        paused_at_ = placement_.engine;
+        paused_attempt_ = attempts_;
+    }
     last_event_at_ = now;
     detector_.on_token(now);
     arm_silence_timer();
@@ -355,6 +366,7 @@
                                        std::move(headers));
         }
         accepted_.responder->finish();
+        log_stream();
         end("answered", 200);
         return;
     }
@@ -376,6 +388,22 @@
     lose_attempt(fmt::format("failed_{}", head_.status), true);
 }
 
+void stream_exchange::log_stream() const
+{
+    observability::log(
+        log_events::stream_ended,
+        {{"request", id()},
+         {"rank", accepted_.rank},
+         {"account", accepted_.account.value()},
+         {"prompt_tokens", accepted_.description.prompt_tokens},
+         {"output_tokens", accepted_.description.max_output_tokens},
+         {"first_event_ms", to_milliseconds(first_event_after_)},
+         {"longest_pause_ms", to_milliseconds(longest_pause_)},
+         {"paused_at", paused_at_.value()},
+         {"paused_in_attempt", paused_attempt_},
+         {"attempts", attempts_}});
+}
+
 void stream_exchange::on_failure(const net::http1_failure& failure)
 {
     attempt_.reset();
@@ -482,6 +510,15 @@
     refuse("deadline", refusal_delay);
 }
 
+void stream_exchange::on_upstream_suspected(const upstream_id& id)
+{
+    const bool silent = event_seen_ && context_.loop.now() - last_event_at_ >=
+                                           confirming_silence;
+    if (placement_.copy_holder && silent) {
+        on_upstream_lost(id);
+    }
+}
+
 void stream_exchange::on_upstream_lost(const upstream_id& id)
 {
     if (ended_ || !attempt_ || id != placement_.engine) {
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -19,6 +19,7 @@
                     std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
+    void on_upstream_suspected(const upstream_id& id) override;
     void report_placement() override;
 
 private:
@@ -42,6 +43,7 @@
     void forward(const stream_event& event);
     void note_event();
     void arm_silence_timer();
+    void log_stream() const;
     [[nodiscard]] stream_planner& planner() const;
     [[nodiscard]] planned_run run() const;
     [[nodiscard]] duration expected_first_event(const placement& where) const;
@@ -63,6 +65,10 @@
     time_point attempt_started_;
     time_point last_event_at_;
     bool resuming_ = false;
+    duration first_event_after_{};
+    duration longest_pause_{};
+    upstream_id paused_at_; ///< engine that ended the longest pause
+    unsigned paused_attempt_ = 0;
     std::set<upstream_id> excluded_;
 };
 
