--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -58,9 +58,9 @@
         double memory_share = 0.95;
         /// A copy is kept only while its holder is filled to at most this
         /// share: memory that copies take is missing for runs.
-        double copy_memory_share = 0.65;
+        double copy_memory_share = 0.92;
         /// The same for the most urgent rank, whose loss costs most.
-        double urgent_copy_memory_share = 0.85;
+        double urgent_copy_memory_share = 0.97;
         /// Unread prompt tokens that an engine may have before a new one, so
         /// that the new prompt is read in time.
         std::uint64_t max_unread_tokens = 24000;
