--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -67,11 +67,11 @@
         /// Prompt tokens that an engine may be given within `read_window`.
         /// While an engine reads a prompt, its streams get one token per
         /// chunk; an engine that reads all the time finishes none of them
-        /// before its deadline. This is 70% of what it could read.
-        std::uint64_t max_read_tokens = 39000;
+        /// before its deadline. This is half of what it could read.
+        std::uint64_t max_read_tokens = 28000;
         duration read_window = std::chrono::seconds(8);
         /// The same for the most urgent rank.
-        std::uint64_t urgent_max_read_tokens = 47000;
+        std::uint64_t urgent_max_read_tokens = 36000;
         /// Cost of one prompt token given within the window, in units of one
         /// unread prompt token.
         double read_weight = 0.15;
