Refuse streams once a planned stop has begun

Change: a stopping gate refuses streams at once with a short Retry-After, short requests after 3 s, when the balancer has turned away.

--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -28,11 +28,12 @@
         net::address callers; ///< where callers connect
         control_feed::options control;
         retry_allowance::options retries;
-        /// After a planned stop began, requests are still taken for this
-        /// long, because the balancer turns away only after two checks.
-        duration accept_after_stop = std::chrono::seconds(4);
+        /// After a planned stop began, short requests are still taken for
+        /// this long, because the balancer turns away only after two checks.
+        /// Streams are refused at once: most would be cut at the limit.
+        duration accept_after_stop = std::chrono::seconds(3);
         /// The process ends at the latest this long after the stop began.
-        duration stop_limit = std::chrono::milliseconds(7600);
+        duration stop_limit = std::chrono::milliseconds(7800);
     };
 
     relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -73,6 +74,7 @@
     void refresh_planner(const service_id& service);
     void on_new_leader();
     void tick();
+    [[nodiscard]] bool refuses_while_stopping(const route& where) const;
     void check_stopped();
 
     net::event_loop& loop_;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -13,6 +13,8 @@
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 /// A caller whose gate has no configuration yet returns after this time.
 constexpr duration unconfigured_delay = std::chrono::milliseconds(500);
+/// A caller whose gate is stopping can turn to another one at once.
+constexpr duration stopping_delay = std::chrono::milliseconds(20);
 /// Memory assumed of an upstream whose service declares no engine.
 constexpr std::uint64_t default_memory_tokens = 100000;
 
@@ -90,8 +92,9 @@
          {"cause", cause},
          {"status", status},
          {"version", table_ ? table_->source().version : 0}});
+    const duration delay = stopping_ ? stopping_delay : unconfigured_delay;
     responder->respond(status,
-                       status == 503 ? protocol_.retry_after(unconfigured_delay)
+                       status == 503 ? protocol_.retry_after(delay)
                                      : net::header_list(),
                        {});
 }
@@ -116,6 +119,10 @@
         answer_own(responder, description, 404, "no_route");
         return;
     }
+    if (refuses_while_stopping(*where)) {
+        answer_own(responder, description, 503, "stopping");
+        return;
+    }
     const client_account* account = nullptr;
     if (!where->anonymous && !table_->source().accounts.empty()) {
         account = table_->find_account(description.key);
@@ -145,6 +152,13 @@
     created->start();
 }
 
+bool relay_gate::refuses_while_stopping(const route& where) const
+{
+    return stopping_ &&
+           (where.policy == repeat_policy::streaming ||
+            loop_.now() - stop_began_ > settings_.accept_after_stop);
+}
+
 void relay_gate::on_configuration(configuration document)
 {
     const caller_limits limits = document.limits;
