--- a/lib/include/bamboogate/net/http1.hpp
+++ b/lib/include/bamboogate/net/http1.hpp
@@ -25,10 +25,7 @@
     header_list() = default;
     header_list(std::initializer_list<field> fields) : fields_(fields) {}
 
-    void add(std::string name, std::string value)
-    {
-        fields_.emplace_back(std::move(name), std::move(value));
-    }
+    void add(std::string name, std::string value);
 
     /// @brief Replaces all fields of this name by one.
     void set(std::string_view name, std::string value);
--- a/lib/source/net/http1.cpp
+++ b/lib/source/net/http1.cpp
@@ -172,6 +172,12 @@
                       [&](char a, char b) { return lower(a) == lower(b); });
 }
 
+// Out of line: inlined, g++ 12 takes it for a write beyond a short string.
+void header_list::add(std::string name, std::string value)
+{
+    fields_.emplace_back(std::move(name), std::move(value));
+}
+
 void header_list::set(std::string_view name, std::string value)
 {
     remove(name);
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -207,9 +207,11 @@
         status = problem.detail == "body" ? 413 : 431;
     }
     keep_alive_ = false;
-    const std::string head = serialize_response_head(
-        status, reason_of(status),
-        {{"Content-Length", "0"}, {"Connection", "close"}});
+    header_list headers;
+    headers.add("Content-Length", "0");
+    headers.add("Connection", "close");
+    const std::string head =
+        serialize_response_head(status, reason_of(status), headers);
     stream_->write(head);
     linger();
 }
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -93,10 +93,9 @@
          {"status", status},
          {"version", table_ ? table_->source().version : 0}});
     const duration delay = stopping_ ? stopping_delay : unconfigured_delay;
-    responder->respond(status,
-                       status == 503 ? protocol_.retry_after(delay)
-                                     : net::header_list(),
-                       {});
+    responder->respond(
+        status,
+        status == 503 ? protocol_.retry_after(delay) : net::header_list(), {});
 }
 
 void relay_gate::on_request(net::http1_request request,
--- /dev/null
+++ b/tests/net/http1_test.cpp
@@ -0,0 +1,352 @@
+#include <bamboogate/net/http1_client.hpp>
+#include <bamboogate/net/http1_server.hpp>
+#include <bamboogate/net/tcp_stream.hpp>
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include "support/loop_runner.hpp"
+#include "support/raw_client.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::net;
+using namespace std::chrono_literals;
+using tests::raw_client;
+using tests::run_until;
+
+namespace {
+
+struct http1_fixture
+{
+    event_loop loop;
+    std::vector<http1_request> requests;
+    std::vector<http1_responder_ptr> responders;
+    int clients_gone = 0;
+    std::unique_ptr<http1_server> server;
+
+    http1_fixture()
+    {
+        server = http1_server::start(
+                     loop,
+                     {.where = {"127.0.0.1", 0},
+                      .limits = {.header_bytes = 2048, .body_bytes = 1000},
+                      .header_timeout = 200ms,
+                      .idle_timeout = 300ms,
+                      .linger_timeout = 100ms},
+                     [this](http1_request request,
+                            const http1_responder_ptr& responder) {
+                         requests.push_back(std::move(request));
+                         responders.push_back(responder);
+                         responder->on_client_gone([this] { ++clients_gone; });
+                     })
+                     .value();
+    }
+    bool wait_for_requests(std::size_t count)
+    {
+        return run_until(loop, [&] { return requests.size() >= count; });
+    }
+    static bool contains(const raw_client& client, std::string_view text)
+    {
+        return client.received().find(text) != std::string::npos;
+    }
+};
+
+} // namespace
+
+// Guards against work that goes on for nobody: libmicrohttpd reported a client
+// that had left only when the server was shut down.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_client_that_leaves_while_waiting_is_noticed_at_once")
+{
+    auto client = std::make_unique<raw_client>(loop, server->where());
+    client->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    const time_point left = loop.now();
+    client.reset();
+    REQUIRE(run_until(
+        loop, [&] { return clients_gone == 1; }, 1s));
+    CHECK(loop.now() - left < 100ms);
+    CHECK(server->active_requests() == 0);
+}
+
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_client_that_leaves_a_silent_stream_is_noticed")
+{
+    auto client = std::make_unique<raw_client>(loop, server->where());
+    client->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->begin(200, "OK", {});
+    responders[0]->write("first");
+    REQUIRE(run_until(loop, [&] { return contains(*client, "first"); }));
+    client.reset();
+    CHECK(run_until(
+        loop, [&] { return clients_gone == 1; }, 1s));
+}
+
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_pipelined_requests_are_answered_in_order")
+{
+    raw_client client(loop, server->where());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+                "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    CHECK(requests[0].body == "abc");
+    responders[0]->respond(200, {}, "one");
+    REQUIRE(wait_for_requests(2));
+    CHECK(requests[1].target == "/b");
+    responders[1]->respond(200, {}, "two");
+    CHECK(run_until(loop, [&] { return contains(client, "two"); }));
+}
+
+TEST_CASE_FIXTURE(http1_fixture, "server_body_in_chunks_arrives_whole")
+{
+    raw_client client(loop, server->where());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n3\r\nabc\r\n");
+    client.send("2\r\nde\r\n0\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    CHECK(requests[0].body == "abcde");
+}
+
+// Guards against a request that two readers cut at different places.
+TEST_CASE_FIXTURE(http1_fixture, "server_ambiguous_request_is_refused")
+{
+    const char* const bad[] = {
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Content-Length: 4\r\n\r\nabcd",
+        "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n"
+        "\r\n0\r\n\r\n",
+    };
+    for (const char* text : bad) {
+        CAPTURE(text);
+        raw_client client(loop, server->where());
+        client.send(text);
+        CHECK(run_until(loop, [&] { return client.closed(); }));
+        CHECK(client.received().starts_with("HTTP/1.1 400"));
+    }
+    CHECK(requests.empty());
+}
+
+TEST_CASE_FIXTURE(http1_fixture, "server_limits_on_head_body_and_time_hold")
+{
+    raw_client long_head(loop, server->where());
+    long_head.send("GET /a HTTP/1.1\r\nHost: h\r\nX: " +
+                   std::string(4000, 'x'));
+    raw_client long_body(loop, server->where());
+    long_body.send(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
+    raw_client slow(loop, server->where());
+    slow.send("GET /a HTTP/1.1\r\nHo");
+    raw_client idle(loop, server->where());
+    CHECK(run_until(loop, [&] {
+        return long_head.closed() && long_body.closed() && slow.closed() &&
+               idle.closed();
+    }));
+    CHECK(long_head.received().starts_with("HTTP/1.1 431"));
+    CHECK(long_body.received().starts_with("HTTP/1.1 413"));
+    CHECK(slow.received().starts_with("HTTP/1.1 408"));
+    CHECK(idle.received().empty());
+}
+
+// Guards against a stream that was broken off and looks complete.
+TEST_CASE_FIXTURE(http1_fixture, "server_aborted_answer_has_no_end")
+{
+    raw_client client(loop, server->where());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->begin(200, "OK", {});
+    responders[0]->write("part");
+    REQUIRE(run_until(loop, [&] { return contains(client, "part"); }));
+    responders[0]->abort();
+    REQUIRE(run_until(loop, [&] { return client.closed(); }));
+    CHECK_FALSE(contains(client, "\r\n0\r\n"));
+}
+
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_drain_closes_idle_and_ends_after_answers")
+{
+    raw_client idle(loop, server->where());
+    raw_client busy(loop, server->where());
+    busy.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    server->drain();
+    CHECK(run_until(loop, [&] { return idle.closed(); }));
+    responders[0]->respond(200, {}, "answer");
+    CHECK(run_until(loop, [&] { return busy.closed(); }));
+    CHECK(contains(busy, "Connection: close"));
+    CHECK(contains(busy, "answer"));
+}
+
+namespace {
+
+struct client_fixture : http1_fixture
+{
+    http1_client client{loop, {.connect_timeout = 200ms}};
+    std::optional<http1_failure> failure;
+    std::optional<unsigned> status;
+    std::string body;
+    bool complete = false;
+    bool accept = true;
+
+    std::unique_ptr<http1_client::exchange> get(const address& where)
+    {
+        failure.reset();
+        complete = false;
+        body.clear();
+        return client.start(
+            where,
+            {.method = "GET", .target = "/x", .headers = {{"Host", "h"}}},
+            {.on_head =
+                 [this](const http1_response_head& head) {
+                     if (!accept) {
+                         accept = true;
+                         return false;
+                     }
+                     status = head.status;
+                     return true;
+                 },
+             .on_body = [this](std::string_view part) { body.append(part); },
+             .on_complete = [this] { complete = true; },
+             .on_failure = [this](const http1_failure& f) { failure = f; }});
+    }
+};
+
+/// Accepts one connection and sends exact bytes once a request arrived.
+struct raw_server
+{
+    event_loop& loop;
+    std::string answer;
+    bool close_after = false;
+    int listener;
+    io_watcher accept_watcher;
+    std::unique_ptr<tcp_stream> stream;
+    std::string received;
+    int connections = 0;
+
+    raw_server(event_loop& l, std::string text, bool close)
+        : loop(l), answer(std::move(text)), close_after(close),
+          listener(listen_on({"127.0.0.1", 0}).value()),
+          accept_watcher(l, listener, [this](io_event) { accept(); })
+    {
+        accept_watcher.await(io_event::read);
+    }
+    ~raw_server() { ::close(listener); }
+    void accept()
+    {
+        const int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (fd < 0) {
+            return;
+        }
+        ++connections;
+        stream = std::make_unique<tcp_stream>(
+            loop, fd, false,
+            tcp_stream::callbacks{.on_data =
+                                      [this](std::string_view bytes) {
+                                          received.append(bytes);
+                                          if (received.find("\r\n\r\n") ==
+                                              std::string::npos) {
+                                              return;
+                                          }
+                                          received.clear();
+                                          stream->write(answer);
+                                          if (close_after) {
+                                              stream->shutdown_output();
+                                          }
+                                      },
+                                  .on_end = [](stream_end) {}});
+    }
+    [[nodiscard]] address where() const { return local_address(listener); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(client_fixture, "client_kept_connection_is_used_again")
+{
+    for (std::size_t i = 1; i <= 3; ++i) {
+        const auto exchange = get(server->where());
+        REQUIRE(wait_for_requests(i));
+        responders[i - 1]->respond(200, {}, "body");
+        REQUIRE(run_until(loop, [&] { return complete; }));
+        CHECK(body == "body");
+    }
+    CHECK(client.connections_made() == 1);
+}
+
+// Guards against an answer that was meant for an earlier request.
+TEST_CASE_FIXTURE(client_fixture, "client_foreign_answer_is_skipped")
+{
+    raw_server peer(loop,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown",
+                    false);
+    accept = false;
+    const auto exchange = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    CHECK(body == "own");
+}
+
+TEST_CASE_FIXTURE(client_fixture,
+                  "client_stray_bytes_after_an_answer_end_the_connection")
+{
+    raw_server peer(
+        loop, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nownstray", false);
+    const auto first = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    CHECK(body == "own");
+    const auto second = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    CHECK(peer.connections == 2);
+}
+
+TEST_CASE_FIXTURE(client_fixture, "client_answer_without_length_ends_in_order")
+{
+    raw_server peer(loop, "HTTP/1.1 200 OK\r\n\r\nuntil the end", true);
+    const auto exchange = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    CHECK(body == "until the end");
+}
+
+TEST_CASE_FIXTURE(client_fixture, "client_truncated_answer_is_a_failure")
+{
+    raw_server peer(loop, "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nhalf",
+                    true);
+    const auto exchange = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return failure.has_value(); }));
+    CHECK(failure->code == errc::connection_lost);
+    CHECK(failure->request_sent);
+    CHECK_FALSE(complete);
+}
+
+TEST_CASE_FIXTURE(client_fixture,
+                  "client_bytes_that_are_no_answer_are_a_failure")
+{
+    raw_server peer(loop, "\x01\x02 garbage\r\n\r\n", false);
+    const auto exchange = get(peer.where());
+    REQUIRE(run_until(loop, [&] { return failure.has_value(); }));
+    CHECK(failure->code == errc::malformed_input);
+}
+
+// Guards against a refusal that says "not run" of a request that was sent.
+TEST_CASE_FIXTURE(client_fixture, "client_refused_connection_sent_nothing")
+{
+    const int closed = listen_on({"127.0.0.1", 0}).value();
+    const address where = local_address(closed);
+    ::close(closed);
+    const auto exchange = get(where);
+    REQUIRE(run_until(loop, [&] { return failure.has_value(); }));
+    CHECK(failure->code == errc::connection_failed);
+    CHECK_FALSE(failure->request_sent);
+}
+
+TEST_CASE_FIXTURE(client_fixture, "client_cancel_closes_the_connection")
+{
+    auto exchange = get(server->where());
+    REQUIRE(wait_for_requests(1));
+    exchange.reset();
+    CHECK(run_until(
+        loop, [&] { return clients_gone == 1; }, 1s));
+}
--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,68 @@
+#include <doctest/doctest.h>
+
+#include "settings.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* sample_settings = R"(
+node = "edge-1"
+zone = "z1"
+ip = "10.1.0.19"
+internalPorts = [7200,7215]
+seeds = ["10.1.0.22:8748","10.2.0.15:8748"]
+bootstrap = true
+heartbeatMs = 1500
+unknown = 5
+[listen]
+front = "10.1.0.19:8740"
+ready = "10.1.0.19:8749"
+[faultTolerance]
+machines = 2
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.5
+retryWindowS = 12
+budgetSlack = 90
+)";
+
+} // namespace
+
+TEST_CASE("settings_of_a_machine_are_read_into_typed_values")
+{
+    const auto read = read_settings(sample_settings);
+    REQUIRE(read);
+    const auto& node = read.value();
+    CHECK(node.node == node_id("edge-1"));
+    CHECK(node.link_address() == net::address{"10.1.0.19", 7200});
+    REQUIRE(node.seed_links().size() == 2);
+    CHECK(node.seed_links()[1] == net::address{"10.2.0.15", 7200});
+    CHECK(node.first_start);
+    CHECK(node.callers == net::address{"10.1.0.19", 8740});
+    CHECK_FALSE(node.control);
+    CHECK(node.tolerated_machines == 2);
+    CHECK(node.stop_grace == 8s);
+    CHECK(node.heartbeat == 1500ms);
+    CHECK(node.retry_ratio == doctest::Approx(0.5));
+    CHECK(node.retry_window == 12s);
+    CHECK(node.retry_slack == doctest::Approx(90));
+}
+
+// Guards against a process that starts with half of its settings.
+TEST_CASE("settings_without_a_needed_field_name_it")
+{
+    const std::string whole = sample_settings;
+    for (const char* field : {"node", "zone", "ip", "internalPorts"}) {
+        CAPTURE(field);
+        std::string text = whole;
+        const auto at = text.find(field);
+        text.replace(at, 1, "_");
+        const auto read = read_settings(text);
+        REQUIRE_FALSE(read.has_value());
+        CHECK(read.error().detail.find(field) != std::string::npos);
+    }
+    CHECK_FALSE(read_settings("node = ").has_value());
+}
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,200 @@
+#include <doctest/doctest.h>
+
+#include "wire.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* sample_configuration = R"({
+  "version": 7, "unknown": {"x": 1},
+  "routes": [
+    {"name": "r1", "host": "h.example", "pathPrefix": "/a/",
+     "routeType": "streaming", "timeoutMs": 25000, "goalMs": 4000,
+     "priority": 2, "service": "s1", "maxAttempts": 5, "anonymous": false,
+     "sticky": true, "resumable": true, "gapGoalMs": 700},
+    {"name": "r2", "host": "h.example", "pathPrefix": "/b/",
+     "routeType": "idempotent", "timeoutMs": 1000,
+     "split": [{"service": "s1", "weight": 90},
+               {"service": "s2", "weight": 10}], "maxAttempts": 2}],
+  "services": [
+    {"name": "s1", "healthPath": "/healthz", "maxConns": 150,
+     "engine": {"slots": 12, "kvCapacity": 88000, "stride": 9,
+                "backups": true}},
+    {"name": "s2", "healthPath": "/healthz", "maxConns": 96}],
+  "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 2000,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 4000},
+  "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}]})";
+
+net::http1_request sample_request()
+{
+    return {.method = "POST",
+            .target = "/a/x",
+            .headers = {{"Host", "h.example"},
+                        {"X-Attempt-Id", "abc"},
+                        {"X-Deadline-Ms", "25000"},
+                        {"Last-Event-Id", "12"},
+                        {"X-Token-Count", "1460,80"},
+                        {"Authorization", "Bearer key1"}}};
+}
+
+} // namespace
+
+TEST_CASE("wire_request_is_described_in_the_products_words")
+{
+    const auto described = wire::describe_request(sample_request());
+    REQUIRE(described);
+    const auto& request = described.value();
+    CHECK(request.attempt == request_id("abc"));
+    CHECK(request.time_left == 25s);
+    CHECK(request.resume_after == 12);
+    CHECK(request.prompt_tokens == 1460);
+    CHECK(request.max_output_tokens == 80);
+    CHECK(request.key == "key1");
+}
+
+TEST_CASE("wire_request_without_attempt_id_is_refused")
+{
+    auto request = sample_request();
+    request.headers.remove("X-Attempt-Id");
+    CHECK_FALSE(wire::describe_request(request).has_value());
+}
+
+// Guards against callers that set what only the gate may set, and against a
+// key that reaches an engine.
+TEST_CASE("wire_attempt_replaces_every_field_of_the_gate")
+{
+    net::header_list fields{
+        {"X-Attempt-Id", "abc"},     {"Authorization", "Bearer key1"},
+        {"X-Tenant", "forged"},      {"X-Kv-Hold", "1"},
+        {"X-Pin-Ms", "1"},           {"X-Kv-Backup", "10.0.0.9:1"},
+        {"Kv-From", "10.0.0.9:1/x"}, {"X-Model", "m"},
+        {"X-Prefix-Hash", "aa:1"}};
+    wire::write_attempt(fields, {.time_left = 1500ms,
+                                 .expected_upstream = upstream_id("i-1"),
+                                 .account = client_account_id("t")});
+    CHECK(fields.find("X-Tenant") == "t");
+    CHECK(fields.find("X-Deadline-Ms") == "1500");
+    CHECK(fields.find("X-Expect-Instance") == "i-1");
+    CHECK(fields.find("X-Attempt-Id") == "abc");
+    CHECK(fields.find("X-Model") == "m");
+    CHECK(fields.find("X-Prefix-Hash") == "aa:1");
+    for (const char* name :
+         {"Authorization", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From"}) {
+        CAPTURE(name);
+        CHECK_FALSE(fields.find(name).has_value());
+    }
+}
+
+TEST_CASE("wire_attempt_names_copy_and_continuation")
+{
+    net::header_list fields;
+    wire::write_attempt(
+        fields, {.time_left = 1s,
+                 .expected_upstream = upstream_id("i-2"),
+                 .urgency = 12,
+                 .copy_to = net::address{"10.0.0.1", 80},
+                 .continue_from =
+                     relay::copy_source{{"10.0.0.2", 81}, request_id("abc")},
+                 .resume_after = 40});
+    CHECK(fields.find("X-Kv-Backup") == "10.0.0.1:80");
+    CHECK(fields.find("Kv-From") == "10.0.0.2:81/abc");
+    CHECK(fields.find("Last-Event-Id") == "40");
+    CHECK(fields.find("X-Request-Urgency") == "9");
+}
+
+TEST_CASE("wire_answer_says_whether_it_ran")
+{
+    const auto describe = [](unsigned status, net::header_list headers) {
+        return wire::describe_answer(
+            {.status = status, .headers = std::move(headers)});
+    };
+    CHECK(describe(503, {{"X-Not-Executed", "1"}}).not_run);
+    CHECK(describe(421, {}).not_run);
+    CHECK_FALSE(describe(503, {}).not_run);
+    CHECK(describe(200, {{"x-response-seal", "s"}}).sealed);
+    CHECK(describe(200, {{"X-Attempt-Id", "abc"}}).attempt ==
+          request_id("abc"));
+}
+
+TEST_CASE("wire_configuration_is_read_whole")
+{
+    const auto read = wire::read_configuration(sample_configuration);
+    REQUIRE(read);
+    const auto& document = read.value();
+    CHECK(document.version == 7);
+    REQUIRE(document.routes.size() == 2);
+    CHECK(document.routes[0].policy == relay::repeat_policy::streaming);
+    CHECK(document.routes[0].resumable);
+    CHECK(document.routes[0].latency_objective == 4s);
+    CHECK(document.routes[0].pause_objective == 700ms);
+    REQUIRE(document.routes[1].targets.size() == 2);
+    CHECK(document.routes[1].targets[0].weight == 90);
+    REQUIRE(document.services[0].engine);
+    CHECK(document.services[0].engine->memory_tokens == 88000);
+    CHECK(document.services[0].engine->keeps_copies);
+    CHECK_FALSE(document.services[1].engine);
+    CHECK(document.limits.header_bytes == 1000);
+    CHECK(document.limits.idle_timeout == 4s);
+    CHECK(document.accounts[0].keys.size() == 2);
+    CHECK(document.accounts[0].rank == 1);
+    CHECK(validate(document).has_value());
+}
+
+TEST_CASE("wire_configuration_that_is_cut_short_is_malformed")
+{
+    const std::string whole = sample_configuration;
+    for (const std::size_t size :
+         {std::size_t{0}, whole.size() / 2, whole.size() - 1}) {
+        CAPTURE(size);
+        CHECK_FALSE(
+            wire::read_configuration(whole.substr(0, size)).has_value());
+    }
+    CHECK_FALSE(wire::read_configuration("[]").has_value());
+    CHECK_FALSE(wire::read_configuration("{\"version\":\"7\"}").has_value());
+}
+
+// Guards against engines that a foreign writer names, and against a process
+// that ends by input that it did not expect.
+TEST_CASE("wire_heartbeat_of_another_writer_names_no_upstream")
+{
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"ready","coldLeftMs":0,"seqNo":4,"born":1700000000000})";
+    const auto read = read_heartbeat("i-1", good);
+    REQUIRE(read);
+    CHECK(read.value().id == upstream_id("i-1"));
+    CHECK(read.value().where == net::address{"10.0.0.1", 80});
+    CHECK(read.value().started_at == 1700000000000);
+    CHECK(read.value().sequence == 4);
+    const char* const bad[] = {
+        "",
+        "null",
+        "[1]",
+        "\xff\xfe",
+        R"({"service":"s"})",
+        R"({"service":"s","address":"nowhere","zone":"z","slots":4,)"
+        R"("state":"ready","seqNo":4})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"resting","seqNo":4})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"ready","seqNo":4.5})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"ready","seqNo":4,"born":"soon"})",
+        R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"ready","seqNo":4})"};
+    for (const char* text : bad) {
+        CAPTURE(text);
+        CHECK_FALSE(read_heartbeat("i-1", text).has_value());
+    }
+}
+
+TEST_CASE("wire_leave_may_have_an_empty_body")
+{
+    REQUIRE(read_leave("i-1", ""));
+    CHECK(read_leave("i-1", "").value().started_at == 0);
+    CHECK(read_leave("i-1", R"({"born":5})").value().started_at == 5);
+    CHECK_FALSE(read_leave("i-1", "[]").has_value());
+}
--- /dev/null
+++ b/tests/relay/membership_plan_test.cpp
@@ -0,0 +1,87 @@
+#include <bamboogate/relay/membership_plan.hpp>
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace bamboogate;
+using namespace bamboogate::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+using action = membership_step::action;
+
+struct membership_fixture
+{
+    std::vector<replica_status> replicas;
+    node_id self{"a"};
+    membership_goal goal{.voters = 5};
+
+    void add_voters(const char* names)
+    {
+        for (const char* each = names; *each != '\0'; ++each) {
+            replicas.push_back({.node = node_id(std::string(1, *each)),
+                                .voter = true,
+                                .caught_up = true});
+        }
+    }
+    void add_learner(const char* name, bool caught_up)
+    {
+        replicas.push_back({.node = node_id(name), .caught_up = caught_up});
+    }
+    [[nodiscard]] auto next() const
+    {
+        return next_membership_step(replicas, self, goal);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(membership_fixture,
+                  "group_of_seeds_grows_to_the_goal_and_no_further")
+{
+    add_voters("abc");
+    add_learner("d", false);
+    CHECK_FALSE(next());
+    replicas.back().caught_up = true;
+    CHECK(next() == membership_step{action::promote, node_id("d")});
+    replicas.back().voter = true;
+    add_learner("e", true);
+    CHECK(next() == membership_step{action::promote, node_id("e")});
+    replicas.back().voter = true;
+    add_learner("f", true);
+    CHECK_FALSE(next());
+}
+
+// Guards against a group that shrinks while machines are merely down: the
+// loss of further disks would then take acknowledged changes with it.
+TEST_CASE_FIXTURE(membership_fixture,
+                  "dead_voter_is_removed_only_for_a_learner_that_caught_up")
+{
+    add_voters("abcde");
+    replicas[4].unreachable = 60s;
+    CHECK_FALSE(next());
+    add_learner("f", false);
+    CHECK_FALSE(next());
+    replicas.back().caught_up = true;
+    CHECK(next() == membership_step{action::remove, node_id("e")});
+    replicas.erase(replicas.begin() + 4);
+    CHECK(next() == membership_step{action::promote, node_id("f")});
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "restarting_voter_keeps_its_place")
+{
+    add_voters("abcde");
+    add_learner("f", true);
+    replicas[3].unreachable = 1s;
+    CHECK_FALSE(next());
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "learner_that_vanished_is_removed")
+{
+    add_voters("abc");
+    add_learner("d", true);
+    replicas.back().unreachable = 20s;
+    CHECK(next() == membership_step{action::remove, node_id("d")});
+}
--- /dev/null
+++ b/tests/relay/parts_test.cpp
@@ -0,0 +1,98 @@
+#include <bamboogate/relay/configuration_store.hpp>
+#include <bamboogate/relay/event_stream.hpp>
+#include <bamboogate/relay/retry_allowance.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace bamboogate;
+using namespace bamboogate::relay;
+using namespace std::chrono_literals;
+
+// Guards against a stream that goes on after half an event: the caller would
+// get that half twice.
+TEST_CASE("event_splitter_holds_back_an_unfinished_event")
+{
+    event_splitter splitter;
+    const auto first = splitter.read("id: 1\ndata: a\n\nid: 2\nda");
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].id == 1);
+    CHECK(first[0].text == "id: 1\ndata: a\n\n");
+    CHECK(splitter.inside_event());
+    const auto second =
+        splitter.read("ta: b\n\n:ping\n\nid: 3\r\ndata\r\n\r\n");
+    REQUIRE(second.size() == 3);
+    CHECK(second[0].id == 2);
+    CHECK_FALSE(second[1].id);
+    CHECK(second[2].id == 3);
+    CHECK_FALSE(splitter.inside_event());
+}
+
+TEST_CASE("event_splitter_bytewise_input_gives_the_same_events")
+{
+    const std::string text = "id: 7\ndata: x\n\nid: 8\ndata: y\n\n";
+    event_splitter splitter;
+    std::string joined;
+    for (const char byte : text) {
+        for (const auto& event : splitter.read({&byte, 1})) {
+            joined += event.text;
+        }
+    }
+    CHECK(joined == text);
+}
+
+// Guards against repeats of many gates that add up to a flood.
+TEST_CASE("retry_allowance_shares_the_slack_and_slides")
+{
+    retry_allowance allowance(
+        {.ratio = 0.8, .window = 10s, .slack = 20, .safety = 1.0});
+    allowance.set_gates(2);
+    const service_id service("s");
+    time_point now{1h};
+    for (int i = 0; i < 10; ++i) {
+        allowance.note_first(service, now);
+    }
+    int taken = 0;
+    while (allowance.take(service, now)) {
+        ++taken;
+    }
+    CHECK(taken == 18); // 0.8 x 10 + 20 / 2
+    CHECK_FALSE(allowance.take(service, now + 9s));
+    CHECK(allowance.take(service, now + 11s));
+    CHECK(allowance.take(service_id("other"), now));
+}
+
+TEST_CASE("configuration_store_keeps_the_highest_version")
+{
+    configuration_store store;
+    std::vector<std::uint64_t> seen;
+    store.on_change(
+        [&](const auto& document) { seen.push_back(document->version); });
+    const auto apply = [&](std::uint64_t version, std::string text) {
+        return store.apply({}, configuration_store::encode_command(
+                                   {.version = version, .text = text}));
+    };
+    CHECK(apply(5, "five") == "5");
+    CHECK(apply(3, "three") == "5");
+    CHECK(apply(5, "other five") == "5");
+    CHECK(store.current()->text == "five");
+    CHECK(apply(9, "nine") == "9");
+    CHECK(seen == std::vector<std::uint64_t>{5, 9});
+
+    configuration_store copy;
+    REQUIRE(copy.restore(store.snapshot()));
+    CHECK(copy.current()->version == 9);
+    CHECK(copy.current()->text == "nine");
+}
+
+// Guards against a follower that goes back when an older snapshot arrives.
+TEST_CASE("configuration_store_older_snapshot_changes_nothing")
+{
+    configuration_store older;
+    (void)older.apply(
+        {}, configuration_store::encode_command({.version = 1, .text = "one"}));
+    configuration_store store;
+    (void)store.apply(
+        {}, configuration_store::encode_command({.version = 2, .text = "two"}));
+    REQUIRE(store.restore(older.snapshot()));
+    CHECK(store.current()->version == 2);
+}
--- /dev/null
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -0,0 +1,193 @@
+#include <bamboogate/relay/stream_scheduler.hpp>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <map>
+#include <string>
+
+using namespace bamboogate;
+using namespace bamboogate::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t engine_memory = 88000;
+
+planned_run make_run(const std::string& id, unsigned rank = 1,
+                     std::uint64_t prompt = 8000)
+{
+    return {.id = request_id(id),
+            .rank = rank,
+            .prompt_tokens = prompt,
+            .output_tokens = 1000};
+}
+
+struct scheduler_fixture
+{
+    stream_scheduler scheduler;
+    time_point now{1h};
+
+    void add_engines(int per_domain, int domains = 3)
+    {
+        for (int domain = 0; domain < domains; ++domain) {
+            for (int i = 0; i < per_domain; ++i) {
+                scheduler.planner().update_engine(
+                    {.id = upstream_id(fmt::format("e{}-{}", domain, i)),
+                     .domain = failure_domain_id(fmt::format("d{}", domain)),
+                     .memory_tokens = engine_memory,
+                     .slots = 12});
+            }
+        }
+    }
+    void submit(const planned_run& run, const char* account = "x",
+                duration wait = 5s)
+    {
+        scheduler.submit({.run = run,
+                          .account = client_account_id(account),
+                          .arrived = now,
+                          .latest_start = now + wait});
+    }
+    static std::string domain_of(const upstream_id& engine)
+    {
+        return engine.value().substr(0, 2);
+    }
+};
+
+} // namespace
+
+// Guards against a copy that is lost together with its stream: engines of a
+// failure domain tend to go down at one moment.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "placement_puts_the_copy_in_another_failure_domain")
+{
+    add_engines(3);
+    for (int i = 0; i < 9; ++i) {
+        submit(make_run(fmt::format("r{}", i)));
+    }
+    const auto decisions = scheduler.decide(now);
+    REQUIRE(decisions.size() == 9);
+    std::map<std::string, int> per_engine;
+    for (const auto& each : decisions) {
+        REQUIRE(each.where);
+        REQUIRE(each.where->copy_holder);
+        CHECK(domain_of(each.where->engine) !=
+              domain_of(*each.where->copy_holder));
+        ++per_engine[each.where->engine.value()];
+    }
+    // Nine streams on nine engines: one prompt each.
+    CHECK(per_engine.size() == 9);
+}
+
+// Guards against engines that read prompts without end, so that none of their
+// streams is finished before its deadline.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "engine_is_given_half_of_the_prompts_that_it_could_read")
+{
+    add_engines(1, 1);
+    int placed = 0;
+    for (int second = 0; second < 16; ++second, now += 1s) {
+        submit(make_run(fmt::format("a{}", second)), "x", 0s);
+        for (const auto& each : scheduler.decide(now)) {
+            placed += each.where ? 1 : 0;
+            scheduler.note_started(each.id);
+            scheduler.end(each.id);
+        }
+    }
+    // 3 of 8,000 tokens fit into 28,000 within each window of 8 s.
+    CHECK(placed >= 6);
+    CHECK(placed <= 7);
+}
+
+TEST_CASE_FIXTURE(scheduler_fixture, "full_engines_serve_the_urgent_rank_first")
+{
+    add_engines(1, 1);
+    for (int i = 0; i < 9; ++i) {
+        submit(make_run(fmt::format("low{}", i), 1));
+    }
+    submit(make_run("urgent", 0));
+    const auto decisions = scheduler.decide(now);
+    REQUIRE_FALSE(decisions.empty());
+    CHECK(decisions.front().id == request_id("urgent"));
+    CHECK(scheduler.waiting() > 0);
+}
+
+// Guards against small client accounts that wait behind a large one.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "account_with_least_running_work_is_served_first")
+{
+    add_engines(1, 1);
+    for (int i = 0; i < 6; ++i) {
+        submit(make_run(fmt::format("large{}", i)), "large");
+    }
+    (void)scheduler.decide(now);
+    now += 1s;
+    submit(make_run("small"), "small");
+    now += 8s; // the window of prompts has passed
+    const auto decisions = scheduler.decide(now - 4s);
+    (void)decisions;
+    const auto later = scheduler.decide(now);
+    bool small_served = false;
+    for (const auto* list : {&decisions, &later}) {
+        for (const auto& each : *list) {
+            small_served =
+                small_served || (each.id == request_id("small") && each.where);
+            if (each.id == request_id("small")) {
+                break;
+            }
+        }
+    }
+    CHECK(small_served);
+}
+
+// Guards against a stream that is held until nobody can use its answer.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "demand_that_cannot_start_in_time_is_refused_at_once")
+{
+    add_engines(1, 1);
+    for (int i = 0; i < 40; ++i) {
+        submit(make_run(fmt::format("r{}", i)), "x", 2s);
+    }
+    std::size_t refused = 0;
+    for (const auto& each : scheduler.decide(now)) {
+        if (!each.where) {
+            ++refused;
+            CHECK(each.retry_after >= 500ms);
+            CHECK(each.retry_after <= 6s);
+        }
+    }
+    CHECK(refused >= 30);
+    CHECK(scheduler.waiting() <= 4);
+}
+
+TEST_CASE_FIXTURE(scheduler_fixture, "end_of_a_run_frees_its_engine_and_copy")
+{
+    add_engines(2);
+    submit(make_run("r"));
+    const auto decisions = scheduler.decide(now);
+    REQUIRE(decisions.size() == 1);
+    const auto where = *decisions[0].where;
+    CHECK(scheduler.planner().resident_tokens(where.engine) == 9000);
+    CHECK(scheduler.planner().resident_tokens(*where.copy_holder) == 9000);
+    CHECK(scheduler.planner().unread_tokens(where.engine) == 8000);
+    scheduler.note_started(request_id("r"));
+    CHECK(scheduler.planner().unread_tokens(where.engine) == 0);
+    scheduler.end(request_id("r"));
+    CHECK(scheduler.planner().resident_tokens(where.engine) == 0);
+    CHECK(scheduler.planner().resident_tokens(*where.copy_holder) == 0);
+    CHECK(scheduler.running() == 0);
+}
+
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "unusable_and_excluded_engines_get_no_stream")
+{
+    add_engines(1, 2);
+    scheduler.planner().suspend_all();
+    submit(make_run("r"), "x", 1s);
+    CHECK(scheduler.decide(now).empty());
+    CHECK(scheduler.waiting() == 1);
+    add_engines(1, 1);
+    const auto decisions = scheduler.decide(now);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].where->engine == upstream_id("e0-0"));
+}
