--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -65,7 +65,6 @@
     void fetch();
     void on_document(const node_id& from, result<configuration_document> reply);
 
-    net::event_loop& loop_;
     relay_protocol protocol_;
     options settings_;
     observers functions_;
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -10,8 +10,8 @@
 
 control_feed::control_feed(net::event_loop& loop, relay_protocol protocol,
                            options settings, observers functions)
-    : loop_(loop), protocol_(std::move(protocol)),
-      settings_(std::move(settings)), functions_(std::move(functions)),
+    : protocol_(std::move(protocol)), settings_(std::move(settings)),
+      functions_(std::move(functions)),
       hub_(loop, {.self = {settings_.self, settings_.incarnation,
                            settings_.failure_domain},
                   .shared_secret = settings_.shared_secret,
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -390,14 +390,13 @@
         job->retry->start_once(store_retry_delay);
     };
     if (replica_->is_leader()) {
-        store_here(job->change,
-                   [this, job, retry](result<std::uint64_t> outcome) {
-                       if (!outcome) {
-                           retry(outcome.error());
-                           return;
-                       }
-                       job->callback(std::move(outcome));
-                   });
+        store_here(job->change, [job, retry](result<std::uint64_t> outcome) {
+            if (!outcome) {
+                retry(outcome.error());
+                return;
+            }
+            job->callback(std::move(outcome));
+        });
         return;
     }
     const auto leader = replica_->leader();
