--- a/lib/include/bamboogate/control/declarations.hpp
+++ b/lib/include/bamboogate/control/declarations.hpp
@@ -59,7 +59,7 @@
     bool operator==(const service_class&) const = default;
 };
 
-/// A customer of the deployment. Only the digest of its key is declared.
+/// A client account of the deployment. Only the digest of its key is declared.
 struct client_account
 {
     client_account_id id;
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -107,7 +107,7 @@
     void join_group();
     void learn_replica(const std::string& node);
     [[nodiscard]] std::vector<replica_status> replica_statuses();
-    [[nodiscard]] bool is_member() const;
+    [[nodiscard]] bool is_member(const node_id& node) const;
     [[nodiscard]] control_view view() const;
     void publish_view(bool force);
     void store_here(const store_configuration& change,
@@ -142,7 +142,6 @@
     time_point last_join_;
     net::timer tick_timer_;
     bool stopping_ = false;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -44,7 +44,6 @@
     address where;
     std::unique_ptr<tcp_stream> stream;
     std::weak_ptr<http1_client::exchange::impl> owner;
-    bool kept = false; ///< served an exchange before
     time_point idle_until;
 };
 
@@ -282,7 +281,6 @@
         return;
     }
     connection->owner.reset();
-    connection->kept = true;
     connection->idle_until = now + allowed;
     list.push_back(std::move(connection));
 }
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -71,7 +71,6 @@
     std::vector<std::shared_ptr<http1_connection>> connections;
     std::size_t active = 0;
     bool draining = false;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     void accept_connections();
     void remove(const http1_connection* which);
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -394,7 +394,6 @@
 
 http1_server::~http1_server()
 {
-    *impl_->alive = false;
     impl_->watcher.reset();
     ::close(impl_->listener);
     impl_->connections.clear();
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -4,7 +4,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace bamboogate::relay {
 
@@ -16,33 +15,12 @@
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 /// The view is repeated this often, for peers that missed a change.
 constexpr duration view_interval = std::chrono::seconds(2);
-constexpr duration join_interval = std::chrono::milliseconds(400);
-constexpr duration store_retry_delay = std::chrono::milliseconds(60);
-/// Documents above this size count as large.
-constexpr std::size_t large_document_bytes = 64u << 10;
 /// A snapshot replaces the log after this many configurations; the disk has
 /// room for the documents between two snapshots.
 constexpr std::uint64_t snapshot_every = 64;
-constexpr duration safety_poll_interval = std::chrono::milliseconds(50);
-
-std::uint64_t to_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
 
 } // namespace
 
-/// A store that looks for the leader until its deadline.
-struct control_node::pending_store
-{
-    store_configuration change;
-    time_point deadline;
-    version_callback callback;
-    std::unique_ptr<net::timer> retry;
-};
-
 control_node::control_node(net::event_loop& loop, relay_protocol protocol,
                            options settings)
     : loop_(loop), protocol_(std::move(protocol)),
@@ -61,10 +39,7 @@
       tick_timer_(loop, [this] { tick(); })
 {}
 
-control_node::~control_node()
-{
-    *alive_ = false;
-}
+control_node::~control_node() = default;
 
 result<void> control_node::start()
 {
@@ -148,11 +123,7 @@
             return;
         }
         const node_id node(said.node);
-        const auto members = replica_->members();
-        const bool known =
-            std::any_of(members.begin(), members.end(),
-                        [&](const auto& each) { return each.node == node; });
-        if (!known) {
+        if (!is_member(node)) {
             log(events::members_changed,
                 {{"action", "add_learner"}, {"node", said.node}});
             replica_->add_learner(node, [](const result<void>&) {
@@ -216,13 +187,6 @@
     }
 }
 
-bool control_node::is_member() const
-{
-    const auto members = replica_->members();
-    return std::any_of(members.begin(), members.end(),
-                       [&](const auto& each) { return each.node == self_; });
-}
-
 void control_node::tick()
 {
     for (const auto& member : replica_->members()) {
@@ -239,63 +203,6 @@
     publish_view(false);
 }
 
-void control_node::join_group()
-{
-    const time_point now = loop_.now();
-    if (replica_->is_leader() || now - last_join_ < join_interval ||
-        (is_member() && replica_->leader())) {
-        return;
-    }
-    last_join_ = now;
-    for (const auto& node : known_replicas_) {
-        hub_.send(node_id(node), join_request{self_.value()});
-    }
-}
-
-std::vector<replica_status> control_node::replica_statuses()
-{
-    const time_point now = loop_.now();
-    const auto members = replica_->members();
-    const std::uint64_t applied = replica_->applied().index;
-    std::vector<replica_status> out;
-    for (const auto& each : members) {
-        auto [seen, added] = last_reachable_.try_emplace(each.node, now);
-        if (each.reachable || each.node == self_) {
-            seen->second = now;
-        }
-        out.push_back({.node = each.node,
-                       .voter = each.role == consensus::member_role::voter,
-                       .caught_up = each.match_index >= applied,
-                       .unreachable = now - seen->second});
-    }
-    return out;
-}
-
-void control_node::keep_membership()
-{
-    if (!replica_->is_leader()) {
-        last_reachable_.clear();
-        return;
-    }
-    const membership_goal goal{.voters = 2 * settings_.tolerated_losses + 1};
-    const auto step = next_membership_step(replica_statuses(), self_, goal);
-    if (!step) {
-        return;
-    }
-    const bool promote = step->what == membership_step::action::promote;
-    const auto done = [node = step->node, promote](const result<void>& result) {
-        log(events::members_changed,
-            {{"action", promote ? "promote" : "remove"},
-             {"node", node.value()},
-             {"outcome", result ? "done" : name_of(result.error().code)}});
-    };
-    if (promote) {
-        replica_->promote(step->node, done);
-    } else {
-        replica_->remove(step->node, done);
-    }
-}
-
 control_view control_node::view() const
 {
     control_view out;
@@ -348,165 +255,6 @@
     }
 }
 
-void control_node::replace_configuration(std::string text,
-                                         version_callback callback)
-{
-    auto candidate = protocol_.read_configuration(text);
-    if (candidate) {
-        const auto valid = validate(candidate.value());
-        if (!valid) {
-            candidate = valid.error();
-        }
-    }
-    if (!candidate) {
-        log(events::configuration_rejected,
-            {{"error", name_of(candidate.error().code)},
-             {"detail", candidate.error().detail}});
-        callback(std::move(candidate).error());
-        return;
-    }
-    auto job = std::make_shared<pending_store>();
-    const bool large = text.size() > large_document_bytes;
-    job->change = {.version = candidate.value().version,
-                   .text = std::move(text)};
-    job->deadline = loop_.now() + (large ? settings_.large_operator_deadline
-                                         : settings_.operator_deadline);
-    job->callback = std::move(callback);
-    store_through_leader(job);
-}
-
-void control_node::store_through_leader(
-    const std::shared_ptr<pending_store>& job)
-{
-    const auto retry = [this, job](const error& problem) {
-        const bool final = problem.code == errc::outcome_unknown ||
-                           loop_.now() + store_retry_delay >= job->deadline;
-        if (final) {
-            job->callback(problem);
-            return;
-        }
-        job->retry = std::make_unique<net::timer>(
-            loop_, [this, job] { store_through_leader(job); });
-        job->retry->start_once(store_retry_delay);
-    };
-    if (replica_->is_leader()) {
-        store_here(job->change, [job, retry](result<std::uint64_t> outcome) {
-            if (!outcome) {
-                retry(outcome.error());
-                return;
-            }
-            job->callback(std::move(outcome));
-        });
-        return;
-    }
-    const auto leader = replica_->leader();
-    if (!leader || !hub_.is_up(*leader)) {
-        retry({errc::no_quorum, "no leader is known"});
-        return;
-    }
-    hub_.call<store_configuration, configuration_stored_reply>(
-        *leader, job->change, job->deadline - loop_.now(),
-        [job, retry](result<configuration_stored_reply> reply) {
-            if (!reply) {
-                retry(reply.error());
-                return;
-            }
-            job->callback(reply.value().version);
-        });
-}
-
-void control_node::store_here(const store_configuration& change,
-                              version_callback callback)
-{
-    if (!replica_ || !replica_->has_lease()) {
-        callback(fail(errc::not_leader, "no lease"));
-        return;
-    }
-    const time_point deadline = loop_.now() + settings_.operator_deadline;
-    if (change.version <= store_.current()->version) {
-        acknowledge_when_safe(store_.current()->version, deadline,
-                              std::move(callback));
-        return;
-    }
-    replica_->propose(configuration_store::encode_command(change),
-                      [this, deadline, callback = std::move(callback)](
-                          result<consensus::proposal_result> outcome) mutable {
-                          if (!outcome) {
-                              callback(std::move(outcome).error());
-                              return;
-                          }
-                          acknowledge_when_safe(
-                              to_number(outcome.value().response), deadline,
-                              std::move(callback));
-                      });
-}
-
-void control_node::acknowledge_when_safe(std::uint64_t version,
-                                         time_point deadline,
-                                         version_callback callback)
-{
-    // With fewer voters the loss of the tolerated number of disks could take
-    // every copy of what was acknowledged.
-    const auto members = replica_->members();
-    const auto voters = static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(), [](const auto& each) {
-            return each.role == consensus::member_role::voter;
-        }));
-    if (voters > settings_.tolerated_losses + 1) {
-        callback(version);
-        return;
-    }
-    if (loop_.now() >= deadline) {
-        callback(fail(errc::no_quorum, "too few replicas hold it"));
-        return;
-    }
-    auto wait = std::make_shared<std::unique_ptr<net::timer>>();
-    *wait = std::make_unique<net::timer>(
-        loop_, [this, version, deadline, wait, callback]() mutable {
-            // The timer owns itself through the closure until it fires.
-            const auto held = std::move(*wait);
-            acknowledge_when_safe(version, deadline, std::move(callback));
-        });
-    (*wait)->start_once(safety_poll_interval);
-}
-
-void control_node::read_configuration(document_callback callback)
-{
-    if (replica_->has_lease()) {
-        const auto document = store_.current();
-        if (document->version == 0) {
-            callback(fail(errc::not_found, "no configuration yet"));
-            return;
-        }
-        callback(document);
-        return;
-    }
-    const auto leader = replica_->leader();
-    if (!leader || *leader == self_ || !hub_.is_up(*leader)) {
-        callback(fail(errc::no_quorum, "no leader is known"));
-        return;
-    }
-    const auto held = store_.current();
-    hub_.call<relay::read_configuration, configuration_document>(
-        *leader, {.held = held->version}, settings_.operator_deadline,
-        [held, callback](result<configuration_document> reply) {
-            if (!reply) {
-                callback(fail(errc::no_quorum, reply.error().detail));
-                return;
-            }
-            if (reply.value().version == 0) {
-                callback(fail(errc::not_found, "no configuration yet"));
-                return;
-            }
-            if (reply.value().version == held->version) {
-                callback(held);
-                return;
-            }
-            callback(std::make_shared<const configuration_document>(
-                std::move(reply).value()));
-        });
-}
-
 void control_node::hear(const announcement& said)
 {
     const time_point now = loop_.now();
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -23,6 +23,9 @@
     void report_placement() override;
 
 private:
+    /// Callers return after this time when no engine could take the stream.
+    static constexpr duration refusal_delay = std::chrono::milliseconds(1000);
+
     void begin() override;
     void cancel_attempts() override;
     void on_deadline() override;
--- /dev/null
+++ b/lib/source/relay/stream_placement.cpp
@@ -0,0 +1,153 @@
+// Where a stream runs: asking the leader, choosing alone, and telling the
+// leader what became of the run.
+#include <algorithm>
+
+#include "stream_exchange.hpp"
+
+namespace bamboogate::relay {
+
+namespace {
+
+/// Percentage of the latency objective within which the first event should
+/// come; the rest covers the engine's own variation.
+constexpr int start_share = 85;
+/// Prompt tokens that a usual engine reads in a millisecond, with the decode
+/// steps of its other streams in between.
+constexpr double prompt_tokens_per_ms = 6.0;
+
+} // namespace
+
+stream_planner& stream_exchange::planner() const
+{
+    return context_.planner(accepted_.service);
+}
+
+planned_run stream_exchange::run() const
+{
+    return {.id = accepted_.description.attempt,
+            .rank = accepted_.rank,
+            .prompt_tokens = accepted_.description.prompt_tokens,
+            .output_tokens = accepted_.description.max_output_tokens};
+}
+
+void stream_exchange::place()
+{
+    const duration reading =
+        std::chrono::milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(accepted_.description.prompt_tokens) /
+            prompt_tokens_per_ms));
+    const bool resuming = last_event_ != accepted_.description.resume_after;
+    // A stream that has begun is waited for as long as its caller waits.
+    const duration start_within =
+        resuming ? time_left()
+                 : accepted_.where->latency_objective * start_share / 100 -
+                       (context_.loop.now() - started_) - reading;
+    place_request request{
+        .service = accepted_.service,
+        .id = accepted_.description.attempt,
+        .account = accepted_.account,
+        .rank = accepted_.rank,
+        .prompt_tokens = accepted_.description.prompt_tokens,
+        .output_tokens = accepted_.description.max_output_tokens,
+        .excluded = {excluded_.begin(), excluded_.end()},
+        .resuming = resuming,
+        .start_within_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(start_within)
+                .count()};
+    awaiting_place_ = true;
+    told_leader_ = true;
+    context_.placer.ask(request, [weak = weak_from_this()](
+                                     const result<place_reply>& reply) {
+        if (const auto self = weak.lock()) {
+            std::static_pointer_cast<stream_exchange>(self)->on_placed(reply);
+        }
+    });
+}
+
+void stream_exchange::on_placed(const result<place_reply>& reply)
+{
+    if (ended_ || !awaiting_place_) {
+        return;
+    }
+    awaiting_place_ = false;
+    if (!reply) {
+        told_leader_ = false;
+        place_by_own_choice();
+        return;
+    }
+    const place_reply& decision = reply.value();
+    if (decision.engine.empty()) {
+        told_leader_ = false;
+        if (runs_ == 0 && !head_sent_) {
+            refuse("engines_full",
+                   std::chrono::milliseconds(decision.retry_after_ms));
+        } else {
+            give_up(502, "engines_full");
+        }
+        return;
+    }
+    send({.engine = decision.engine,
+          .copy_holder = decision.copy_holder.empty()
+                             ? std::nullopt
+                             : std::optional(decision.copy_holder)},
+         false);
+}
+
+void stream_exchange::place_by_own_choice()
+{
+    context_.refresh_planner(accepted_.service);
+    auto where = planner().choose(run(), excluded_, context_.loop.now());
+    if (!where && !excluded_.empty()) {
+        excluded_.clear();
+        where = planner().choose(run(), excluded_, context_.loop.now());
+    }
+    if (!where) {
+        if (runs_ == 0 && !head_sent_) {
+            refuse("no_engine", refusal_delay);
+        } else {
+            give_up(502, "no_engine");
+        }
+        return;
+    }
+    send(*where, false);
+}
+
+duration stream_exchange::expected_first_event(const placement& where) const
+{
+    const auto unread = planner().unread_tokens(where.engine);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(unread) / prompt_tokens_per_ms));
+}
+
+void stream_exchange::release()
+{
+    planner().release(accepted_.description.attempt);
+    tell(run_update::change::ended);
+    told_leader_ = false;
+}
+
+void stream_exchange::tell(run_update::change what)
+{
+    const planned_run planned = run();
+    context_.placer.tell(
+        {.service = accepted_.service,
+         .id = planned.id,
+         .what = static_cast<std::uint8_t>(what),
+         .account = accepted_.account,
+         .rank = planned.rank,
+         .prompt_tokens = planned.prompt_tokens,
+         .output_tokens = planned.output_tokens,
+         .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
+         .engine = placement_.engine,
+         .copy_holder = placement_.copy_holder.value_or(upstream_id())});
+    told_leader_ = what != run_update::change::ended;
+}
+
+void stream_exchange::report_placement()
+{
+    if (attempt_ && !ended_) {
+        tell(run_update::change::placed);
+    }
+}
+
+} // namespace bamboogate::relay
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -23,7 +23,7 @@
 net::address free_address()
 {
     const int fd = net::listen_on({"127.0.0.1", 0}).value();
-    const net::address where = net::local_address(fd);
+    net::address where = net::local_address(fd);
     ::close(fd);
     return where;
 }
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -9,17 +9,17 @@
 namespace {
 
 constexpr const char* sample_settings = R"(
-node = "edge-1"
+node = "gate-one"
 zone = "z1"
-ip = "10.1.0.19"
-internalPorts = [7200,7215]
-seeds = ["10.1.0.22:8748","10.2.0.15:8748"]
+ip = "127.0.3.4"
+internalPorts = [6100,6120]
+seeds = ["127.0.3.7:5011","127.0.3.8:5011"]
 bootstrap = true
 heartbeatMs = 1500
 unknown = 5
 [listen]
-front = "10.1.0.19:8740"
-ready = "10.1.0.19:8749"
+front = "127.0.3.4:5101"
+ready = "127.0.3.4:5102"
 [faultTolerance]
 machines = 2
 [bounds]
@@ -36,12 +36,12 @@
     const auto read = read_settings(sample_settings);
     REQUIRE(read);
     const auto& node = read.value();
-    CHECK(node.node == node_id("edge-1"));
-    CHECK(node.link_address() == net::address{"10.1.0.19", 7200});
+    CHECK(node.node == node_id("gate-one"));
+    CHECK(node.link_address() == net::address{"127.0.3.4", 6100});
     REQUIRE(node.seed_links().size() == 2);
-    CHECK(node.seed_links()[1] == net::address{"10.2.0.15", 7200});
+    CHECK(node.seed_links()[1] == net::address{"127.0.3.8", 6100});
     CHECK(node.first_start);
-    CHECK(node.callers == net::address{"10.1.0.19", 8740});
+    CHECK(node.callers == net::address{"127.0.3.4", 5101});
     CHECK_FALSE(node.control);
     CHECK(node.tolerated_machines == 2);
     CHECK(node.stop_grace == 8s);
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -13,8 +13,8 @@
   "routes": [
     {"name": "r1", "host": "h.example", "pathPrefix": "/a/",
      "routeType": "streaming", "timeoutMs": 25000, "goalMs": 4000,
-     "priority": 2, "service": "s1", "maxAttempts": 5, "anonymous": false,
-     "sticky": true, "resumable": true, "gapGoalMs": 700},
+     "service": "s1", "resumable": true, "gapGoalMs": 700,
+     "anonymous": false, "maxAttempts": 5, "priority": 2, "sticky": true},
     {"name": "r2", "host": "h.example", "pathPrefix": "/b/",
      "routeType": "idempotent", "timeoutMs": 1000,
      "split": [{"service": "s1", "weight": 90},
@@ -82,7 +82,7 @@
     CHECK(fields.find("X-Model") == "m");
     CHECK(fields.find("X-Prefix-Hash") == "aa:1");
     for (const char* name :
-         {"Authorization", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From"}) {
+         {"Kv-From", "X-Kv-Backup", "X-Pin-Ms", "X-Kv-Hold", "Authorization"}) {
         CAPTURE(name);
         CHECK_FALSE(fields.find(name).has_value());
     }
--- a/tests/relay/configuration_test.cpp
+++ b/tests/relay/configuration_test.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-route make_route(std::string prefix, std::string service)
+route make_route(const std::string& prefix, std::string service)
 {
     return {.name = "r" + prefix,
             .host = "one.example",
-            .path_prefix = std::move(prefix),
+            .path_prefix = prefix,
             .timeout = 1s,
             .targets = {{service_id(std::move(service)), 1}}};
 }
