Combine the ranks of account and route

Cause: an account's rank replaced the route's.

Change: `combined_rank` compares the account's rank first and the route's within it; memory and reading shares that are kept for urgent work go by the kind of request. Test: combined_rank_orders_accounts_first_and_routes_within_ them, which the old rule fails.

--- a/lib/include/bamboogate/relay/configuration.hpp
+++ b/lib/include/bamboogate/relay/configuration.hpp
@@ -72,9 +72,17 @@
 {
     client_account_id name;
     std::vector<std::string> keys;
-    std::optional<unsigned> rank; ///< goes before the route's rank
+    std::optional<unsigned> rank; ///< compared before the route's rank
 };
 
+/// @brief Combines the ranks of an account and a route into one number, the
+///     lower the more urgent. The account's rank goes first; between accounts
+///     of one rank the route's decides.
+/// @param account unset for anonymous requests and accounts without a rank,
+///     which count as ordinary ones. Thread safe.
+[[nodiscard]] unsigned combined_rank(std::optional<unsigned> account,
+                                     unsigned route);
+
 /// What callers may send, and how long they may take.
 struct caller_limits
 {
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -116,14 +116,15 @@
     request_id id;
     client_account_id account;
     unsigned rank = 0;
+    bool urgent = false; ///< of the most urgent kind of request
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
     std::vector<upstream_id> excluded;
     bool resuming = false;
     std::int64_t start_within_ms = 0; ///< later is too late for its objective
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_request, service, id, account, rank,
-                                   prompt_tokens, output_tokens, excluded,
-                                   resuming, start_within_ms)
+                                   urgent, prompt_tokens, output_tokens,
+                                   excluded, resuming, start_within_ms)
 };
 
 /// The leader's decision.
@@ -154,14 +155,15 @@
     std::uint8_t what = 0; ///< a `change`
     client_account_id account;
     unsigned rank = 0;
+    bool urgent = false;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
     std::uint64_t unread_tokens = 0;
     upstream_id engine;
     upstream_id copy_holder;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(run_update, service, id, what, account, rank,
-                                   prompt_tokens, output_tokens, unread_tokens,
-                                   engine, copy_holder)
+                                   urgent, prompt_tokens, output_tokens,
+                                   unread_tokens, engine, copy_holder)
 };
 
 } // namespace bamboogate::relay
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -29,7 +29,8 @@
 struct planned_run
 {
     request_id id;
-    unsigned rank = 0;
+    unsigned rank = 0;   ///< lower ones are placed first
+    bool urgent = false; ///< of the kind of request whose loss costs most
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
 };
@@ -59,7 +60,7 @@
         /// A copy is kept only while its holder is filled to at most this
         /// share: memory that copies take is missing for runs.
         double copy_memory_share = 0.92;
-        /// The same for the most urgent rank, whose loss costs most.
+        /// The same for urgent runs, whose loss costs most.
         double urgent_copy_memory_share = 0.97;
         /// Unread prompt tokens that an engine may have before a new one, so
         /// that the new prompt is read in time.
@@ -70,7 +71,7 @@
         /// before its deadline. This is half of what it could read.
         std::uint64_t max_read_tokens = 28000;
         duration read_window = std::chrono::seconds(8);
-        /// The same for the most urgent rank.
+        /// The same for urgent runs.
         std::uint64_t urgent_max_read_tokens = 36000;
         /// Cost of one prompt token given within the window, in units of one
         /// unread prompt token.
--- a/lib/source/relay/configuration.cpp
+++ b/lib/source/relay/configuration.cpp
@@ -50,6 +50,16 @@
 
 } // namespace
 
+unsigned combined_rank(std::optional<unsigned> account, unsigned route)
+{
+    // Three ranks of routes times three of accounts fit into the ten levels
+    // of urgency that engines know.
+    constexpr unsigned route_ranks = 3;
+    constexpr unsigned ordinary_account = 1;
+    return account.value_or(ordinary_account) * route_ranks +
+           std::min(route, route_ranks - 1);
+}
+
 result<void> validate(const configuration& candidate)
 {
     std::set<service_id> services;
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -89,6 +89,7 @@
     stream_demand demand{
         .run = {.id = request.id,
                 .rank = request.rank,
+                .urgent = request.urgent,
                 .prompt_tokens = request.prompt_tokens,
                 .output_tokens = request.output_tokens},
         .account = request.account,
@@ -115,6 +116,7 @@
         scheduler.adopt(
             {.id = update.id,
              .rank = update.rank,
+             .urgent = update.urgent,
              .prompt_tokens = update.prompt_tokens,
              .output_tokens = update.output_tokens},
             update.account,
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -138,8 +138,8 @@
         .service = route_table::pick_service(
             *where, hash_of(description.attempt.value())),
         .account = account != nullptr ? account->name : client_account_id(),
-        .rank =
-            account != nullptr && account->rank ? *account->rank : where->rank,
+        .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
+                              where->rank),
         .description = std::move(description)};
     auto slot = std::make_shared<std::weak_ptr<exchange>>();
     auto created = make_exchange(context_, std::move(accepted), [this, slot] {
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -26,6 +26,7 @@
 {
     return {.id = accepted_.description.attempt,
             .rank = accepted_.rank,
+            .urgent = accepted_.where->rank == 0,
             .prompt_tokens = accepted_.description.prompt_tokens,
             .output_tokens = accepted_.description.max_output_tokens};
 }
@@ -47,6 +48,7 @@
         .id = accepted_.description.attempt,
         .account = accepted_.account,
         .rank = accepted_.rank,
+        .urgent = accepted_.where->rank == 0,
         .prompt_tokens = accepted_.description.prompt_tokens,
         .output_tokens = accepted_.description.max_output_tokens,
         .excluded = {excluded_.begin(), excluded_.end()},
@@ -135,6 +137,7 @@
          .what = static_cast<std::uint8_t>(what),
          .account = accepted_.account,
          .rank = planned.rank,
+         .urgent = planned.urgent,
          .prompt_tokens = planned.prompt_tokens,
          .output_tokens = planned.output_tokens,
          .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -55,7 +55,7 @@
                               const planned_run& run, time_point now) const
 {
     const load& current = load_of(engine.id);
-    const std::uint64_t max_reads = run.rank == 0
+    const std::uint64_t max_reads = run.urgent
                                         ? settings_.urgent_max_read_tokens
                                         : settings_.max_read_tokens;
     const double reads =
@@ -116,7 +116,7 @@
 {
     const auto home = engines_.find(engine);
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
-    const double share = run.rank == 0 ? settings_.urgent_copy_memory_share
+    const double share = run.urgent ? settings_.urgent_copy_memory_share
                                        : settings_.copy_memory_share;
     const planned_engine* best = nullptr;
     std::tuple<bool, std::uint64_t> best_key;
--- a/tests/relay/configuration_test.cpp
+++ b/tests/relay/configuration_test.cpp
@@ -29,6 +29,16 @@
 
 } // namespace
 
+// Guards against an account's rank that hides the route's: urgent requests of
+// ordinary accounts then queue behind less urgent ones.
+TEST_CASE("combined_rank_orders_accounts_first_and_routes_within_them")
+{
+    CHECK(combined_rank(0, 2) < combined_rank(1, 0));
+    CHECK(combined_rank(1, 0) < combined_rank(1, 2));
+    CHECK(combined_rank(std::nullopt, 0) < combined_rank(std::nullopt, 1));
+    CHECK(combined_rank(std::nullopt, 2) == combined_rank(1, 9));
+}
+
 TEST_CASE_FIXTURE(configuration_fixture,
                   "route_table_of_two_prefixes_picks_the_longest")
 {
--- a/tests/streaming/random_faults_test.cpp
+++ b/tests/streaming/random_faults_test.cpp
@@ -162,11 +162,13 @@
     void step(test_caller& caller, time_point now)
     {
         if (caller.finish) {
-            const bool valid = caller.is_whole(mode_) &&
-                               caller.agrees_with_older_connections();
-            ++(valid ? whole : wrong);
-            if (!valid) {
+            const bool complete = caller.is_whole(mode_);
+            const bool agrees = caller.agrees_with_older_connections();
+            ++(complete && agrees ? whole : wrong);
+            if (!complete) {
                 note(caller, "not whole");
+            } else if (!agrees) {
+                note(caller, "an older connection got other tokens");
             }
             return;
         }
