Hold requests until a gate has its first configuration

Ruled out: applying the configuration that a single replica holds on its disk, which may be older than the one that was acknowledged.

Change: `request_hold` keeps up to 256 requests for at most 1.2 s and a third of the time that their callers leave, drops those whose callers leave, and refuses the rest. Deadlines count from the arrival. Tests: request_before_ the_first_configuration_waits_and_is_served (fails without the hold), held_request_is_refused_when_no_configuration_comes.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -48,6 +48,7 @@
     const route* where = nullptr;
     service_id service;
     client_account_id account;
+    time_point arrived;
     unsigned rank = 0;
     request_description description;
 };
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -64,6 +64,9 @@
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused without being sent to an upstream."};
+inline constexpr log_event request_held{
+    1034, severity::info, "relay_request_held",
+    "A request waits for the gate's first configuration."};
 inline constexpr log_event attempt_started{
     1031, severity::info, "relay_attempt_started",
     "A request was sent to an upstream."};
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -7,6 +7,7 @@
 #include <bamboogate/observability/metrics.hpp>
 #include <bamboogate/relay/control_feed.hpp>
 #include <bamboogate/relay/exchange.hpp>
+#include <bamboogate/relay/request_hold.hpp>
 #include <bamboogate/relay/upstream_prober.hpp>
 
 #include <functional>
@@ -28,6 +29,7 @@
         net::address callers; ///< where callers connect
         control_feed::options control;
         retry_allowance::options retries;
+        request_hold::options hold;
         /// After a planned stop began, short requests are still taken for
         /// this long, because the balancer turns away only after two checks.
         /// Streams are refused at once: most would be cut at the limit.
@@ -62,6 +64,8 @@
 private:
     void on_request(net::http1_request request,
                     const net::http1_responder_ptr& responder);
+    /// @pre there is a configuration
+    void carry(arrived_request arrived);
     void answer_own(const net::http1_responder_ptr& responder,
                     const request_description& description, unsigned status,
                     std::string_view cause);
@@ -93,6 +97,7 @@
     std::shared_ptr<const route_table> table_;
     std::unique_ptr<net::http1_server> server_;
     std::set<std::shared_ptr<exchange>> exchanges_;
+    request_hold hold_;
     net::timer tick_timer_;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -12,7 +12,7 @@
 exchange::exchange(gate_context& context, accepted_request accepted,
                    std::function<void()> on_end)
     : context_(context), accepted_(std::move(accepted)),
-      started_(context.loop.now()), on_end_(std::move(on_end)),
+      started_(accepted_.arrived), on_end_(std::move(on_end)),
       deadline_timer_(context.loop, [this] {
           if (!ended_) {
               const auto self = shared_from_this();
@@ -43,7 +43,7 @@
         self->cancel_attempts();
         self->end("caller_left", 0);
     });
-    context_.retries.note_first(accepted_.service, started_);
+    context_.retries.note_first(accepted_.service, context_.loop.now());
     begin();
 }
 
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -59,6 +59,11 @@
           },
           .refresh_planner =
               [this](const service_id& service) { refresh_planner(service); }},
+      hold_(loop, settings_.hold,
+            [this](const arrived_request& arrived) {
+                answer_own(arrived.responder, arrived.description, 503,
+                           "no_configuration");
+            }),
       tick_timer_(loop, [this] { tick(); })
 {}
 
@@ -107,11 +112,27 @@
         answer_own(responder, {}, 400, described.error().detail);
         return;
     }
-    request_description description = std::move(described).value();
-    if (!table_) {
-        answer_own(responder, description, 503, "no_configuration");
+    arrived_request arrived{.request = std::move(request),
+                            .responder = responder,
+                            .description = std::move(described).value(),
+                            .arrived = loop_.now()};
+    if (table_) {
+        carry(std::move(arrived));
         return;
     }
+    const std::string id = arrived.description.attempt.value();
+    if (stopping_ || !hold_.keep(arrived)) {
+        answer_own(responder, arrived.description, 503, "no_configuration");
+        return;
+    }
+    log(events::request_held, {{"request", id},
+                               {"held", hold_.size()},
+                               {"control_links", feed_.links_up()}});
+}
+
+void relay_gate::carry(arrived_request arrived)
+{
+    auto& [request, responder, description, arrival] = arrived;
     const route* where = table_->find_route(
         request.headers.find("Host").value_or(""), request.path());
     if (where == nullptr) {
@@ -138,6 +159,7 @@
         .service = route_table::pick_service(
             *where, hash_of(description.attempt.value())),
         .account = account != nullptr ? account->name : client_account_id(),
+        .arrived = arrival,
         .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
                               where->rank),
         .description = std::move(description)};
@@ -166,6 +188,8 @@
         {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
         limits.header_timeout, limits.idle_timeout);
     tick();
+    hold_.release(
+        [this](arrived_request arrived) { carry(std::move(arrived)); });
 }
 
 void relay_gate::on_announcement(const announcement& said)
@@ -300,6 +324,7 @@
     stopped_ = std::move(done);
     log(events::process_stopping, {{"active", exchanges_.size()}});
     server_->drain();
+    hold_.expire_all();
     tick();
 }
 
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -117,7 +117,7 @@
     const auto home = engines_.find(engine);
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const double share = run.urgent ? settings_.urgent_copy_memory_share
-                                       : settings_.copy_memory_share;
+                                    : settings_.copy_memory_share;
     const planned_engine* best = nullptr;
     std::tuple<bool, std::uint64_t> best_key;
     for (const auto& [id, candidate] : engines_) {
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -302,6 +302,48 @@
     CHECK(service.seen.empty());
 }
 
+// Guards against callers whose last retry meets a gate that has just started:
+// after a restart of all processes it has no configuration for some 0.6 s.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "request_before_the_first_configuration_waits_and_is_served")
+{
+    REQUIRE(run_until(
+        loop,
+        [&] {
+            return std::any_of(
+                nodes.begin(), nodes.end(),
+                [](const auto& node) { return node->is_leader(); });
+        },
+        10s));
+    announce(service, "book", "d1");
+    auto request = ask("/book/x", "a0");
+    auto left = ask("/book/x", "a1");
+    run_until(
+        loop, [] { return false; }, 200ms);
+    CHECK_FALSE(request->over());
+    left.reset();
+    REQUIRE(control_call(1, "POST", "/Config.Replace", configuration(5))
+                ->status() == 200);
+    REQUIRE(wait([&] { return service.seen.size() == 1; }));
+    CHECK(service.header(0, "X-Attempt-Id") == "a0");
+    CHECK(std::stoi(service.header(0, "X-Deadline-Ms")) < 2850);
+    service.answer(0, "booked");
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->status() == 200);
+    CHECK(service.seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "held_request_is_refused_when_no_configuration_comes")
+{
+    const time_point asked = loop.now();
+    auto request = ask("/book/x", "a0");
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->status() == 503);
+    CHECK(request->head->headers.find("Retry-After").has_value());
+    CHECK(loop.now() - asked < 1200ms);
+}
+
 TEST_CASE_FIXTURE(relay_fixture, "gate_forwards_a_request_and_its_answer")
 {
     bring_up();
