Order another copy for streams that lost theirs

Cause: a failure domain goes down about every 7 s and a stream lasts 6 to 9 s. An engine that restarts under its own id also kept its place as a holder, though the copy was gone.

Ruled out: moving the stream itself to the new holder, which stops it for the transfer and needs a second path through the attempt's state.

Change: `stream_copy` keeps the state of one stream's copy. When the holder is lost or restarts, the leader names another one with room, the engine copies the memory there while the run goes on, and the order is repeated three times within the copy's lifetime. Tests: stream_whose_copy_was_lost_goes_on_from_an_ ordered_copy (both cases fail without it), ended_stream_orders_no_copies, renewed_copy_moves_the_memory_to_another_failure_domain, wire_copy_order_*.

Tests mended: node_with_a_lost_disk_* expected an immediate acknowledgement although the lost node may have been the leader (503, 5 of 40 runs at four at once); it now resends as operators do and asks for the acknowledgement within their bound of 4 s (30 of 30 runs at five at once). free_address handed out ports that later listeners without a port of their own could take (seen once: `node->start()` failed); it now takes ports below that range.

--- a/lib/include/bamboogate/relay/configuration.hpp
+++ b/lib/include/bamboogate/relay/configuration.hpp
@@ -55,7 +55,9 @@
     unsigned slots = 0;
     std::uint64_t memory_tokens = 0;
     std::uint64_t tokens_per_event = 1;
-    bool keeps_copies = false; ///< takes copies of other engines' runs
+    bool keeps_copies = false;    ///< takes copies of other engines' runs
+    bool copies_on_order = false; ///< copies a running run when told to
+    duration copy_lifetime{};     ///< of a copy that was made on order
 };
 
 /// Upstreams that are interchangeable.
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -20,6 +20,14 @@
 
 namespace bamboogate::relay {
 
+/// A copy that a stream can go on from.
+struct held_copy
+{
+    upstream_id holder;
+    copy_source source;
+    bool on_order = false; ///< made on order, so it has to be renewed
+};
+
 /// What the exchanges of one gate share.
 struct gate_context
 {
@@ -35,6 +43,8 @@
     std::function<void(const upstream_id&)> suspect;
     /// The planner of a service.
     std::function<stream_planner&(const service_id&)> planner;
+    /// What a service declares of its engines; null for plain services.
+    std::function<const engine_profile*(const service_id&)> profile;
     /// Brings a planner's view of the engines up to date.
     std::function<void(const service_id&)> refresh_planner;
 };
@@ -69,6 +79,10 @@
     /// @brief The upstream is known to be lost: its attempts end now.
     virtual void on_upstream_lost(const upstream_id& id) = 0;
 
+    /// @brief The upstream started again under its id: copies that it held
+    ///     are gone. Attempts there see the loss on their own connections.
+    virtual void on_upstream_restarted(const upstream_id&) {}
+
     /// @brief The upstream gave another process no sign of life. An exchange
     ///     that has a cheap way to go on and has heard nothing itself takes
     ///     that as its loss.
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -61,11 +61,22 @@
     1023, severity::info, "stream_placed",
     "The leader gave a stream its engine and the holder of its copy, or "
     "refused it."};
+inline constexpr log_event copy_placed{
+    1026, severity::info, "stream_copy_placed",
+    "The leader named another holder for the copy of a running stream, or "
+    "found none with room."};
+inline constexpr log_event copy_ordered{
+    1024, severity::info, "stream_copy_ordered",
+    "An engine was told to copy the memory of a stream that had lost its "
+    "copy."};
+inline constexpr log_event copy_order_failed{
+    1025, severity::warning, "stream_copy_order_failed",
+    "An ordered copy was not made; another holder is asked for."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused without being sent to an upstream."};
 inline constexpr log_event request_held{
-    1034, severity::info, "relay_request_held",
+    1036, severity::info, "relay_request_held",
     "A request waits for the gate's first configuration."};
 inline constexpr log_event attempt_started{
     1031, severity::info, "relay_attempt_started",
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -138,6 +138,24 @@
                                    retry_after_ms)
 };
 
+/// Gate to leader: a running stream needs another engine for its copy.
+struct copy_request
+{
+    static constexpr std::string_view type = "relay_copy_request";
+    service_id service;
+    request_id id;
+    std::vector<upstream_id> excluded; ///< those that had no room
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(copy_request, service, id, excluded)
+};
+
+/// The engine that is to hold the copy.
+struct copy_reply
+{
+    static constexpr std::string_view type = "relay_copy_reply";
+    upstream_id holder; ///< empty: none has room
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(copy_reply, holder)
+};
+
 /// Gate to leader: what became of a run. A new leader gets one for each
 /// stream that runs.
 struct run_update
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -50,6 +50,7 @@
 
     void on_request(const net::peer_info& peer, const place_request& request,
                     std::function<void(result<place_reply>)> reply);
+    [[nodiscard]] copy_reply on_copy_request(const copy_request& request);
     void on_update(const net::peer_info& peer, const run_update& update);
     void refresh(const service_id& service, stream_scheduler& scheduler);
     void decide(const service_id& service);
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -31,11 +31,22 @@
     std::string key; ///< of the client account; empty: none
 };
 
-/// A copy of a run's memory on an engine.
+/// Names a copy of a run's memory to the engine that goes on from it.
 struct copy_source
 {
-    net::address holder; ///< engine that holds the copy
-    request_id run;      ///< attempt whose memory it is
+    /// The holder, for a copy that grows with its run; the engine that made
+    /// it, for a copy made on order.
+    net::address where;
+    std::string name; ///< the run's attempt, or what the order returned
+};
+
+/// A call of our own to an upstream.
+struct upstream_call
+{
+    std::string method;
+    std::string target;
+    net::header_list headers;
+    std::string body;
 };
 
 /// What the gate tells an upstream about an attempt.
@@ -78,7 +89,9 @@
                                  net::header_list& headers,
                                  const attempt_options& options,
                                  const net::http1_response_head& head,
-                                 std::string_view text, duration delay)
+                                 std::string_view text, duration delay,
+                                 const request_id& run,
+                                 const net::address& holder, unsigned status)
 {
     {
         T::describe_request(request)
@@ -96,6 +109,12 @@
     {
         T::liveness_call(delay)
         } -> std::same_as<net::http1_client::request>;
+    {
+        T::copy_order(run, holder)
+        } -> std::same_as<upstream_call>;
+    {
+        T::read_copy_order(status, text)
+        } -> std::same_as<result<std::string>>;
 };
 
 /// The functions of one `RelayProtocol`, for code that is compiled once.
@@ -114,6 +133,12 @@
     std::function<result<configuration>(std::string_view)> read_configuration;
     /// A call that a live engine answers after about the given time.
     std::function<net::http1_client::request(duration)> liveness_call;
+    /// Tells the engine of a run to copy its memory to another engine.
+    std::function<upstream_call(const request_id&, const net::address&)>
+        copy_order;
+    /// The name of the copy that an order has made.
+    std::function<result<std::string>(unsigned, std::string_view)>
+        read_copy_order;
 };
 
 template <RelayProtocol Protocol>
@@ -124,7 +149,9 @@
             .describe_answer = &Protocol::describe_answer,
             .retry_after = &Protocol::retry_after,
             .read_configuration = &Protocol::read_configuration,
-            .liveness_call = &Protocol::liveness_call};
+            .liveness_call = &Protocol::liveness_call,
+            .copy_order = &Protocol::copy_order,
+            .read_copy_order = &Protocol::read_copy_order};
 }
 
 } // namespace bamboogate::relay
--- a/lib/include/bamboogate/relay/stream_placer.hpp
+++ b/lib/include/bamboogate/relay/stream_placer.hpp
@@ -29,6 +29,10 @@
     void ask(const place_request& request,
              std::function<void(result<place_reply>)> callback);
 
+    /// @brief Asks for another holder for the copy of a running stream.
+    void ask_for_copy(const copy_request& request, duration limit,
+                      std::function<void(result<copy_reply>)> callback);
+
     /// @brief Tells the leader; lost words are made up for when the leader
     ///     changes or the run ends.
     void tell(const run_update& update);
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -111,6 +111,12 @@
     choose_copy_holder(const planned_run& run, const upstream_id& engine,
                        const std::set<upstream_id>& excluded) const;
 
+    /// @brief Gives a running stream another holder for its copy in place of
+    ///     the one that it had.
+    /// @return nothing when no engine has room or the run is not known
+    std::optional<upstream_id>
+    renew_copy(const request_id& run, const std::set<upstream_id>& excluded);
+
     /// @brief Notes that a run is on an engine from now on.
     /// @param unread_tokens of its prompt that the engine has to read
     void assign(const planned_run& run, const placement& where,
@@ -149,6 +155,7 @@
         std::optional<upstream_id> copy_holder;
         std::uint64_t tokens = 0;
         std::uint64_t unread = 0;
+        bool urgent = false;
     };
 
     [[nodiscard]] double cost(const planned_engine& engine,
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -30,6 +30,15 @@
     hub.serve<place_request, place_reply>(
         [this](const net::peer_info& peer, const place_request& request,
                const auto& reply) { on_request(peer, request, reply); });
+    hub.serve<copy_request, copy_reply>([this](const net::peer_info&,
+                                               const copy_request& request,
+                                               const auto& reply) {
+        if (!is_leader_()) {
+            reply(fail(errc::not_leader));
+            return;
+        }
+        reply(on_copy_request(request));
+    });
     hub.on<run_update>(
         [this](const net::peer_info& peer, const run_update& update) {
             on_update(peer, update);
@@ -104,6 +113,19 @@
     decide(request.service);
 }
 
+copy_reply placement_server::on_copy_request(const copy_request& request)
+{
+    stream_scheduler& scheduler = schedulers_[request.service];
+    refresh(request.service, scheduler);
+    const auto holder = scheduler.planner().renew_copy(
+        request.id, {request.excluded.begin(), request.excluded.end()});
+    log(events::copy_placed,
+        {{"request", request.id.value()},
+         {"holder", holder.value_or(upstream_id()).value()},
+         {"excluded", request.excluded.size()}});
+    return {holder.value_or(upstream_id())};
+}
+
 void placement_server::on_update(const net::peer_info& peer,
                                  const run_update& update)
 {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -57,6 +57,14 @@
           .planner = [this](const service_id& service) -> stream_planner& {
               return planners_[service];
           },
+          .profile =
+              [this](const service_id& service) -> const engine_profile* {
+              const relay::service* declared =
+                  table_ ? table_->find_service(service) : nullptr;
+              return declared != nullptr && declared->engine
+                         ? &*declared->engine
+                         : nullptr;
+          },
           .refresh_planner =
               [this](const service_id& service) { refresh_planner(service); }},
       hold_(loop, settings_.hold,
@@ -194,6 +202,9 @@
 
 void relay_gate::on_announcement(const announcement& said)
 {
+    const instance* before = directory_.find(said.id);
+    const bool restarted =
+        before != nullptr && before->said.started_at < said.started_at;
     const auto change = directory_.hear(said, loop_.now());
     if (change != instance_registry::change::updated) {
         return;
@@ -205,6 +216,11 @@
          {"state", said.draining ? "leaving" : "ready"},
          {"started_at", said.started_at},
          {"sequence", said.sequence}});
+    if (restarted) {
+        for (const auto& each : exchanges_) {
+            each->on_upstream_restarted(said.id);
+        }
+    }
     // A new start at this address ends the one before.
     for (const auto& [id, each] : directory_.registry().instances()) {
         if (each.state == instance_state::lost &&
--- /dev/null
+++ b/lib/source/relay/stream_copy.cpp
@@ -0,0 +1,230 @@
+#include "stream_copy.hpp"
+
+#include <bamboogate/relay/log_events.hpp>
+
+namespace bamboogate::relay {
+
+using observability::log;
+namespace events = log_events;
+
+namespace {
+
+/// An order is repeated this many times within the lifetime of its copy, so
+/// that one lost repetition does not cost the copy.
+constexpr int orders_per_lifetime = 3;
+/// Assumed where the service declares no lifetime.
+constexpr duration default_lifetime = std::chrono::seconds(3);
+/// Engines of a lost failure domain are back after about a second; room for
+/// copies comes with them.
+constexpr duration retry_pause = std::chrono::milliseconds(500);
+/// A transfer takes some 20 ms, behind others on the same link.
+constexpr duration order_timeout = std::chrono::seconds(1);
+constexpr duration ask_timeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+stream_copy::stream_copy(gate_context& context, options settings)
+    : context_(context), settings_(std::move(settings)),
+      timer_(context.loop, [this] { on_timer(); })
+{}
+
+void stream_copy::begin(const upstream_id& engine,
+                        const std::optional<upstream_id>& holder)
+{
+    ++generation_;
+    engine_ = engine;
+    copy_.reset();
+    refused_by_.clear();
+    started_ = false;
+    asking_ = false;
+    const instance* known = holder ? context_.directory.find(*holder) : nullptr;
+    if (known != nullptr) {
+        copy_ = held_copy{.holder = *holder,
+                          .source = {known->said.where, settings_.run.value()},
+                          .on_order = false};
+    }
+}
+
+void stream_copy::note_started()
+{
+    started_ = true;
+    look_after();
+}
+
+void stream_copy::on_upstream_lost(const upstream_id& id)
+{
+    if (!copy_ || copy_->holder != id) {
+        return;
+    }
+    copy_.reset();
+    call_.reset();
+    look_after();
+}
+
+std::optional<held_copy> stream_copy::end()
+{
+    const auto out = usable() ? copy_ : std::nullopt;
+    ++generation_;
+    timer_.stop();
+    call_.reset();
+    copy_.reset();
+    started_ = false;
+    return out;
+}
+
+bool stream_copy::usable() const
+{
+    if (!copy_ || !started_) {
+        return false;
+    }
+    const instance* known = context_.directory.find(copy_->holder);
+    return known != nullptr && known->state != instance_state::lost &&
+           !context_.directory.health(copy_->holder)
+                .suspended(context_.loop.now());
+}
+
+upstream_id stream_copy::holder() const
+{
+    return copy_ ? copy_->holder : upstream_id();
+}
+
+const engine_profile* stream_copy::profile() const
+{
+    return context_.profile(settings_.service);
+}
+
+void stream_copy::on_timer()
+{
+    if (call_) {
+        call_.reset();
+        on_order_failed("timeout");
+        return;
+    }
+    look_after();
+}
+
+void stream_copy::look_after()
+{
+    const engine_profile* engine = profile();
+    if (!started_ || engine == nullptr || !engine->copies_on_order || call_ ||
+        asking_) {
+        return;
+    }
+    if (!copy_) {
+        ask_for_holder();
+    } else if (copy_->on_order) {
+        order();
+    }
+}
+
+void stream_copy::ask_for_holder()
+{
+    asking_ = true;
+    context_.placer.ask_for_copy(
+        {.service = settings_.service,
+         .id = settings_.run,
+         .excluded = {refused_by_.begin(), refused_by_.end()}},
+        ask_timeout,
+        [this, alive = std::weak_ptr(alive_),
+         generation = generation_](const result<copy_reply>& reply) {
+            if (!alive.expired() && generation == generation_) {
+                asking_ = false;
+                on_holder(reply);
+            }
+        });
+}
+
+void stream_copy::on_holder(const result<copy_reply>& reply)
+{
+    if (!reply || reply.value().holder.empty()) {
+        try_again_later();
+        return;
+    }
+    ordered_from_ = reply.value().holder;
+    order();
+}
+
+void stream_copy::order()
+{
+    const upstream_id target = copy_ ? copy_->holder : ordered_from_;
+    const instance* holder = context_.directory.find(target);
+    const instance* engine = context_.directory.find(engine_);
+    if (holder == nullptr || engine == nullptr) {
+        try_again_later();
+        return;
+    }
+    ordered_from_ = target;
+    answer_body_.clear();
+    answer_status_ = 0;
+    const upstream_call what =
+        context_.protocol.copy_order(settings_.run, holder->said.where);
+    call_ = context_.upstreams.start(
+        engine->said.where,
+        {.method = what.method,
+         .target = what.target,
+         .headers = what.headers,
+         .body = what.body},
+        {.on_head =
+             [this](const net::http1_response_head& head) {
+                 answer_status_ = head.status;
+                 return true;
+             },
+         .on_body = [this](std::string_view part) { answer_body_ += part; },
+         .on_complete =
+             [this] {
+                 call_.reset();
+                 auto handle = context_.protocol.read_copy_order(answer_status_,
+                                                                 answer_body_);
+                 if (handle) {
+                     on_ordered(std::move(handle).value());
+                 } else {
+                     on_order_failed(handle.error().detail);
+                 }
+             },
+         .on_failure =
+             [this](const net::http1_failure& failure) {
+                 call_.reset();
+                 on_order_failed(name_of(failure.code));
+             }});
+    timer_.start_once(order_timeout);
+}
+
+void stream_copy::on_ordered(std::string handle)
+{
+    const instance* engine = context_.directory.find(engine_);
+    if (engine == nullptr) {
+        return;
+    }
+    if (!copy_) {
+        log(events::copy_ordered, {{"request", settings_.run.value()},
+                                   {"engine", engine_.value()},
+                                   {"holder", ordered_from_.value()}});
+    }
+    copy_ = held_copy{.holder = ordered_from_,
+                      .source = {engine->said.where, std::move(handle)},
+                      .on_order = true};
+    const engine_profile* declared = profile();
+    const duration lifetime =
+        declared != nullptr && declared->copy_lifetime > duration::zero()
+            ? declared->copy_lifetime
+            : default_lifetime;
+    timer_.start_once(lifetime / orders_per_lifetime);
+}
+
+void stream_copy::on_order_failed(std::string_view cause)
+{
+    log(events::copy_order_failed, {{"request", settings_.run.value()},
+                                    {"engine", engine_.value()},
+                                    {"holder", ordered_from_.value()},
+                                    {"cause", cause}});
+    refused_by_.insert(ordered_from_);
+    copy_.reset();
+    try_again_later();
+}
+
+void stream_copy::try_again_later()
+{
+    timer_.start_once(retry_pause);
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -58,6 +58,8 @@
       silence_timer_(context.loop, [this] { on_silence(); }),
       detector_(
           silence_options(accepted_.table->find_service(accepted_.service))),
+      copy_(context, {.service = accepted_.service,
+                      .run = accepted_.description.attempt}),
       last_event_(accepted_.description.resume_after)
 {}
 
@@ -66,7 +68,8 @@
     place();
 }
 
-void stream_exchange::send(const placement& where, bool from_copy)
+void stream_exchange::send(const placement& where,
+                           const std::optional<copy_source>& source)
 {
     const instance* engine = context_.directory.find(where.engine);
     if (engine == nullptr) {
@@ -75,9 +78,10 @@
         return;
     }
     placement_ = where;
-    from_copy_ = from_copy;
+    from_copy_ = source.has_value();
+    copy_.begin(where.engine, where.copy_holder);
     const planned_run planned = run();
-    planner().assign(planned, where, from_copy ? 0 : planned.prompt_tokens,
+    planner().assign(planned, where, from_copy_ ? 0 : planned.prompt_tokens,
                      context_.loop.now());
     if (!told_leader_) {
         tell(run_update::change::placed);
@@ -87,17 +91,13 @@
                             .account = accepted_.account,
                             .urgency = accepted_.rank,
                             .copy_to = std::nullopt,
-                            .continue_from = std::nullopt,
+                            .continue_from = source,
                             .resume_after = last_event_};
     if (where.copy_holder) {
         if (const auto* holder = context_.directory.find(*where.copy_holder)) {
             options.copy_to = holder->said.where;
         }
     }
-    if (from_copy) {
-        options.continue_from =
-            copy_source{engine->said.where, accepted_.description.attempt};
-    }
     splitter_ = {};
     error_body_.clear();
     head_ = {};
@@ -105,7 +105,7 @@
     event_seen_ = false;
     ++attempts_;
     attempt_started_ = context_.loop.now();
-    log_attempt(from_copy ? "stream_from_copy" : "stream", *engine, attempts_);
+    log_attempt(from_copy_ ? "stream_from_copy" : "stream", *engine, attempts_);
     context_.directory.health(where.engine).begin();
     detector_ = streaming::silence_detector(
         silence_options(accepted_.table->find_service(accepted_.service)));
@@ -199,6 +199,7 @@
         event_seen_ = true;
         planner().note_started(accepted_.description.attempt);
         tell(run_update::change::started);
+        copy_.note_started();
         context_.directory.health(placement_.engine)
             .note_success(now - attempt_started_);
     }
@@ -270,6 +271,7 @@
             return;
         }
         health.end();
+        static_cast<void>(copy_.end());
         release();
         if (!head_sent_) {
             // A stream without events behind the caller's last one.
@@ -332,6 +334,7 @@
 {
     log_failure(placement_.engine, cause);
     silence_timer_.stop();
+    const auto held = copy_.end();
     context_.directory.health(placement_.engine).end();
     release();
     runs_ += may_have_run ? 1 : 0;
@@ -349,27 +352,22 @@
         return;
     }
     resuming_ = event_seen_ || resuming_;
-    const auto holder = placement_.copy_holder;
-    const instance* copy =
-        holder && event_seen_ ? context_.directory.find(*holder) : nullptr;
-    const bool copy_usable =
-        copy != nullptr && copy->state != instance_state::lost &&
-        !context_.directory.health(*holder).suspended(context_.loop.now());
-    if (!copy_usable) {
+    if (!held) {
         place();
         return;
     }
     context_.metrics.resumed.add();
     context_.refresh_planner(accepted_.service);
-    send({.engine = *holder,
+    send({.engine = held->holder,
           .copy_holder =
-              planner().choose_copy_holder(run(), *holder, excluded_)},
-         true);
+              planner().choose_copy_holder(run(), held->holder, excluded_)},
+         held->source);
 }
 
 void stream_exchange::cancel_attempts()
 {
     silence_timer_.stop();
+    static_cast<void>(copy_.end());
     if (attempt_) {
         attempt_.reset();
         context_.directory.health(placement_.engine).end();
@@ -392,18 +390,27 @@
     refuse("deadline", refusal_delay);
 }
 
+void stream_exchange::on_upstream_restarted(const upstream_id& id)
+{
+    copy_.on_upstream_lost(id);
+}
+
 void stream_exchange::on_upstream_suspected(const upstream_id& id)
 {
     const bool silent = event_seen_ && context_.loop.now() - last_event_at_ >=
                                            confirming_silence;
-    if (placement_.copy_holder && silent) {
+    if (copy_.usable() && silent) {
         on_upstream_lost(id);
     }
 }
 
 void stream_exchange::on_upstream_lost(const upstream_id& id)
 {
-    if (ended_ || !attempt_ || id != placement_.engine) {
+    if (ended_ || !attempt_) {
+        return;
+    }
+    copy_.on_upstream_lost(id);
+    if (id != placement_.engine) {
         return;
     }
     const bool sent = attempt_->request_sent();
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -5,6 +5,8 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/streaming/silence_detector.hpp>
 
+#include "stream_copy.hpp"
+
 namespace bamboogate::relay {
 
 /// A resumable stream. Whole events go to the caller as they come. When the
@@ -19,6 +21,7 @@
                     std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
+    void on_upstream_restarted(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
     void report_placement() override;
 
@@ -35,7 +38,8 @@
     void place_by_own_choice();
     void release();
     void tell(run_update::change what);
-    void send(const placement& where, bool from_copy);
+    /// @param source the copy that the engine goes on from
+    void send(const placement& where, const std::optional<copy_source>& source);
     bool on_head(const net::http1_response_head& head);
     void on_body(std::string_view part);
     void on_complete();
@@ -56,6 +60,7 @@
     time_point silence_check_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
     placement placement_;
+    stream_copy copy_;
     bool from_copy_ = false;
     bool awaiting_place_ = false;
     bool told_leader_ = false;
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -92,7 +92,7 @@
           .copy_holder = decision.copy_holder.empty()
                              ? std::nullopt
                              : std::optional(decision.copy_holder)},
-         false);
+         std::nullopt);
 }
 
 void stream_exchange::place_by_own_choice()
@@ -111,7 +111,7 @@
         }
         return;
     }
-    send(*where, false);
+    send(*where, std::nullopt);
 }
 
 duration stream_exchange::expected_first_event(const placement& where) const
@@ -142,7 +142,7 @@
          .output_tokens = planned.output_tokens,
          .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
          .engine = placement_.engine,
-         .copy_holder = placement_.copy_holder.value_or(upstream_id())});
+         .copy_holder = copy_.holder()});
     told_leader_ = what != run_update::change::ended;
 }
 
--- a/lib/source/relay/stream_placer.cpp
+++ b/lib/source/relay/stream_placer.cpp
@@ -20,6 +20,14 @@
                                           std::move(callback));
 }
 
+void stream_placer::ask_for_copy(
+    const copy_request& request, duration limit,
+    std::function<void(result<copy_reply>)> callback)
+{
+    hub_.call<copy_request, copy_reply>(leader_(), request, limit,
+                                        std::move(callback));
+}
+
 void stream_placer::tell(const run_update& update)
 {
     hub_.send(leader_(), update);
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -136,6 +136,27 @@
     return best == nullptr ? std::nullopt : std::optional(best->id);
 }
 
+std::optional<upstream_id>
+stream_planner::renew_copy(const request_id& run,
+                           const std::set<upstream_id>& excluded)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return std::nullopt;
+    }
+    assigned_run& entry = found->second;
+    if (entry.copy_holder) {
+        loads_[*entry.copy_holder].resident -= entry.tokens;
+    }
+    entry.copy_holder = choose_copy_holder(
+        {.id = run, .urgent = entry.urgent, .prompt_tokens = entry.tokens},
+        entry.engine, excluded);
+    if (entry.copy_holder) {
+        loads_[*entry.copy_holder].resident += entry.tokens;
+    }
+    return entry.copy_holder;
+}
+
 void stream_planner::assign(const planned_run& run, const placement& where,
                             std::uint64_t unread_tokens, time_point now)
 {
@@ -143,7 +164,8 @@
     assigned_run entry{.engine = where.engine,
                        .copy_holder = where.copy_holder,
                        .tokens = run.prompt_tokens + run.output_tokens,
-                       .unread = unread_tokens};
+                       .unread = unread_tokens,
+                       .urgent = run.urgent};
     load& engine = loads_[where.engine];
     while (!engine.reads.empty() &&
            now - engine.reads.front().first > settings_.read_window) {
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -20,12 +20,25 @@
 
 namespace {
 
+/// An address that nothing listens on. Its port is below the range from which
+/// the system gives ports to outgoing connections and to listeners without a
+/// port of their own, so that none of these takes it before the test does.
 net::address free_address()
 {
-    const int fd = net::listen_on({"127.0.0.1", 0}).value();
-    net::address where = net::local_address(fd);
-    ::close(fd);
-    return where;
+    constexpr int first_port = 10000;
+    constexpr int ports = 20000;
+    static int next = ::getpid() * 64;
+    for (int tries = 0; tries < ports; ++tries) {
+        const auto port =
+            static_cast<std::uint16_t>(first_port + next++ % ports);
+        const auto fd = net::listen_on({"127.0.0.1", port});
+        if (fd) {
+            ::close(fd.value());
+            return {"127.0.0.1", port};
+        }
+    }
+    FAIL("no free port");
+    return {};
 }
 
 /// An engine or service that answers as the test says.
@@ -40,6 +53,7 @@
     net::event_loop& loop;
     std::string id;
     std::vector<seen_request> seen;
+    std::vector<std::string> copy_targets; ///< of orders to copy a run
     int callers_gone = 0;
     std::unique_ptr<net::http1_server> server;
 
@@ -54,6 +68,14 @@
                              responder->respond(200, {}, "{}");
                              return;
                          }
+                         if (request.path() == "/kv-move") {
+                             copy_targets.push_back(json::parse(request.body)
+                                                        .at("target")
+                                                        .get<std::string>());
+                             responder->respond(
+                                 200, {}, R"({"kvHandle":"h1","made":2})");
+                             return;
+                         }
                          responder->on_client_gone([this] { ++callers_gone; });
                          seen.push_back({std::move(request), responder});
                      })
@@ -222,20 +244,21 @@
 "routeType":"non_idempotent","timeoutMs":3000,"goalMs":500,
 "service":"book","maxAttempts":1}}],
 "services":[{{"name":"gen","engine":{{"slots":8,"kvCapacity":88000,
-"stride":6,"backups":true}}}},{{"name":"book"}}],
+"stride":6,"backups":true,"moves":true,"handleTtlS":0.9}}}},{{"name":"book"}}],
 "tenants":[{{"name":"acc","apiKeys":["k1"]}}]}})",
             version);
     }
     void announce(const stand_in& who, const char* service, const char* zone,
-                  int sequence = 1, const char* state = "ready")
+                  int sequence = 1, const char* state = "ready",
+                  int started_at = 1000)
     {
         const auto reply = control_call(
             0, "POST", "/Instances.Heartbeat/" + who.id,
             fmt::format(R"({{"service":"{}","address":"{}","zone":"{}",)"
                         R"("slots":8,"state":"{}","coldLeftMs":0,)"
-                        R"("seqNo":{},"born":1000}})",
+                        R"("seqNo":{},"born":{}}})",
                         service, who.server->where().text(), zone, state,
-                        sequence));
+                        sequence, started_at));
         CHECK(reply->status() == 200);
     }
     /// Stores a configuration, announces the stand-ins, waits for the gate.
@@ -521,6 +544,57 @@
     CHECK(third.header(at, "Last-Event-Id") == "2");
 }
 
+// Guards against a stream that is read again, because the holder of its copy
+// was lost some time before its engine.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_whose_copy_was_lost_goes_on_from_an_ordered_copy")
+{
+    start_stream();
+    const std::string holder_domain = other == &engine1 ? "d1" : "d2";
+    stand_in third(loop, "e3");
+    announce(third, "gen", "d3");
+    SUBCASE("another upstream at the holder's address")
+    {
+        other->id = "e9";
+        announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    }
+    SUBCASE("the holder started again under its id")
+    {
+        announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    }
+    for (int number = 3; number < 15; ++number) {
+        first->event(0, number);
+        run_until(
+            loop, [] { return false; }, 100ms);
+    }
+    // Ordered once, then renewed within the copy's lifetime.
+    REQUIRE(first->copy_targets.size() >= 3);
+    const std::string target = first->copy_targets.back();
+    auto& holder = target == third.server->where().text() ? third : *other;
+    first->seen[0].responder->abort();
+    REQUIRE(wait([&] { return holder.seen.size() == 1; }));
+    CHECK(holder.header(0, "Kv-From") == first->server->where().text() + "/h1");
+    CHECK(holder.header(0, "Last-Event-Id") == "14");
+    CHECK(holder.header(0, "X-Attempt-Id") == "g1");
+    holder.begin_stream(0);
+    holder.event(0, 15);
+    holder.seen[0].responder->finish();
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->complete);
+}
+
+TEST_CASE_FIXTURE(stream_fixture, "ended_stream_orders_no_copies")
+{
+    start_stream();
+    first->seen[0].responder->finish();
+    REQUIRE(wait([&] { return request->over(); }));
+    const std::string holder_domain = other == &engine1 ? "d1" : "d2";
+    announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    run_until(
+        loop, [] { return false; }, 700ms);
+    CHECK(first->copy_targets.empty());
+}
+
 // Guards against work for a caller that has left.
 TEST_CASE_FIXTURE(stream_fixture, "stream_of_a_caller_that_left_is_cancelled")
 {
@@ -558,8 +632,16 @@
     bring_up();
     nodes[1].reset();
     std::filesystem::remove_all(folder / "1");
-    CHECK(control_call(0, "POST", "/Config.Replace", configuration(6))
-              ->status() == 200);
+    // The lost node may have led the others: an operator sends the change again
+    // after a 503 and gets its acknowledgement within 4 s.
+    const time_point sent = loop.now();
+    unsigned status = 0;
+    while (status != 200 && loop.now() - sent < 4s) {
+        status = control_call(0, "POST", "/Config.Replace", configuration(6))
+                     ->status();
+        CHECK((status == 200 || status == 503));
+    }
+    CHECK(status == 200);
     auto api = std::move(apis[1]);
     add_node(1, false);
     CHECK(run_until(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,3 +1,5 @@
+#include <bamboogate/core/json.hpp>
+
 #include <doctest/doctest.h>
 
 #include "wire.hpp"
@@ -96,8 +98,7 @@
                  .expected_upstream = upstream_id("i-2"),
                  .urgency = 12,
                  .copy_to = net::address{"10.0.0.1", 80},
-                 .continue_from =
-                     relay::copy_source{{"10.0.0.2", 81}, request_id("abc")},
+                 .continue_from = relay::copy_source{{"10.0.0.2", 81}, "abc"},
                  .resume_after = 40});
     CHECK(fields.find("X-Kv-Backup") == "10.0.0.1:80");
     CHECK(fields.find("Kv-From") == "10.0.0.2:81/abc");
@@ -105,6 +106,21 @@
     CHECK(fields.find("X-Request-Urgency") == "9");
 }
 
+TEST_CASE("wire_copy_order_names_run_and_holder_and_returns_the_handle")
+{
+    const auto call = wire::copy_order(request_id("abc"), {"10.0.0.1", 80});
+    CHECK(call.method == "POST");
+    CHECK(call.target == "/kv-move");
+    CHECK(json::parse(call.body) ==
+          json{{"id", "abc"}, {"target", "10.0.0.1:80"}});
+    const auto made =
+        wire::read_copy_order(200, R"({"kvHandle":"h","made":3})");
+    REQUIRE(made);
+    CHECK(made.value() == "h");
+    CHECK_FALSE(wire::read_copy_order(503, R"({"kvHandle":"h"})"));
+    CHECK_FALSE(wire::read_copy_order(200, "{}"));
+}
+
 TEST_CASE("wire_answer_says_whether_it_ran")
 {
     const auto describe = [](unsigned status, net::header_list headers) {
--- a/tests/relay/stream_scheduler_test.cpp
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -169,6 +169,26 @@
     CHECK(scheduler.running() == 0);
 }
 
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "renewed_copy_moves_the_memory_to_another_failure_domain")
+{
+    add_engines(1);
+    submit(make_run("r"));
+    const auto decisions = scheduler.decide(now);
+    REQUIRE(decisions.size() == 1);
+    const auto where = *decisions[0].where;
+    const auto renewed =
+        scheduler.planner().renew_copy(request_id("r"), {*where.copy_holder});
+    REQUIRE(renewed);
+    CHECK(*renewed != *where.copy_holder);
+    CHECK(domain_of(*renewed) != domain_of(where.engine));
+    CHECK(scheduler.planner().resident_tokens(*where.copy_holder) == 0);
+    CHECK(scheduler.planner().resident_tokens(*renewed) == 9000);
+    scheduler.end(request_id("r"));
+    CHECK(scheduler.planner().resident_tokens(*renewed) == 0);
+    CHECK_FALSE(scheduler.planner().renew_copy(request_id("r"), {}));
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "unusable_and_excluded_engines_get_no_stream")
 {
