Place returning streams where their prompt was read

Cause: a caller whose gate was lost comes back with a new attempt and the same prompt. The leader placed it like a new stream, so another engine read the prompt again: 1.3 s of pause where 0.7 s is on time, and the work priced as done for nothing, although the first engine still held the prompt.

Ruled out: pinning prompts, which holds memory for every stream that is never cut; going on from the first attempt's memory, since the attempt has a new id.

Change: the adapter decodes the last part of the prompt, place requests carry it, and the planner remembers for 15 s which engine has read it. That engine is chosen when it is usable and has room, and nothing counts as unread. A stream whose caller brings a last event waits like one that has begun here.

Other tests: returning_stream_is_placed_where_its_prompt_was_read, wire_request_names_its_prompt_by_the_last_part.

--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -119,11 +119,12 @@
     bool urgent = false; ///< of the most urgent kind of request
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
+    std::string prompt; ///< names what the stream's engine has to read
     std::vector<upstream_id> excluded;
     bool resuming = false;
     std::int64_t start_within_ms = 0; ///< later is too late for its objective
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_request, service, id, account, rank,
-                                   urgent, prompt_tokens, output_tokens,
+                                   urgent, prompt_tokens, output_tokens, prompt,
                                    excluded, resuming, start_within_ms)
 };
 
@@ -176,11 +177,12 @@
     bool urgent = false;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
+    std::string prompt;
     std::uint64_t unread_tokens = 0;
     upstream_id engine;
     upstream_id copy_holder;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(run_update, service, id, what, account, rank,
-                                   urgent, prompt_tokens, output_tokens,
+                                   urgent, prompt_tokens, output_tokens, prompt,
                                    unread_tokens, engine, copy_holder)
 };
 
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -28,6 +28,9 @@
     std::optional<std::uint64_t> resume_after; ///< last event that it has
     std::uint64_t prompt_tokens = 0;
     std::uint64_t max_output_tokens = 0;
+    /// Names the last part of the prompt, which a caller's retry shares with
+    /// the attempt before it; empty: not said.
+    std::string prompt;
     std::string key; ///< of the client account; empty: none
 };
 
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -33,6 +34,9 @@
     bool urgent = false; ///< of the kind of request whose loss costs most
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
+    /// Names the prompt: an engine that has read it before may still have it
+    /// in memory. Empty: unknown.
+    std::string prompt = {};
 };
 
 /// Where a stream runs and who keeps a copy of its memory.
@@ -76,6 +80,12 @@
         /// Cost of one prompt token given within the window, in units of one
         /// unread prompt token.
         double read_weight = 0.15;
+        /// How long an engine is taken to keep a prompt that it has read. Its
+        /// memory turns over within one stream or two, which last 6 to 9 s.
+        duration prompt_retention = std::chrono::seconds(15);
+        /// Share of an engine's memory that may be in use for a stream whose
+        /// prompt it keeps: the prompt takes no more room than it has.
+        double kept_memory_share = 1.0;
     };
 
     /// Whether a run may be put on an engine that has no room for it yet.
@@ -131,6 +141,13 @@
     {
         return runs_.contains(run);
     }
+    /// @return the usable engine that has read a run's prompt lately and has
+    ///     room for the run
+    [[nodiscard]] std::optional<upstream_id>
+    engine_with_prompt(const planned_run& run,
+                       const std::set<upstream_id>& excluded,
+                       time_point now) const;
+
     /// @brief Prompt tokens that an engine has yet to read.
     [[nodiscard]] std::uint64_t unread_tokens(const upstream_id& id) const;
     /// @brief Tokens of runs and copies on an engine.
@@ -156,8 +173,18 @@
         std::uint64_t tokens = 0;
         std::uint64_t unread = 0;
         bool urgent = false;
+        std::string prompt;
+    };
+    /// The engine that was given a prompt last.
+    struct prompt_place
+    {
+        upstream_id engine;
+        time_point given;
+        bool read = false; ///< its first event was seen
     };
 
+    void remember_prompt(const planned_run& run, const placement& where,
+                         std::uint64_t unread_tokens, time_point now);
     [[nodiscard]] double cost(const planned_engine& engine,
                               std::uint64_t prompt_tokens,
                               time_point now) const;
@@ -173,6 +200,9 @@
     std::map<upstream_id, planned_engine> engines_;
     std::map<upstream_id, load> loads_;
     std::map<request_id, assigned_run> runs_;
+    std::map<std::string, prompt_place> prompts_;
+    /// Prompts in the order in which they were given, to forget the oldest.
+    std::deque<std::pair<time_point, std::string>> prompt_order_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -31,6 +31,8 @@
     request_id id;
     std::optional<placement> where; ///< unset: refused
     duration retry_after{};
+    std::string prompt;
+    bool prompt_kept = false; ///< the engine is expected to have read it
 };
 
 /// Decides for all gates together which stream runs where and when: urgent
@@ -91,7 +93,8 @@
 
     [[nodiscard]] demand_list::iterator next_demand();
     [[nodiscard]] duration expected_wait(const stream_demand& demand) const;
-    void place(const stream_demand& demand, const placement& where,
+    /// @return whether the engine is expected to have read the prompt
+    bool place(const stream_demand& demand, const placement& where,
                time_point now);
 
     options settings_;
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -28,7 +28,8 @@
             .rank = accepted_.rank,
             .urgent = accepted_.where->rank == 0,
             .prompt_tokens = accepted_.description.prompt_tokens,
-            .output_tokens = accepted_.description.max_output_tokens};
+            .output_tokens = accepted_.description.max_output_tokens,
+            .prompt = accepted_.description.prompt};
 }
 
 void stream_exchange::place()
@@ -37,8 +38,9 @@
         std::chrono::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(accepted_.description.prompt_tokens) /
             prompt_tokens_per_ms));
-    const bool resuming = last_event_ != accepted_.description.resume_after;
-    // A stream that has begun is waited for as long as its caller waits.
+    // A stream that has begun, here or at a gate that was lost, is waited for
+    // as long as its caller waits.
+    const bool resuming = last_event_.has_value();
     const duration start_within =
         resuming ? time_left()
                  : accepted_.where->latency_objective * start_share / 100 -
@@ -51,6 +53,7 @@
         .urgent = accepted_.where->rank == 0,
         .prompt_tokens = accepted_.description.prompt_tokens,
         .output_tokens = accepted_.description.max_output_tokens,
+        .prompt = accepted_.description.prompt,
         .excluded = {excluded_.begin(), excluded_.end()},
         .resuming = resuming,
         .start_within_ms =
@@ -140,6 +143,7 @@
          .urgent = planned.urgent,
          .prompt_tokens = planned.prompt_tokens,
          .output_tokens = planned.output_tokens,
+         .prompt = planned.prompt,
          .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
          .engine = placement_.engine,
          .copy_holder = copy_.holder()});
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -84,6 +84,9 @@
                        const std::set<upstream_id>& excluded, time_point now,
                        room needed) const
 {
+    if (const auto reader = engine_with_prompt(run, excluded, now)) {
+        return placement{*reader, choose_copy_holder(run, *reader, excluded)};
+    }
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
     // Engines with room come first, then the least cost.
@@ -109,6 +112,47 @@
     return placement{best->id, choose_copy_holder(run, best->id, excluded)};
 }
 
+std::optional<upstream_id>
+stream_planner::engine_with_prompt(const planned_run& run,
+                                   const std::set<upstream_id>& excluded,
+                                   time_point now) const
+{
+    const auto found = prompts_.find(run.prompt);
+    if (found == prompts_.end() || !found->second.read ||
+        now - found->second.given > settings_.prompt_retention ||
+        excluded.contains(found->second.engine)) {
+        return std::nullopt;
+    }
+    const auto engine = engines_.find(found->second.engine);
+    const bool room =
+        engine != engines_.end() && engine->second.usable &&
+        load_of(engine->first).runs < engine->second.slots &&
+        fits(engine->second, run.prompt_tokens + run.output_tokens,
+             settings_.kept_memory_share);
+    return room ? std::optional(engine->first) : std::nullopt;
+}
+
+void stream_planner::remember_prompt(const planned_run& run,
+                                     const placement& where,
+                                     std::uint64_t unread_tokens,
+                                     time_point now)
+{
+    while (!prompt_order_.empty() &&
+           now - prompt_order_.front().first > settings_.prompt_retention) {
+        const auto oldest = prompts_.find(prompt_order_.front().second);
+        if (oldest != prompts_.end() &&
+            oldest->second.given <= prompt_order_.front().first) {
+            prompts_.erase(oldest);
+        }
+        prompt_order_.pop_front();
+    }
+    if (run.prompt.empty()) {
+        return;
+    }
+    prompts_[run.prompt] = {where.engine, now, unread_tokens == 0};
+    prompt_order_.emplace_back(now, run.prompt);
+}
+
 std::optional<upstream_id>
 stream_planner::choose_copy_holder(const planned_run& run,
                                    const upstream_id& engine,
@@ -161,11 +205,13 @@
                             std::uint64_t unread_tokens, time_point now)
 {
     release(run.id);
+    remember_prompt(run, where, unread_tokens, now);
     assigned_run entry{.engine = where.engine,
                        .copy_holder = where.copy_holder,
                        .tokens = run.prompt_tokens + run.output_tokens,
                        .unread = unread_tokens,
-                       .urgent = run.urgent};
+                       .urgent = run.urgent,
+                       .prompt = run.prompt};
     load& engine = loads_[where.engine];
     while (!engine.reads.empty() &&
            now - engine.reads.front().first > settings_.read_window) {
@@ -191,6 +237,11 @@
     }
     loads_[found->second.engine].unread -= found->second.unread;
     found->second.unread = 0;
+    const auto prompt = prompts_.find(found->second.prompt);
+    if (prompt != prompts_.end() &&
+        prompt->second.engine == found->second.engine) {
+        prompt->second.read = true;
+    }
 }
 
 void stream_planner::release(const request_id& run)
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -72,14 +72,18 @@
         std::chrono::duration<double, std::milli>(ms));
 }
 
-void stream_scheduler::place(const stream_demand& demand,
+bool stream_scheduler::place(const stream_demand& demand,
                              const placement& where, time_point now)
 {
     const std::uint64_t tokens =
         demand.run.prompt_tokens + demand.run.output_tokens;
-    planner_.assign(demand.run, where, demand.run.prompt_tokens, now);
+    const bool kept = planner_.engine_with_prompt(demand.run, demand.excluded,
+                                                  now) == where.engine;
+    planner_.assign(demand.run, where, kept ? 0 : demand.run.prompt_tokens,
+                    now);
     running_[demand.run.id] = {demand.account, tokens};
     tokens_by_account_[demand.account] += tokens;
+    return kept;
 }
 
 std::vector<stream_decision> stream_scheduler::decide(time_point now)
@@ -96,8 +100,11 @@
                                     stream_planner::room::required);
         }
         if (where) {
-            place(*next, *where, now);
-            out.push_back({next->run.id, where, {}});
+            const bool kept = place(*next, *where, now);
+            out.push_back({.id = next->run.id,
+                           .where = where,
+                           .prompt = next->run.prompt,
+                           .prompt_kept = kept});
             waiting_.erase(next);
             continue;
         }
@@ -111,9 +118,12 @@
             ++each;
             continue;
         }
-        out.push_back({each->run.id, std::nullopt,
-                       std::clamp(wait, settings_.min_retry_after,
-                                  settings_.max_retry_after)});
+        out.push_back(
+            {.id = each->run.id,
+             .where = std::nullopt,
+             .retry_after = std::clamp(wait, settings_.min_retry_after,
+                                       settings_.max_retry_after),
+             .prompt = each->run.prompt});
         each = waiting_.erase(each);
     }
     return out;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -106,6 +106,16 @@
     CHECK(fields.find("X-Request-Urgency") == "9");
 }
 
+TEST_CASE("wire_request_names_its_prompt_by_the_last_part")
+{
+    net::http1_request request;
+    request.headers.set("X-Attempt-Id", "a");
+    request.headers.set("X-Prefix-Hash", "5c1e:800,91bd:410,e440:250");
+    CHECK(wire::describe_request(request).value().prompt == "e440");
+    request.headers.remove("X-Prefix-Hash");
+    CHECK(wire::describe_request(request).value().prompt.empty());
+}
+
 TEST_CASE("wire_copy_order_names_run_and_holder_and_returns_the_handle")
 {
     const auto call = wire::copy_order(request_id("abc"), {"10.0.0.1", 80});
--- a/tests/relay/parts_test.cpp
+++ b/tests/relay/parts_test.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/configuration_store.hpp>
 #include <bamboogate/relay/event_stream.hpp>
+#include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/retry_allowance.hpp>
 
 #include <doctest/doctest.h>
@@ -10,6 +11,28 @@
 
 // Guards against a stream that goes on after half an event: the caller would
 // get that half twice.
+// Guards against a field that is set and never sent.
+TEST_CASE("place_request_keeps_every_field_on_its_way")
+{
+    const place_request sent{.service = service_id("s"),
+                             .id = request_id("r"),
+                             .account = client_account_id("a"),
+                             .rank = 4,
+                             .urgent = true,
+                             .prompt_tokens = 8000,
+                             .output_tokens = 900,
+                             .prompt = "p",
+                             .excluded = {upstream_id("e")},
+                             .resuming = true,
+                             .start_within_ms = 70};
+    const json document = sent;
+    const auto got = document.get<place_request>();
+    CHECK(document.size() == 11);
+    CHECK(got.prompt == "p");
+    CHECK(got.urgent);
+    CHECK(json(got) == document);
+}
+
 TEST_CASE("event_splitter_holds_back_an_unfinished_event")
 {
     event_splitter splitter;
--- a/tests/relay/stream_scheduler_test.cpp
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -189,6 +189,59 @@
     CHECK_FALSE(scheduler.planner().renew_copy(request_id("r"), {}));
 }
 
+// Guards against a prompt that is read twice: a caller whose gate was lost
+// comes back while the engine still has its prompt in memory.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "returning_stream_is_placed_where_its_prompt_was_read")
+{
+    add_engines(3);
+    auto before = make_run("r");
+    before.prompt = "p";
+    submit(before);
+    const auto first = scheduler.decide(now);
+    REQUIRE(first.size() == 1);
+    const upstream_id reader = first[0].where->engine;
+    scheduler.note_started(request_id("r"));
+    scheduler.end(request_id("r"));
+    // Other work makes this engine the least attractive one.
+    for (int i = 0; i < 4; ++i) {
+        scheduler.adopt(make_run(fmt::format("o{}", i)), client_account_id("x"),
+                        {reader, std::nullopt}, 8000, now);
+    }
+    now += 1s;
+    auto again = make_run("r2");
+    again.prompt = "p";
+    SUBCASE("the engine is there")
+    {
+        submit(again);
+        const auto second = scheduler.decide(now);
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].where->engine == reader);
+        // Nothing of it has to be read.
+        CHECK(scheduler.planner().unread_tokens(reader) == 32000);
+    }
+    SUBCASE("the engine is not usable")
+    {
+        scheduler.planner().suspend_all();
+        scheduler.planner().update_engine({.id = upstream_id("other"),
+                                           .memory_tokens = engine_memory,
+                                           .slots = 12});
+        submit(again);
+        const auto second = scheduler.decide(now);
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].where->engine == upstream_id("other"));
+        CHECK(scheduler.planner().unread_tokens(upstream_id("other")) == 8000);
+    }
+    SUBCASE("the prompt was read too long ago")
+    {
+        now += 20s;
+        submit(again);
+        const auto second = scheduler.decide(now);
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].where->engine != reader);
+    }
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "unusable_and_excluded_engines_get_no_stream")
 {
