Keep an ordered copy when its repeated order gets no answer

Ruled out: the holder's loss; the leader's log names it as usable throughout.

Change: only an answer that refuses drops the copy. No answer is reported as a suspicion of the engine, and the copy made before stays. Test: stream_whose_copy_was_lost_goes_on_from_an_ordered_copy now drops the repeated order too and failed before this change.

--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -63,7 +63,7 @@
 
 std::optional<held_copy> stream_copy::end()
 {
-    const auto out = usable() ? copy_ : std::nullopt;
+    auto out = usable() ? copy_ : std::nullopt;
     ++generation_;
     timer_.stop();
     call_.reset();
@@ -97,7 +97,7 @@
 {
     if (call_) {
         call_.reset();
-        on_order_failed("timeout");
+        on_order_unanswered("timeout");
         return;
     }
     look_after();
@@ -178,13 +178,13 @@
                  if (handle) {
                      on_ordered(std::move(handle).value());
                  } else {
-                     on_order_failed(handle.error().detail);
+                     on_order_refused(handle.error().detail);
                  }
              },
          .on_failure =
              [this](const net::http1_failure& failure) {
                  call_.reset();
-                 on_order_failed(name_of(failure.code));
+                 on_order_unanswered(name_of(failure.code));
              }});
     timer_.start_once(order_timeout);
 }
@@ -211,12 +211,25 @@
     timer_.start_once(lifetime / orders_per_lifetime);
 }
 
-void stream_copy::on_order_failed(std::string_view cause)
+void stream_copy::log_order_failure(std::string_view cause) const
 {
     log(events::copy_order_failed, {{"request", settings_.run.value()},
                                     {"engine", engine_.value()},
                                     {"holder", ordered_from_.value()},
                                     {"cause", cause}});
+}
+
+void stream_copy::on_order_unanswered(std::string_view cause)
+{
+    log_order_failure(cause);
+    try_again_later();
+    // Last: the stream may go on elsewhere from inside this call.
+    context_.suspect(engine_);
+}
+
+void stream_copy::on_order_refused(std::string_view cause)
+{
+    log_order_failure(cause);
     refused_by_.insert(ordered_from_);
     copy_.reset();
     try_again_later();
--- a/lib/source/relay/stream_copy.hpp
+++ b/lib/source/relay/stream_copy.hpp
@@ -55,7 +55,12 @@
     void on_holder(const result<copy_reply>& reply);
     void order();
     void on_ordered(std::string handle);
-    void on_order_failed(std::string_view cause);
+    /// The engine answered that it made no copy.
+    void on_order_refused(std::string_view cause);
+    /// The engine gave no answer: it may be lost, and the copy that it made
+    /// before is what its stream goes on from.
+    void on_order_unanswered(std::string_view cause);
+    void log_order_failure(std::string_view cause) const;
     void try_again_later();
     [[nodiscard]] const engine_profile* profile() const;
 
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -54,32 +54,40 @@
     std::string id;
     std::vector<seen_request> seen;
     std::vector<std::string> copy_targets; ///< of orders to copy a run
+    bool drops_copy_orders = false;
+    int orders_dropped = 0;
     int callers_gone = 0;
     std::unique_ptr<net::http1_server> server;
 
     stand_in(net::event_loop& l, std::string name)
         : loop(l), id(std::move(name))
     {
-        server = net::http1_server::start(
-                     loop, {.where = {"127.0.0.1", 0}},
-                     [this](net::http1_request request,
-                            const net::http1_responder_ptr& responder) {
-                         if (request.path() == "/kv-events") {
-                             responder->respond(200, {}, "{}");
-                             return;
-                         }
-                         if (request.path() == "/kv-move") {
-                             copy_targets.push_back(json::parse(request.body)
-                                                        .at("target")
-                                                        .get<std::string>());
-                             responder->respond(
-                                 200, {}, R"({"kvHandle":"h1","made":2})");
-                             return;
-                         }
-                         responder->on_client_gone([this] { ++callers_gone; });
-                         seen.push_back({std::move(request), responder});
-                     })
-                     .value();
+        server =
+            net::http1_server::start(
+                loop, {.where = {"127.0.0.1", 0}},
+                [this](net::http1_request request,
+                       const net::http1_responder_ptr& responder) {
+                    if (request.path() == "/kv-events") {
+                        responder->respond(200, {}, "{}");
+                        return;
+                    }
+                    if (request.path() == "/kv-move" && drops_copy_orders) {
+                        ++orders_dropped;
+                        responder->abort();
+                        return;
+                    }
+                    if (request.path() == "/kv-move") {
+                        copy_targets.push_back(json::parse(request.body)
+                                                   .at("target")
+                                                   .get<std::string>());
+                        responder->respond(200, {},
+                                           R"({"kvHandle":"h1","made":2})");
+                        return;
+                    }
+                    responder->on_client_gone([this] { ++callers_gone; });
+                    seen.push_back({std::move(request), responder});
+                })
+                .value();
     }
     void begin_stream(std::size_t which)
     {
@@ -571,6 +579,11 @@
     REQUIRE(first->copy_targets.size() >= 3);
     const std::string target = first->copy_targets.back();
     auto& holder = target == third.server->where().text() ? third : *other;
+    // The engine is lost as the order is repeated: the copy still counts.
+    first->drops_copy_orders = true;
+    REQUIRE(wait([&] { return first->orders_dropped > 0; }));
+    run_until(
+        loop, [] { return false; }, 20ms);
     first->seen[0].responder->abort();
     REQUIRE(wait([&] { return holder.seen.size() == 1; }));
     CHECK(holder.header(0, "Kv-From") == first->server->where().text() + "/h1");
