Split the system test of the relay and keep its stream alive

Under a build on all cores its test of ordered copies failed each time (4 of 4): it waited up to 300 ms for the next order without sending events, and the gate takes a stream for silent after 320 ms.

Change: the fixture stands in tests/platform/support, the streams have a file of their own. That test now sends events until the order comes, so that only the abort ends the engine's stream; what it checks stays. `stream_copy` names the holder of its newest order so, and the hold of requests outlives the server whose connections it observes.

--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -95,9 +95,10 @@
     upstream_prober prober_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
+    /// Observes connections of the server, so it outlives them.
+    request_hold hold_;
     std::unique_ptr<net::http1_server> server_;
     std::set<std::shared_ptr<exchange>> exchanges_;
-    request_hold hold_;
     net::timer tick_timer_;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -140,20 +140,20 @@
         try_again_later();
         return;
     }
-    ordered_from_ = reply.value().holder;
+    ordered_holder_ = reply.value().holder;
     order();
 }
 
 void stream_copy::order()
 {
-    const upstream_id target = copy_ ? copy_->holder : ordered_from_;
+    const upstream_id target = copy_ ? copy_->holder : ordered_holder_;
     const instance* holder = context_.directory.find(target);
     const instance* engine = context_.directory.find(engine_);
     if (holder == nullptr || engine == nullptr) {
         try_again_later();
         return;
     }
-    ordered_from_ = target;
+    ordered_holder_ = target;
     answer_body_.clear();
     answer_status_ = 0;
     const upstream_call what =
@@ -198,9 +198,9 @@
     if (!copy_) {
         log(events::copy_ordered, {{"request", settings_.run.value()},
                                    {"engine", engine_.value()},
-                                   {"holder", ordered_from_.value()}});
+                                   {"holder", ordered_holder_.value()}});
     }
-    copy_ = held_copy{.holder = ordered_from_,
+    copy_ = held_copy{.holder = ordered_holder_,
                       .source = {engine->said.where, std::move(handle)},
                       .on_order = true};
     const engine_profile* declared = profile();
@@ -215,7 +215,7 @@
 {
     log(events::copy_order_failed, {{"request", settings_.run.value()},
                                     {"engine", engine_.value()},
-                                    {"holder", ordered_from_.value()},
+                                    {"holder", ordered_holder_.value()},
                                     {"cause", cause}});
 }
 
@@ -230,7 +230,7 @@
 void stream_copy::on_order_refused(std::string_view cause)
 {
     log_order_failure(cause);
-    refused_by_.insert(ordered_from_);
+    refused_by_.insert(ordered_holder_);
     copy_.reset();
     try_again_later();
 }
--- a/lib/source/relay/stream_copy.hpp
+++ b/lib/source/relay/stream_copy.hpp
@@ -68,7 +68,7 @@
     options settings_;
     upstream_id engine_;
     std::optional<held_copy> copy_;
-    upstream_id ordered_from_; ///< holder of the order that is under way
+    upstream_id ordered_holder_; ///< that the newest order names
     std::set<upstream_id> refused_by_;
     bool started_ = false;
     bool asking_ = false;
--- /dev/null
+++ b/tests/platform/stream_system_test.cpp
@@ -0,0 +1,177 @@
+#include "platform/support/relay_fixture.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+
+namespace {
+
+struct stream_fixture : relay_fixture
+{
+    std::unique_ptr<caller> request;
+    stand_in* first = nullptr;
+    stand_in* other = nullptr;
+
+    /// Starts a stream and forwards its first two events.
+    void start_stream()
+    {
+        bring_up();
+        request = ask("/gen/x", "g1");
+        REQUIRE(wait(
+            [&] { return engine1.seen.size() + engine2.seen.size() == 1; }));
+        first = engine1.seen.empty() ? &engine2 : &engine1;
+        other = engine1.seen.empty() ? &engine1 : &engine2;
+        CHECK(first->header(0, "X-Kv-Backup") == other->server->where().text());
+        first->begin_stream(0);
+        first->event(0, 1);
+        first->event(0, 2);
+        REQUIRE(wait(
+            [&] { return request->body.find("e2") != std::string::npos; }));
+    }
+    void check_continued()
+    {
+        REQUIRE(wait([&] { return other->seen.size() == 1; }));
+        CHECK(other->header(0, "Last-Event-Id") == "2");
+        CHECK(other->header(0, "X-Attempt-Id") == "g1");
+        CHECK(other->header(0, "Kv-From") ==
+              other->server->where().text() + "/g1");
+        other->begin_stream(0);
+        other->event(0, 3);
+        other->seen[0].responder->finish();
+        REQUIRE(wait([&] { return request->over(); }));
+        CHECK(request->complete);
+        CHECK(request->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+                               "id: 3\ndata: e3\n\n");
+        CHECK(request->head->headers.find("X-Response-Seal") ==
+              "seal-" + first->id);
+    }
+};
+
+} // namespace
+
+// Guards against a stream whose pieces are missing or repeated after its
+// engine died, and against half an event that reaches the caller.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_of_a_lost_engine_goes_on_from_its_copy")
+{
+    start_stream();
+    first->seen[0].responder->write("id: 3\nda");
+    run_until(
+        loop, [] { return false; }, 20ms);
+    first->seen[0].responder->abort();
+    check_continued();
+}
+
+// Guards against an engine that falls silent and keeps its connections open.
+TEST_CASE_FIXTURE(stream_fixture, "stream_of_a_silent_engine_goes_on_in_time")
+{
+    start_stream();
+    const time_point silent = loop.now();
+    REQUIRE(wait([&] { return other->seen.size() == 1; }));
+    CHECK(loop.now() - silent < 700ms);
+    // The earlier attempt is closed first.
+    CHECK(wait([&] { return first->callers_gone == 1; }));
+    check_continued();
+}
+
+TEST_CASE_FIXTURE(stream_fixture, "stream_without_a_copy_is_read_again")
+{
+    start_stream();
+    first->seen[0].responder->abort();
+    REQUIRE(wait([&] { return other->seen.size() == 1; }));
+    other->seen[0].responder->respond(503, {{"X-Not-Executed", "1"}}, {});
+    REQUIRE(wait([&] { return first->seen.size() + other->seen.size() == 3; }));
+    auto& third = first->seen.size() == 2 ? *first : *other;
+    const std::size_t at = third.seen.size() - 1;
+    CHECK(third.header(at, "Kv-From").empty());
+    CHECK(third.header(at, "Last-Event-Id") == "2");
+}
+
+// Guards against a stream that is read again, because the holder of its copy
+// was lost some time before its engine.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_whose_copy_was_lost_goes_on_from_an_ordered_copy")
+{
+    start_stream();
+    const std::string holder_domain = other == &engine1 ? "d1" : "d2";
+    stand_in third(loop, "e3");
+    announce(third, "gen", "d3");
+    SUBCASE("another upstream at the holder's address")
+    {
+        other->id = "e9";
+        announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    }
+    SUBCASE("the holder started again under its id")
+    {
+        announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    }
+    int last_event = 2;
+    // Events keep the stream from being taken for silent.
+    const auto send_events_until = [&](const std::function<bool()>& condition) {
+        const time_point start = loop.now();
+        while (!condition() && loop.now() - start < 3s) {
+            first->event(0, ++last_event);
+            run_until(
+                loop, [] { return false; }, 50ms);
+        }
+        return condition();
+    };
+    // Ordered once, then renewed within the copy's lifetime.
+    REQUIRE(send_events_until([&] { return first->copy_targets.size() >= 3; }));
+    const std::string target = first->copy_targets.back();
+    auto& holder = target == third.server->where().text() ? third : *other;
+    // The engine is lost as the order is repeated: the copy still counts.
+    first->drops_copy_orders = true;
+    REQUIRE(send_events_until([&] { return first->orders_dropped > 0; }));
+    first->seen[0].responder->abort();
+    REQUIRE(wait([&] { return holder.seen.size() == 1; }));
+    CHECK(holder.header(0, "Kv-From") == first->server->where().text() + "/h1");
+    CHECK(holder.header(0, "Last-Event-Id") == std::to_string(last_event));
+    CHECK(holder.header(0, "X-Attempt-Id") == "g1");
+    holder.begin_stream(0);
+    holder.event(0, last_event + 1);
+    holder.seen[0].responder->finish();
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->complete);
+}
+
+TEST_CASE_FIXTURE(stream_fixture, "ended_stream_orders_no_copies")
+{
+    start_stream();
+    first->seen[0].responder->finish();
+    REQUIRE(wait([&] { return request->over(); }));
+    const std::string holder_domain = other == &engine1 ? "d1" : "d2";
+    announce(*other, "gen", holder_domain.c_str(), 1, "ready", 2000);
+    run_until(
+        loop, [] { return false; }, 700ms);
+    CHECK(first->copy_targets.empty());
+}
+
+// Guards against work for a caller that has left.
+TEST_CASE_FIXTURE(stream_fixture, "stream_of_a_caller_that_left_is_cancelled")
+{
+    start_stream();
+    const time_point left = loop.now();
+    request.reset();
+    REQUIRE(wait([&] { return first->callers_gone == 1; }));
+    CHECK(loop.now() - left < 200ms);
+    CHECK(gate->active_requests() == 0);
+    run_until(
+        loop, [] { return false; }, 400ms);
+    CHECK(other->seen.empty());
+}
+
+TEST_CASE_FIXTURE(stream_fixture, "stop_finishes_streams_and_refuses_new_ones")
+{
+    start_stream();
+    bool stopped = false;
+    gate->stop([&] { stopped = true; });
+    CHECK_FALSE(gate->ready());
+    auto late = ask("/gen/x", "g2");
+    REQUIRE(wait([&] { return late->over(); }));
+    CHECK(late->status() == 503);
+    first->event(0, 3);
+    first->seen[0].responder->finish();
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->complete);
+    CHECK(wait([&] { return stopped; }));
+}
--- /dev/null
+++ b/tests/platform/support/relay_fixture.hpp
@@ -0,0 +1,305 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SUPPORT_RELAY_FIXTURE_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SUPPORT_RELAY_FIXTURE_HPP
+
+#include <bamboogate/core/json.hpp>
+#include <bamboogate/net/http1_client.hpp>
+#include <bamboogate/relay/control_node.hpp>
+#include <bamboogate/relay/relay_gate.hpp>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <optional>
+
+#include "control_api.hpp"
+#include "support/loop_runner.hpp"
+#include "wire.hpp"
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+/// An address that nothing listens on. Its port is below the range from which
+/// the system gives ports to outgoing connections and to listeners without a
+/// port of their own, so that none of these takes it before the test does.
+inline net::address free_address()
+{
+    constexpr int first_port = 10000;
+    constexpr int ports = 20000;
+    static int next = ::getpid() * 64;
+    for (int tries = 0; tries < ports; ++tries) {
+        const auto port =
+            static_cast<std::uint16_t>(first_port + next++ % ports);
+        const auto fd = net::listen_on({"127.0.0.1", port});
+        if (fd) {
+            ::close(fd.value());
+            return {"127.0.0.1", port};
+        }
+    }
+    FAIL("no free port");
+    return {};
+}
+
+/// An engine or service that answers as the test says.
+struct stand_in
+{
+    struct seen_request
+    {
+        net::http1_request request;
+        net::http1_responder_ptr responder;
+    };
+
+    net::event_loop& loop;
+    std::string id;
+    std::vector<seen_request> seen;
+    std::vector<std::string> copy_targets; ///< of orders to copy a run
+    bool drops_copy_orders = false;
+    int orders_dropped = 0;
+    int callers_gone = 0;
+    std::unique_ptr<net::http1_server> server;
+
+    stand_in(net::event_loop& l, std::string name)
+        : loop(l), id(std::move(name))
+    {
+        server =
+            net::http1_server::start(
+                loop, {.where = {"127.0.0.1", 0}},
+                [this](net::http1_request request,
+                       const net::http1_responder_ptr& responder) {
+                    if (request.path() == "/kv-events") {
+                        responder->respond(200, {}, "{}");
+                        return;
+                    }
+                    if (request.path() == "/kv-move" && drops_copy_orders) {
+                        ++orders_dropped;
+                        responder->abort();
+                        return;
+                    }
+                    if (request.path() == "/kv-move") {
+                        copy_targets.push_back(json::parse(request.body)
+                                                   .at("target")
+                                                   .get<std::string>());
+                        responder->respond(200, {},
+                                           R"({"kvHandle":"h1","made":2})");
+                        return;
+                    }
+                    responder->on_client_gone([this] { ++callers_gone; });
+                    seen.push_back({std::move(request), responder});
+                })
+                .value();
+    }
+    void begin_stream(std::size_t which)
+    {
+        seen[which].responder->begin(
+            200, "OK",
+            {{"X-Response-Seal", "seal-" + id},
+             {"X-Attempt-Id", header(which, "X-Attempt-Id")}});
+    }
+    void event(std::size_t which, int number)
+    {
+        seen[which].responder->write(
+            fmt::format("id: {}\ndata: e{}\n\n", number, number));
+    }
+    void answer(std::size_t which, std::string_view body, unsigned status = 200)
+    {
+        seen[which].responder->respond(
+            status,
+            {{"X-Response-Seal", "seal-" + id},
+             {"X-Attempt-Id", header(which, "X-Attempt-Id")}},
+            body);
+    }
+    [[nodiscard]] std::string header(std::size_t which, const char* name) const
+    {
+        return std::string(seen[which].request.headers.find(name).value_or(""));
+    }
+};
+
+/// One caller's request and what came back.
+struct caller
+{
+    std::unique_ptr<net::http1_client::exchange> exchange;
+    std::optional<net::http1_response_head> head;
+    std::string body;
+    bool complete = false;
+    bool failed = false;
+
+    [[nodiscard]] bool over() const { return complete || failed; }
+    [[nodiscard]] unsigned status() const { return head ? head->status : 0; }
+};
+
+struct relay_fixture
+{
+    net::event_loop loop;
+    std::filesystem::path folder =
+        std::filesystem::temp_directory_path() /
+        fmt::format("relay-{}-{}", ::getpid(), ++count);
+    std::vector<net::address> seeds{free_address(), free_address(),
+                                    free_address()};
+    std::vector<std::unique_ptr<relay::control_node>> nodes;
+    std::vector<std::unique_ptr<net::http1_server>> apis;
+    std::unique_ptr<relay::relay_gate> gate;
+    net::http1_client client{loop, {}};
+    stand_in engine1{loop, "e1"};
+    stand_in engine2{loop, "e2"};
+    stand_in service{loop, "s1"};
+    static inline int count = 0;
+
+    relay_fixture()
+    {
+        for (std::size_t i = 0; i < seeds.size(); ++i) {
+            add_node(i, true);
+        }
+        gate = std::make_unique<relay::relay_gate>(
+            loop, relay::make_relay_protocol<platform::wire>(),
+            relay::relay_gate::options{
+                .callers = {"127.0.0.1", 0},
+                .control = {.self = node_id("gate"),
+                            .failure_domain = failure_domain_id("d1"),
+                            .incarnation = {1},
+                            .shared_secret = secret("s"),
+                            .seeds = seeds},
+                .accept_after_stop = 100ms,
+                .stop_limit = 2s});
+        REQUIRE(gate->start());
+    }
+    ~relay_fixture() { std::filesystem::remove_all(folder); }
+
+    void add_node(std::size_t i, bool first_start)
+    {
+        auto node = std::make_unique<relay::control_node>(
+            loop, relay::make_relay_protocol<platform::wire>(),
+            relay::control_node::options{
+                .link_address = seeds[i],
+                .failure_domain = failure_domain_id("d1"),
+                .incarnation = {++incarnation_},
+                .shared_secret = secret("s"),
+                .data_folder = folder / fmt::format("{}", i),
+                .seeds = seeds,
+                .first_start = first_start,
+                .tolerated_losses = 1});
+        REQUIRE(node->start());
+        auto* raw = node.get();
+        if (i < nodes.size()) {
+            nodes[i] = std::move(node);
+            return;
+        }
+        nodes.push_back(std::move(node));
+        apis.push_back(net::http1_server::start(
+                           loop, {.where = {"127.0.0.1", 0}},
+                           [raw](const net::http1_request& request,
+                                 const net::http1_responder_ptr& responder) {
+                               platform::answer_control_call(*raw, request,
+                                                             responder);
+                           })
+                           .value());
+    }
+
+    std::unique_ptr<caller> call(const net::address& where, std::string method,
+                                 std::string target, net::header_list headers,
+                                 const std::string& body = {})
+    {
+        auto out = std::make_unique<caller>();
+        auto* raw = out.get();
+        out->exchange = client.start(
+            where,
+            {.method = std::move(method),
+             .target = std::move(target),
+             .headers = std::move(headers),
+             .body = body,
+             .fresh_connection = true},
+            {.on_head =
+                 [raw](const net::http1_response_head& head) {
+                     raw->head = head;
+                     return true;
+                 },
+             .on_body = [raw](std::string_view part) { raw->body += part; },
+             .on_complete = [raw] { raw->complete = true; },
+             .on_failure =
+                 [raw](const net::http1_failure&) { raw->failed = true; }});
+        return out;
+    }
+    std::unique_ptr<caller> control_call(std::size_t node, std::string method,
+                                         std::string target,
+                                         const std::string& body = {})
+    {
+        auto out = call(apis[node]->where(), std::move(method),
+                        std::move(target), {{"Host", "c"}}, body);
+        CHECK(run_until(
+            loop, [&] { return out->over(); }, 3s));
+        return out;
+    }
+    std::unique_ptr<caller> ask(std::string target, const char* attempt,
+                                const char* key = "k1")
+    {
+        return call(gate->where(), "POST", std::move(target),
+                    {{"Host", "h.example"},
+                     {"X-Attempt-Id", attempt},
+                     {"X-Deadline-Ms", "3000"},
+                     {"X-Token-Count", "800,100"},
+                     {"Authorization", std::string("Bearer ") + key}},
+                    "prompt");
+    }
+
+    static std::string configuration(int version)
+    {
+        return fmt::format(
+            R"({{"version":{},"routes":[
+{{"name":"r1","host":"h.example","pathPrefix":"/gen/",
+"routeType":"streaming","timeoutMs":3000,"goalMs":2000,"priority":1,
+"service":"gen","maxAttempts":3,"resumable":true,"gapGoalMs":700}},
+{{"name":"r2","host":"h.example","pathPrefix":"/book/",
+"routeType":"non_idempotent","timeoutMs":3000,"goalMs":500,
+"service":"book","maxAttempts":1}}],
+"services":[{{"name":"gen","engine":{{"slots":8,"kvCapacity":88000,
+"stride":6,"backups":true,"moves":true,"handleTtlS":0.9}}}},{{"name":"book"}}],
+"tenants":[{{"name":"acc","apiKeys":["k1"]}}]}})",
+            version);
+    }
+    void announce(const stand_in& who, const char* service, const char* zone,
+                  int sequence = 1, const char* state = "ready",
+                  int started_at = 1000)
+    {
+        const auto reply = control_call(
+            0, "POST", "/Instances.Heartbeat/" + who.id,
+            fmt::format(R"({{"service":"{}","address":"{}","zone":"{}",)"
+                        R"("slots":8,"state":"{}","coldLeftMs":0,)"
+                        R"("seqNo":{},"born":{}}})",
+                        service, who.server->where().text(), zone, state,
+                        sequence, started_at));
+        CHECK(reply->status() == 200);
+    }
+    /// Stores a configuration, announces the stand-ins, waits for the gate.
+    void bring_up()
+    {
+        REQUIRE(run_until(
+            loop,
+            [&] {
+                return std::any_of(
+                    nodes.begin(), nodes.end(),
+                    [](const auto& node) { return node->is_leader(); });
+            },
+            10s));
+        REQUIRE(control_call(1, "POST", "/Config.Replace", configuration(5))
+                    ->status() == 200);
+        REQUIRE(run_until(loop, [&] { return gate->ready(); }));
+        announce(engine1, "gen", "d1");
+        announce(engine2, "gen", "d2");
+        announce(service, "book", "d1");
+        run_until(
+            loop, [] { return false; }, 50ms);
+    }
+    bool wait(const std::function<bool()>& condition)
+    {
+        return run_until(loop, condition, 3s);
+    }
+
+private:
+    std::uint64_t incarnation_ = 0;
+};
+
+} // namespace bamboogate::tests
+
+#endif
