Let a gate that stood still take over nothing until its links are back

Gate 0 held a copy and was frozen; the owner moved its copy to gate 2 and released more. A caller had asked gate 0 meanwhile. On waking gate 0 saw the ends of its links before the new links, had no other gate to ask and took over from the copy that was left behind, so the caller got other tokens than on its first connection, which was still open.

Ruled out: a lost acknowledgement (the copy on gate 2 was confirmed), and two gates away at once (the fault lines show one at a time).

Change: after a pause of the process beyond the tick's limit, a takeover is answered with in_progress for takeover_pause (1 s); the returning caller's search repeats itself and finds the owner. woken_buddy_finds_the_owner_first fails without it (takeovers 1 instead of 0) and passes with it.

--- a/lib/include/bamboogate/streaming/generation_service.hpp
+++ b/lib/include/bamboogate/streaming/generation_service.hpp
@@ -51,6 +51,10 @@
     /// After the loss of the last buddy tokens wait this long for another one,
     /// so that a gate that was frozen learns first whether it was superseded.
     duration alone_grace = std::chrono::seconds(2);
+    /// A gate that stood still takes over nothing for this long: its copies
+    /// may be older than what their owners have released since, and its links
+    /// come back within it.
+    duration takeover_pause = std::chrono::seconds(1);
     /// A generation whose caller is away this long ends.
     duration absence_limit = std::chrono::seconds(30);
     /// An ended generation can be read again for this long.
--- a/lib/source/streaming/generation_service.cpp
+++ b/lib/source/streaming/generation_service.cpp
@@ -113,6 +113,13 @@
     if (copy == nullptr || !may_take_over) {
         return fail(errc::not_found, "no such generation here");
     }
+    const time_point now = loop_.now();
+    if (stood_still(now)) {
+        woke_at_ = now;
+    }
+    if (woke_at_ && now - *woke_at_ < settings_.takeover_pause) {
+        return fail(errc::in_progress, "the gate stood still until just now");
+    }
     if (!copy->confirmed) {
         return fail(errc::in_progress, "the copy is not confirmed yet");
     }
@@ -218,11 +225,17 @@
     }
 }
 
+bool generation_service::impl::stood_still(time_point now) const
+{
+    return tick_timer_.active() && now - last_tick_ > jump_limit;
+}
+
 void generation_service::impl::tick()
 {
     const time_point now = loop_.now();
-    const bool jumped = now - last_tick_ > jump_limit;
+    const bool jumped = stood_still(now);
     if (jumped) {
+        woke_at_ = now;
         log(log_events::process_was_suspended,
             {{"milliseconds", to_milliseconds(now - last_tick_)}});
     }
--- a/lib/source/streaming/generation_service_impl.hpp
+++ b/lib/source/streaming/generation_service_impl.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +40,7 @@
     std::function<void()> when_idle_;
     net::timer tick_timer_;
     time_point last_tick_{};
+    std::optional<time_point> woke_at_; ///< after standing still
     time_point last_expiry_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
@@ -58,6 +60,8 @@
     [[nodiscard]] generation_task* find(const request_id& id) const;
     [[nodiscard]] std::size_t running() const;
     void tick();
+    /// True when the process was suspended since the last tick.
+    [[nodiscard]] bool stood_still(time_point now) const;
     void start_ticking();
     void drop_old_tasks(time_point now);
     void check_idle();
--- a/tests/streaming/gate_loss_test.cpp
+++ b/tests/streaming/gate_loss_test.cpp
@@ -195,6 +195,31 @@
     }));
 }
 
+// Guards against a copy that was left behind during a freeze: the owner has
+// released more since, so a takeover from it gives callers other tokens.
+TEST_CASE_FIXTURE(gate_loss_fixture, "woken_buddy_finds_the_owner_first")
+{
+    build();
+    REQUIRE(cluster->start(caller, 0, "woken buddy tokens=900"));
+    REQUIRE(reach(40));
+    const auto buddy = cluster->buddy_of(caller.id);
+    cluster->freeze_gate(buddy, true);
+    // The caller goes to the frozen gate, and its first connection stays open.
+    cluster->attach(caller, buddy);
+    cluster->run_for(650ms);
+    CHECK(service(0).totals().buddy_changes == 1);
+    // It has seen the ends of its links and nothing of the new ones yet.
+    net::link_hub& hub = *cluster->gates[buddy]->hub;
+    for (const auto& peer : hub.peers_up()) {
+        hub.forget(peer.node);
+    }
+    cluster->freeze_gate(buddy, false);
+    REQUIRE(finish());
+    CHECK(caller.is_whole(token_mode::sampled));
+    CHECK(caller.agrees_with_older_connections());
+    CHECK(service(buddy).totals().takeovers == 0);
+}
+
 TEST_CASE_FIXTURE(gate_loss_fixture, "no_other_gate_alive_releases_at_once")
 {
     settings.gates = 1;
--- a/tests/streaming/random_faults_test.cpp
+++ b/tests/streaming/random_faults_test.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <cstdlib>
 #include <random>
@@ -25,7 +26,8 @@
     void run(std::size_t streams)
     {
         total_ = streams;
-        next_engine_fault_ = next_gate_fault_ = monotonic_clock::now() + 100ms;
+        started_at_ = monotonic_clock::now();
+        next_engine_fault_ = next_gate_fault_ = started_at_ + 100ms;
         cluster_.run_until(
             [this] {
                 const time_point now = monotonic_clock::now();
@@ -110,6 +112,7 @@
             } else {
                 cluster_.start_gate(gate_away_);
             }
+            print("gate is back", gate_away_);
             next_gate_fault_ = now + 600ms + 20ms * pick(20);
         }
         if (gate_back_ != time_point{} || now < next_gate_fault_) {
@@ -118,9 +121,11 @@
         ++gate_faults;
         gate_away_ = pick(3);
         if (pick(2) == 0) {
+            print("gate is killed", gate_away_);
             cluster_.kill_gate(gate_away_);
             gate_back_ = now + 400ms + 20ms * pick(20);
         } else {
+            print("gate is frozen", gate_away_);
             cluster_.freeze_gate(gate_away_, true);
             gate_back_ = now + 50ms * (1 + pick(20));
         }
@@ -195,10 +200,19 @@
                                                          caller.sink.get());
         }
         ++returns;
+        print(caller.id.value() + " asks gate", target);
         cluster_.attach(caller, target);
         caller.last_token = now;
     }
 
+    /// Stands among the gates' log lines, so that a failure can be traced.
+    void print(std::string_view event, std::size_t index) const
+    {
+        fmt::print(stderr, "{} ms: {} {}\n",
+                   to_milliseconds(monotonic_clock::now() - started_at_), event,
+                   index);
+    }
+
     void note(const test_caller& caller, const std::string& problem)
     {
         if (first_problem.empty()) {
@@ -209,6 +223,7 @@
     token_mode mode_;
     std::mt19937 random_;
     streaming_cluster cluster_;
+    time_point started_at_;
     std::size_t total_ = 0;
     std::size_t started_ = 0;
     std::vector<std::unique_ptr<test_caller>> callers_;
--- a/tests/support/streaming_cluster.hpp
+++ b/tests/support/streaming_cluster.hpp
@@ -294,6 +294,7 @@
         out.streaming.buddy_ack_limit = 150ms;
         out.streaming.resend_interval = 60ms;
         out.streaming.alone_grace = 600ms;
+        out.streaming.takeover_pause = 300ms;
         out.streaming.attach_deadline = 100ms;
         out.streaming.choose_interval = 10ms;
         return out;
