--- /dev/null
+++ b/tests/platform/soak/backend.cpp
@@ -0,0 +1,340 @@
+#include "backend.hpp"
+
+#include <bamboogate/core/json.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration step_interval = 5ms;
+constexpr duration announce_interval = 400ms;
+constexpr duration event_interval = 20ms;
+constexpr duration reading_time = 120ms; ///< of a prompt that is not cached
+constexpr duration plain_time = 15ms;
+constexpr duration copy_interval = 100ms;
+constexpr duration copy_lifetime = 4s; ///< `handleTtlS` of the configuration
+constexpr duration leave_time = 2s;    ///< `drainMs` of the bounds
+constexpr unsigned tokens_per_event = 6;
+
+std::string header(const net::http1_request& request, std::string_view name)
+{
+    return std::string(request.headers.find(name).value_or(""));
+}
+
+unsigned number(std::string_view text)
+{
+    unsigned out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+} // namespace
+
+std::string event_text(std::string_view prompt, unsigned number)
+{
+    return fmt::format("id: {}\ndata: {} {}\n\n", number, prompt, number);
+}
+
+std::string plain_answer(std::string_view attempt)
+{
+    return fmt::format("done {}", attempt);
+}
+
+backend::backend(net::event_loop& loop, net::http1_client& client,
+                 run_ledger& ledger, options settings)
+    : loop_(loop), client_(client), ledger_(ledger),
+      settings_(std::move(settings)), proxy_(loop, {"127.0.0.1", 1}),
+      step_timer_(loop, [this] { step(); }),
+      announce_timer_(loop, [this] { announce(); }),
+      leave_timer_(loop, [this] { crash(); })
+{}
+
+void backend::start(bool same_id)
+{
+    ++starts_;
+    if (!same_id || id_.empty()) {
+        id_ = fmt::format("{}-{}-{}", settings_.service, where().port, starts_);
+    }
+    started_at_ = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+    sequence_ = 0;
+    draining_ = false;
+    server_ = net::http1_server::start(
+                  loop_, {.where = {"127.0.0.1", 0}},
+                  [this](const net::http1_request& request,
+                         const net::http1_responder_ptr& responder) {
+                      handle(request, responder);
+                  })
+                  .value();
+    proxy_.change_target(server_->where());
+    step_timer_.start_periodic(step_interval);
+    announce_timer_.start_periodic(announce_interval);
+    announce();
+}
+
+void backend::crash()
+{
+    ++*life_;
+    step_timer_.stop();
+    announce_timer_.stop();
+    leave_timer_.stop();
+    announcements_.clear();
+    runs_.clear();
+    waiting_calls_.clear();
+    copies_.clear();
+    server_.reset();
+    proxy_.change_target({"127.0.0.1", 1});
+    proxy_.reset();
+    silent = loses_answers = truncates = false;
+    slowness = 1;
+}
+
+void backend::drain()
+{
+    draining_ = true;
+    announce();
+    leave_timer_.start_once(leave_time);
+}
+
+duration backend::paced(duration time) const
+{
+    return std::chrono::duration_cast<duration>(time * slowness);
+}
+
+backend* backend::at(std::string_view address) const
+{
+    const auto found =
+        std::find_if(all_->begin(), all_->end(), [&](const auto& each) {
+            return each->where().text() == address;
+        });
+    return found == all_->end() ? nullptr : found->get();
+}
+
+void backend::refuse(const net::http1_responder_ptr& responder,
+                     const std::string& attempt, unsigned status)
+{
+    responder->respond(
+        status, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", attempt}}, "");
+}
+
+void backend::handle(const net::http1_request& request,
+                     const net::http1_responder_ptr& responder)
+{
+    if (request.path() == "/kv-events") {
+        const std::chrono::milliseconds wait(
+            number(header(request, "Wait-Ms")));
+        waiting_calls_.emplace_back(loop_.now() + wait, responder);
+        return;
+    }
+    if (request.path() == "/kv-move") {
+        order_copy(request, responder);
+        return;
+    }
+    const auto attempt = header(request, "X-Attempt-Id");
+    const auto expected = header(request, "X-Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+        refuse(responder, attempt, 421);
+        return;
+    }
+    if (runs_.size() >= 2 * settings_.slots) {
+        refuse(responder, attempt, 503);
+        return;
+    }
+    if (settings_.streams) {
+        start_run(request, responder);
+    } else {
+        answer_plain(request, responder);
+    }
+}
+
+void backend::answer_plain(const net::http1_request& request,
+                           const net::http1_responder_ptr& responder)
+{
+    auto each = std::make_shared<run>();
+    each->attempt = header(request, "X-Attempt-Id");
+    each->responder = responder;
+    each->due = loop_.now() + paced(plain_time);
+    ledger_.add(each->attempt);
+    // A plain request runs on when its caller leaves.
+    runs_.push_back(std::move(each));
+}
+
+void backend::start_run(const net::http1_request& request,
+                        const net::http1_responder_ptr& responder)
+{
+    auto each = std::make_shared<run>();
+    each->attempt = header(request, "X-Attempt-Id");
+    each->prompt = request.body;
+    each->next = number(header(request, "Last-Event-Id")) + 1;
+    const auto tokens = header(request, "X-Token-Count");
+    each->last = number(std::string_view(tokens).substr(tokens.find(',') + 1)) /
+                 tokens_per_event;
+    each->copy_to = header(request, "X-Kv-Backup");
+    each->responder = responder;
+    each->due = loop_.now() + paced(reading_time);
+    if (const auto from = header(request, "Kv-From"); !from.empty()) {
+        const auto held = copies_.find(from);
+        if (held == copies_.end() ||
+            loop_.now() - held->second.written > copy_lifetime) {
+            refuse(responder, each->attempt, 503);
+            return;
+        }
+        copies_.erase(held);
+        each->due = loop_.now() + paced(event_interval);
+    }
+    responder->on_client_gone([weak = std::weak_ptr(each)] {
+        if (const auto self = weak.lock()) {
+            self->gone = true;
+        }
+    });
+    runs_.push_back(std::move(each));
+}
+
+void backend::order_copy(const net::http1_request& request,
+                         const net::http1_responder_ptr& responder)
+{
+    const auto order = json::parse(request.body);
+    const auto wanted = order.at("id").get<std::string>();
+    const auto found =
+        std::find_if(runs_.begin(), runs_.end(),
+                     [&](const auto& each) { return each->attempt == wanted; });
+    backend* target = at(order.at("target").get<std::string>());
+    if (found == runs_.end()) {
+        responder->respond(404, {}, "{}");
+        return;
+    }
+    if (target == nullptr || !target->running()) {
+        responder->respond(503, {}, "{}");
+        return;
+    }
+    const unsigned made = (*found)->next - 1;
+    const auto handle = fmt::format("{}-{}", wanted, made);
+    target->copies_[fmt::format("{}/{}", where().text(), handle)] = {
+        made, loop_.now()};
+    responder->respond(200, {},
+                       json{{"kvHandle", handle}, {"made", made}}.dump());
+}
+
+void backend::step()
+{
+    const time_point now = loop_.now();
+    std::erase_if(waiting_calls_, [now](const auto& call) {
+        if (now < call.first) {
+            return false;
+        }
+        call.second->respond(
+            200, {}, R"({"epoch":1,"next":1,"lost":false,"events":[]})");
+        return true;
+    });
+    const auto runs = runs_;
+    for (const auto& each : runs) {
+        step(*each, now);
+    }
+    std::erase_if(runs_, [](const auto& each) {
+        return each->gone || each->responder->ended();
+    });
+}
+
+void backend::step(run& each, time_point now)
+{
+    if (now < each.due || silent || each.gone) {
+        return;
+    }
+    const net::header_list fields{{"X-Response-Seal", "seal-" + id_},
+                                  {"X-Attempt-Id", each.attempt}};
+    if (!settings_.streams) {
+        if (loses_answers) {
+            each.responder->abort();
+        } else if (truncates) {
+            each.responder->begin(200, "OK", fields);
+            each.responder->write(
+                std::string_view(plain_answer(each.attempt)).substr(0, 3));
+            each.responder->abort();
+        } else {
+            each.responder->respond(200, fields, plain_answer(each.attempt));
+        }
+        return;
+    }
+    if (!each.begun) {
+        each.begun = true;
+        ledger_.add(each.attempt);
+        each.responder->begin(200, "OK", fields);
+    }
+    if (each.next > each.last) {
+        // The caller had all events and only missed the end.
+        each.responder->finish();
+        return;
+    }
+    const auto text = event_text(each.prompt, each.next);
+    if (truncates) {
+        each.responder->write(std::string_view(text).substr(0, 5));
+        each.responder->abort();
+        return;
+    }
+    each.responder->write(text);
+    if (!each.copy_to.empty() && now - each.copied_at > copy_interval) {
+        each.copied_at = now;
+        if (backend* holder = at(each.copy_to); holder && holder->running()) {
+            holder->copies_[fmt::format("{}/{}", each.copy_to, each.attempt)] =
+                {each.next, now};
+        }
+    }
+    each.due = now + paced(event_interval);
+    if (each.next++ >= each.last) {
+        each.responder->finish();
+    }
+}
+
+void backend::announce()
+{
+    announcements_.clear();
+    ++sequence_;
+    announce_at(sequence_ % settings_.control.size(),
+                static_cast<unsigned>(settings_.control.size()),
+                "/Instances.Heartbeat/" + id_);
+}
+
+void backend::announce_at(std::size_t which, unsigned tries_left,
+                          const std::string& path)
+{
+    const json body{{"service", settings_.service},
+                    {"address", where().text()},
+                    {"zone", settings_.failure_domain},
+                    {"version", "v1"},
+                    {"slots", settings_.slots},
+                    {"state", draining_ ? "draining" : "ready"},
+                    {"coldLeftMs", 0},
+                    {"seqNo", sequence_},
+                    {"born", started_at_}};
+    const auto again = [this, which, tries_left, path, life = life_,
+                        known = *life_] {
+        loop_.post([this, which, tries_left, path, life, known] {
+            if (*life == known && tries_left > 1) {
+                announce_at((which + 1) % settings_.control.size(),
+                            tries_left - 1, path);
+            }
+        });
+    };
+    announcements_.push_back(client_.start(
+        settings_.control[which],
+        {.method = "POST",
+         .target = path,
+         .headers = {{"Host", "control"}, {"Content-Type", "application/json"}},
+         .body = body.dump(),
+         .fresh_connection = true},
+        {.on_head = [](const net::http1_response_head&) { return true; },
+         .on_body = [](std::string_view) {},
+         .on_complete = [] {},
+         .on_failure = [again](const net::http1_failure&) { again(); }}));
+}
+
+} // namespace bamboogate::tests
--- /dev/null
+++ b/tests/platform/soak/backend.hpp
@@ -0,0 +1,125 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_BACKEND_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_BACKEND_HPP
+
+#include <bamboogate/net/http1_client.hpp>
+#include <bamboogate/net/http1_server.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/fault_proxy.hpp"
+#include "violations.hpp"
+
+namespace bamboogate::tests {
+
+/// @brief The text of an event, so that callers can check each one.
+[[nodiscard]] std::string event_text(std::string_view prompt, unsigned number);
+
+/// @brief The body of a plain service's answer.
+[[nodiscard]] std::string plain_answer(std::string_view attempt);
+
+/// A back end behind a proxy: an engine that streams and keeps copies, or a
+/// plain service. It announces itself, crashes, returns and leaves. Stands in
+/// for the platform's engines; the page is PROTOCOL. Not thread safe.
+class backend
+{
+public:
+    struct options
+    {
+        std::string service;
+        std::string failure_domain;
+        bool streams = false;
+        unsigned slots = 16;
+        std::vector<net::address> control; ///< where to announce itself
+    };
+
+    backend(net::event_loop& loop, net::http1_client& client,
+            run_ledger& ledger, options settings);
+
+    /// @brief All back ends, for copies from one to another.
+    void know(const std::vector<std::unique_ptr<backend>>& all) { all_ = &all; }
+
+    /// @brief Starts under a new id, or again under the one before.
+    void start(bool same_id);
+    void crash();
+    /// @brief Announces the departure; ends by itself two seconds later.
+    void drain();
+    [[nodiscard]] bool running() const { return server_ != nullptr; }
+
+    [[nodiscard]] fault_proxy& proxy() { return proxy_; }
+    [[nodiscard]] net::address where() const { return proxy_.where(); }
+    [[nodiscard]] const std::string& id() const { return id_; }
+
+    /// Switches of the soak.
+    bool silent = false;        ///< streams make no events
+    bool loses_answers = false; ///< runs plain requests, cuts their answers
+    bool truncates = false;     ///< ends answers before their end
+    double slowness = 1;        ///< factor on all times
+
+private:
+    struct run
+    {
+        std::string attempt;
+        std::string prompt;
+        unsigned next = 1;
+        unsigned last = 0;
+        std::string copy_to;
+        net::http1_responder_ptr responder;
+        time_point due;
+        time_point copied_at;
+        bool begun = false;
+        bool gone = false;
+    };
+    struct copy
+    {
+        unsigned events = 0;
+        time_point written;
+    };
+
+    void handle(const net::http1_request& request,
+                const net::http1_responder_ptr& responder);
+    void answer_plain(const net::http1_request& request,
+                      const net::http1_responder_ptr& responder);
+    void start_run(const net::http1_request& request,
+                   const net::http1_responder_ptr& responder);
+    void order_copy(const net::http1_request& request,
+                    const net::http1_responder_ptr& responder);
+    void refuse(const net::http1_responder_ptr& responder,
+                const std::string& attempt, unsigned status);
+    void step();
+    void step(run& each, time_point now);
+    void announce();
+    void announce_at(std::size_t which, unsigned tries_left,
+                     const std::string& path);
+    [[nodiscard]] backend* at(std::string_view address) const;
+    [[nodiscard]] duration paced(duration time) const;
+
+    net::event_loop& loop_;
+    net::http1_client& client_;
+    run_ledger& ledger_;
+    options settings_;
+    fault_proxy proxy_;
+    const std::vector<std::unique_ptr<backend>>* all_ = nullptr;
+    std::string id_;
+    std::uint64_t started_at_ = 0;
+    std::uint64_t sequence_ = 0;
+    unsigned starts_ = 0;
+    bool draining_ = false;
+    std::unique_ptr<net::http1_server> server_;
+    std::vector<std::shared_ptr<run>> runs_;
+    /// Calls that wait for cache events, with the end of their wait.
+    std::vector<std::pair<time_point, net::http1_responder_ptr>> waiting_calls_;
+    /// By the text that a continuing request names: ADDRESS/NAME.
+    std::map<std::string, copy> copies_;
+    std::vector<std::unique_ptr<net::http1_client::exchange>> announcements_;
+    std::shared_ptr<unsigned> life_ = std::make_shared<unsigned>(0);
+    net::timer step_timer_;
+    net::timer announce_timer_;
+    net::timer leave_timer_;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/callers.cpp
@@ -0,0 +1,338 @@
+#include "callers.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+
+#include "backend.hpp"
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration stream_deadline = 25s; ///< as on the sheets
+constexpr duration plain_deadline = 1500ms;
+/// A caller gives up a stream after this silence (PROTOCOL: two seconds, or
+/// more where the objective is longer).
+constexpr duration silence_limit = 16s;
+/// Returns after a failure; the sheets' callers return once, and a soak should
+/// reach the paths of a second return as well.
+constexpr unsigned max_returns = 3;
+constexpr duration return_delay = 50ms;
+constexpr unsigned tokens_per_event = 6;
+constexpr unsigned min_events = 30;
+constexpr unsigned max_events = 150;
+
+/// Answers that promise that the request has not run and will not run.
+bool promises_not_run(unsigned status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+} // namespace
+
+std::string_view name_of(request_kind kind)
+{
+    switch (kind) {
+    case request_kind::stream:
+        return "stream";
+    case request_kind::booking:
+        return "booking";
+    case request_kind::lookup:
+        return "lookup";
+    }
+    return "";
+}
+
+/// One request with all its attempts.
+class caller_pool::call : public std::enable_shared_from_this<call>
+{
+public:
+    call(caller_pool& pool, request_kind kind, bool must_succeed)
+        : pool_(pool), kind_(kind), must_succeed_(must_succeed),
+          prompt_(fmt::format("{}-{:08x}", name_of(kind), pool.random_())),
+          events_(min_events + static_cast<unsigned>(
+                                   pool.random_() % (max_events - min_events))),
+          end_(pool.loop_.now() + (kind == request_kind::stream
+                                       ? stream_deadline
+                                       : plain_deadline)),
+          return_timer_(pool.loop_, [this] { send(); })
+    {}
+
+    void send()
+    {
+        attempts_.push_back(
+            fmt::format("{}-a{}", prompt_, attempts_.size() + 1));
+        head_ = {};
+        body_.clear();
+        last_input_ = pool_.loop_.now();
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            end_ - pool_.loop_.now());
+        net::header_list fields{
+            {"Host", pool_.settings_.host},
+            {"X-Attempt-Id", attempts_.back()},
+            {"X-Deadline-Ms", fmt::format("{}", left.count())},
+            {"Authorization", "Bearer " + pool_.settings_.key}};
+        if (kind_ == request_kind::stream) {
+            fields.set("X-Model", "m");
+            fields.set("X-Token-Count",
+                       fmt::format("800,{}", events_ * tokens_per_event));
+            fields.set("X-Prefix-Hash", fmt::format("aa:200,{}:600", prompt_));
+            if (got_ > 0) {
+                fields.set("Last-Event-Id", fmt::format("{}", got_));
+            }
+        }
+        exchange_ = pool_.client_.start(
+            pool_.settings_.choose_gate(),
+            {.method = "POST",
+             .target = pool_.settings_.paths.at(kind_) + "x",
+             .headers = std::move(fields),
+             .body = prompt_,
+             .fresh_connection = attempts_.size() > 1},
+            {.on_head =
+                 [this](const net::http1_response_head& head) {
+                     head_ = head;
+                     check_head();
+                     return true;
+                 },
+             .on_body = [this](std::string_view part) { read(part); },
+             .on_complete = [this] { later(&call::answered); },
+             .on_failure =
+                 [this](const net::http1_failure& failure) {
+                     failure_ = failure;
+                     later(&call::broken);
+                 }});
+    }
+
+    void step(time_point now)
+    {
+        if (ended_) {
+            return;
+        }
+        if (now >= end_ || (kind_ == request_kind::stream &&
+                            now - last_input_ > silence_limit)) {
+            exchange_.reset();
+            end(&caller_counts::failed, "no answer in time");
+        }
+    }
+
+    [[nodiscard]] request_kind kind() const { return kind_; }
+    [[nodiscard]] const std::vector<std::string>& attempts() const
+    {
+        return attempts_;
+    }
+
+private:
+    /// Exchanges end outside of their callbacks.
+    void later(void (call::*function)())
+    {
+        pool_.loop_.post([weak = weak_from_this(), function] {
+            const auto self = weak.lock();
+            if (self && !self->ended_) {
+                (self.get()->*function)();
+            }
+        });
+    }
+
+    void violate(std::string_view promise, std::string_view detail)
+    {
+        pool_.problems_.add(promise,
+                            fmt::format("{} {}", attempts_.back(), detail));
+    }
+
+    void check_head()
+    {
+        if (head_.status / 100 != 2) {
+            return;
+        }
+        if (!head_.headers.find("X-Response-Seal")) {
+            violate("whole answers", "no seal");
+        }
+        if (head_.headers.find("X-Attempt-Id") != attempts_.back()) {
+            violate("whole answers", "another attempt's answer");
+        }
+    }
+
+    void read(std::string_view part)
+    {
+        last_input_ = pool_.loop_.now();
+        body_ += part;
+        if (kind_ != request_kind::stream || head_.status != 200) {
+            return;
+        }
+        for (auto end = body_.find("\n\n"); end != std::string::npos;
+             end = body_.find("\n\n")) {
+            const auto event = body_.substr(0, end + 2);
+            body_.erase(0, end + 2);
+            if (event != event_text(prompt_, got_ + 1)) {
+                violate("no piece missing or twice",
+                        fmt::format("wanted event {}, got {}", got_ + 1,
+                                    event.substr(0, event.size() - 2)));
+            }
+            ++got_;
+        }
+    }
+
+    void answered()
+    {
+        exchange_.reset();
+        if (head_.status == 200) {
+            check_whole();
+            end(&caller_counts::served, "");
+            return;
+        }
+        if (promises_not_run(head_.status)) {
+            pool_.promised_not_run_.push_back(attempts_.back());
+            return_or(&caller_counts::refused,
+                      fmt::format("status {}", head_.status));
+            return;
+        }
+        if (head_.status != 502 && head_.status != 504 && head_.status != 500) {
+            violate("expected status", fmt::format("status {}", head_.status));
+        }
+        finish_or_return(fmt::format("status {}", head_.status));
+    }
+
+    void check_whole()
+    {
+        if (kind_ == request_kind::stream) {
+            if (got_ != events_ || !body_.empty()) {
+                violate("whole answers",
+                        fmt::format("complete with {} of {}", got_, events_));
+            }
+        } else if (body_ != plain_answer(attempts_.back())) {
+            violate("whole answers", body_);
+        }
+    }
+
+    void broken()
+    {
+        exchange_.reset();
+        if (failure_.code == errc::malformed_input) {
+            violate("well-formed answers", "malformed");
+        }
+        if (!failure_.request_sent) {
+            return_or(&caller_counts::failed, "no connection");
+            return;
+        }
+        finish_or_return("connection lost");
+    }
+
+    /// After a failure that promises nothing.
+    void finish_or_return(const std::string& reason)
+    {
+        if (kind_ == request_kind::booking) {
+            end(&caller_counts::failed, reason);
+            return;
+        }
+        return_or(&caller_counts::failed, reason);
+    }
+
+    void return_or(unsigned caller_counts::*count, const std::string& reason)
+    {
+        duration delay = return_delay;
+        if (const auto asked = head_.headers.find("Retry-After")) {
+            delay = std::max(delay,
+                             std::chrono::duration_cast<duration>(
+                                 std::chrono::duration<double>(std::strtod(
+                                     std::string(*asked).c_str(), nullptr))));
+        }
+        if (attempts_.size() > max_returns ||
+            pool_.loop_.now() + delay >= end_) {
+            end(count, reason);
+            return;
+        }
+        return_timer_.start_once(delay);
+    }
+
+    void end(unsigned caller_counts::*count, const std::string& reason)
+    {
+        ended_ = true;
+        return_timer_.stop();
+        ++(pool_.counts_[kind_].*count);
+        if (must_succeed_ && count != &caller_counts::served) {
+            violate("recovery",
+                    fmt::format("{}, {} of {} events", reason, got_, events_));
+        }
+        pool_.ended(*this);
+    }
+
+    caller_pool& pool_;
+    request_kind kind_;
+    bool must_succeed_;
+    std::string prompt_;
+    unsigned events_;
+    time_point end_;
+    net::timer return_timer_;
+    std::vector<std::string> attempts_;
+    std::unique_ptr<net::http1_client::exchange> exchange_;
+    net::http1_response_head head_;
+    net::http1_failure failure_;
+    std::string body_;
+    unsigned got_ = 0;
+    time_point last_input_;
+    bool ended_ = false;
+};
+
+caller_pool::caller_pool(net::event_loop& loop, const run_ledger& ledger,
+                         violations& problems, unsigned seed, options settings)
+    : loop_(loop), ledger_(ledger), problems_(problems), random_(seed),
+      settings_(std::move(settings)), client_(loop, {})
+{}
+
+caller_pool::~caller_pool() = default;
+
+void caller_pool::start(request_kind kind, bool must_succeed)
+{
+    ++counts_[kind].started;
+    calls_.push_back(std::make_shared<call>(*this, kind, must_succeed));
+    calls_.back()->send();
+}
+
+void caller_pool::step()
+{
+    const time_point now = loop_.now();
+    const auto calls = calls_;
+    for (const auto& each : calls) {
+        each->step(now);
+    }
+}
+
+void caller_pool::ended(call& which)
+{
+    if (which.kind() == request_kind::booking) {
+        bookings_.push_back(which.attempts());
+    }
+    loop_.post([this, &which] {
+        std::erase_if(calls_,
+                      [&](const auto& each) { return each.get() == &which; });
+    });
+}
+
+void caller_pool::check_runs() const
+{
+    for (const auto& attempt : promised_not_run_) {
+        if (const auto runs = ledger_.runs(attempt); runs > 0) {
+            problems_.add("a refusal is true",
+                          fmt::format("{} ran {} times", attempt, runs));
+        }
+    }
+    for (const auto& attempts : bookings_) {
+        const auto runs =
+            std::accumulate(attempts.begin(), attempts.end(), 0U,
+                            [this](unsigned sum, const auto& attempt) {
+                                return sum + ledger_.runs(attempt);
+                            });
+        if (runs > 1) {
+            problems_.add(
+                "bookings run once",
+                fmt::format("{} ran {} times", attempts.front(), runs));
+        }
+    }
+}
+
+} // namespace bamboogate::tests
--- /dev/null
+++ b/tests/platform/soak/callers.hpp
@@ -0,0 +1,93 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_CALLERS_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_CALLERS_HPP
+
+#include <bamboogate/net/http1_client.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "violations.hpp"
+
+namespace bamboogate::tests {
+
+enum class request_kind : std::uint8_t
+{
+    stream,
+    booking, ///< not idempotent
+    lookup,  ///< idempotent
+};
+
+[[nodiscard]] std::string_view name_of(request_kind kind);
+
+/// What callers got, over all requests of a kind.
+struct caller_counts
+{
+    unsigned started = 0;
+    unsigned served = 0;
+    unsigned refused = 0; ///< the last answer promises not to have run it
+    unsigned failed = 0;
+};
+
+/// Callers that send requests, return after failures as the pages allow, and
+/// check every answer. Not thread safe.
+class caller_pool
+{
+public:
+    struct options
+    {
+        /// Names a gate for a new connection.
+        std::function<net::address()> choose_gate;
+        std::string host;
+        std::string key;
+        std::map<request_kind, std::string> paths;
+    };
+
+    caller_pool(net::event_loop& loop, const run_ledger& ledger,
+                violations& problems, unsigned seed, options settings);
+    ~caller_pool();
+    caller_pool(const caller_pool&) = delete;
+    caller_pool& operator=(const caller_pool&) = delete;
+
+    /// @brief Starts a request of a caller.
+    /// @param must_succeed a failure counts as a broken promise
+    void start(request_kind kind, bool must_succeed);
+
+    /// @brief Ends requests whose deadline has passed.
+    void step();
+
+    [[nodiscard]] std::size_t running() const { return calls_.size(); }
+    [[nodiscard]] const std::map<request_kind, caller_counts>& counts() const
+    {
+        return counts_;
+    }
+
+    /// @brief Compares what callers were told with what back ends ran.
+    void check_runs() const;
+
+private:
+    class call;
+
+    void ended(call& which);
+
+    net::event_loop& loop_;
+    const run_ledger& ledger_;
+    violations& problems_;
+    std::mt19937 random_;
+    options settings_;
+    net::http1_client client_;
+    std::map<request_kind, caller_counts> counts_;
+    std::vector<std::shared_ptr<call>> calls_;
+    /// Attempts that were answered as not run.
+    std::vector<std::string> promised_not_run_;
+    /// Attempts of each booking.
+    std::vector<std::vector<std::string>> bookings_;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/fleet.cpp
@@ -0,0 +1,156 @@
+#include "fleet.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+
+#include "e2e/support/process_usage.hpp"
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration stop_grace = 8s; ///< `graceS` of the bounds
+/// From the start of a process to its first instruction.
+constexpr duration exec_time = 100ms;
+
+} // namespace
+
+machine::machine(options settings, violations& problems)
+    : settings_(std::move(settings)), problems_(problems)
+{
+    std::filesystem::create_directories(settings_.folder);
+}
+
+std::filesystem::path machine::file(std::string_view suffix) const
+{
+    return settings_.folder / (settings_.name + std::string(suffix));
+}
+
+void machine::write_settings(bool first_start) const
+{
+    std::vector<std::string> seeds;
+    for (const auto& seed : settings_.seeds) {
+        seeds.push_back(fmt::format("\"{}:8748\"", seed));
+    }
+    std::ofstream out(file(".toml"));
+    out << fmt::format("node = \"{}\"\nzone = \"{}\"\nip = \"{}\"\n"
+                       "internalPorts = [7200, 7215]\nseeds = [{}]\n"
+                       "bootstrap = {}\nheartbeatMs = 1200\n",
+                       settings_.name, settings_.failure_domain, settings_.ip,
+                       fmt::join(seeds, ", "), first_start);
+    if (!settings_.gate) {
+        out << fmt::format("dataDir = \"{}\"\n", file("-data").string());
+    }
+    out << "[listen]\n";
+    if (settings_.gate) {
+        out << fmt::format("front = \"{}\"\nready = \"{}\"\n", callers().text(),
+                           readiness().text());
+    } else {
+        out << fmt::format("control = \"{}\"\n", control().text());
+    }
+    out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
+           "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
+}
+
+void machine::start(bool first_start)
+{
+    write_settings(first_start);
+    std::filesystem::create_directories(file("-data"));
+    // The program reads the path from its environment; the soak has no threads.
+    ::setenv("BAMBOOGATE_NODE_FILE", file(".toml").c_str(), 1); // NOLINT
+    const auto program =
+        settings_.programs /
+        (settings_.gate ? "platform-gate" : "platform-control");
+    process_ = child_process(program, {}, file(".log"));
+    started_ = true;
+    started_at_ = monotonic_clock::now();
+    paused_ = false;
+    stopping_since_.reset();
+}
+
+void machine::kill()
+{
+    process_.kill();
+    started_ = paused_ = false;
+    stopping_since_.reset();
+}
+
+void machine::pause()
+{
+    process_.send_signal(SIGSTOP);
+    paused_ = true;
+}
+
+void machine::resume()
+{
+    process_.send_signal(SIGCONT);
+    paused_ = false;
+}
+
+void machine::terminate(time_point now)
+{
+    process_.send_signal(SIGTERM);
+    stopping_since_ = now;
+}
+
+void machine::lose_disk()
+{
+    std::filesystem::remove_all(file("-data"));
+}
+
+void machine::tear_disk()
+{
+    std::filesystem::path newest;
+    for (const auto& each :
+         std::filesystem::recursive_directory_iterator(file("-data"))) {
+        if (each.is_regular_file() &&
+            (newest.empty() || each.last_write_time() >
+                                   std::filesystem::last_write_time(newest))) {
+            newest = each.path();
+        }
+    }
+    if (!newest.empty()) {
+        std::ofstream(newest, std::ios::app | std::ios::binary)
+            << std::string(37, '\x5a');
+    }
+}
+
+void machine::check(time_point now)
+{
+    if (!started_ || paused_) {
+        return;
+    }
+    if (process_.running()) {
+        if (stopping_since_ && now - *stopping_since_ > stop_grace) {
+            problems_.add("planned stop", name() + " outlives its grace");
+            kill();
+        }
+        return;
+    }
+    // The default action ends a program whose first instruction has not run.
+    const bool before_main =
+        process_.exit_code() < 0 && now - started_at_ < exec_time;
+    if (stopping_since_ && before_main) {
+        problems_.print("ended before its first instruction", name());
+    } else if (!stopping_since_) {
+        problems_.add("no program ends by itself", name());
+    } else if (process_.exit_code() != 0) {
+        problems_.add("planned stop", fmt::format("{} ends with {}", name(),
+                                                  process_.exit_code()));
+    }
+    started_ = false;
+    stopping_since_.reset();
+}
+
+double machine::resident_kib() const
+{
+    return started_ ? tests::resident_kib(process_.id()) : 0;
+}
+
+} // namespace bamboogate::tests
--- /dev/null
+++ b/tests/platform/soak/fleet.hpp
@@ -0,0 +1,86 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_FLEET_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_FLEET_HPP
+
+#include <bamboogate/net/address.hpp>
+#include <bamboogate/net/event_loop.hpp>
+
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "support/child_process.hpp"
+#include "support/fault_proxy.hpp"
+#include "violations.hpp"
+
+namespace bamboogate::tests {
+
+/// One of the two programs on a loopback address of its own, with the settings
+/// file of the platform. Not thread safe.
+class machine
+{
+public:
+    struct options
+    {
+        std::string name;
+        bool gate = false;
+        std::string failure_domain;
+        std::string ip;
+        std::vector<std::string> seeds; ///< IP numbers of three replicas
+        std::filesystem::path programs; ///< folder of the two programs
+        std::filesystem::path folder;   ///< for settings, log and data
+    };
+
+    machine(options settings, violations& problems);
+
+    void start(bool first_start);
+    /// @brief Ends the program at once, as a power loss does.
+    void kill();
+    void pause();
+    void resume();
+    /// @brief Asks the program to end within its grace.
+    void terminate(time_point now);
+    /// @brief Removes the data of a killed replica.
+    void lose_disk();
+    /// @brief Appends bytes of a write that was cut off by a power loss.
+    void tear_disk();
+
+    /// @brief Notes ends that nobody asked for, and those that come too late.
+    void check(time_point now);
+
+    [[nodiscard]] const std::string& name() const { return settings_.name; }
+    [[nodiscard]] bool paused() const { return paused_; }
+    [[nodiscard]] bool stopping() const { return stopping_since_.has_value(); }
+    /// @brief True while the program runs undisturbed.
+    [[nodiscard]] bool up() const
+    {
+        return started_ && !paused_ && !stopping();
+    }
+    [[nodiscard]] bool started() const { return started_; }
+    [[nodiscard]] double resident_kib() const;
+
+    [[nodiscard]] net::address callers() const { return {settings_.ip, 8740}; }
+    [[nodiscard]] net::address readiness() const
+    {
+        return {settings_.ip, 8749};
+    }
+    [[nodiscard]] net::address control() const { return {settings_.ip, 8748}; }
+
+private:
+    void write_settings(bool first_start) const;
+    [[nodiscard]] std::filesystem::path file(std::string_view suffix) const;
+
+    options settings_;
+    violations& problems_;
+    child_process process_;
+    bool started_ = false;
+    time_point started_at_;
+    bool paused_ = false;
+    std::optional<time_point> stopping_since_;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/main.cpp
@@ -0,0 +1,62 @@
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+
+#include "soak.hpp"
+
+int main(int argc, char** argv)
+{
+    using namespace bamboogate;
+    try {
+        TCLAP::CmdLine command("Runs the platform programs under random faults",
+                               ' ', "1");
+        TCLAP::ValueArg<unsigned> first("", "first-seed",
+                                        "seed of the first run", false, 1,
+                                        "number", command);
+        TCLAP::ValueArg<unsigned> runs("", "runs", "runs, one seed each", false,
+                                       1, "number", command);
+        TCLAP::ValueArg<unsigned> seconds("", "fault-seconds",
+                                          "time with faults in each run", false,
+                                          12, "s", command);
+        TCLAP::ValueArg<unsigned> gates("", "gates", "gates", false, 3,
+                                        "number", command);
+        TCLAP::ValueArg<unsigned> engines("", "engines", "engines", false, 6,
+                                          "number", command);
+        TCLAP::ValueArg<std::string> folder(
+            "", "folder", "where settings, logs and data of the runs go", false,
+            (std::filesystem::temp_directory_path() /
+             fmt::format("bamboogate-soak-{}", getpid()))
+                .string(),
+            "path", command);
+        TCLAP::ValueArg<std::string> programs(
+            "", "programs", "folder of platform-gate and platform-control",
+            false, BAMBOOGATE_BINARY_DIR "/bin", "path", command);
+        command.parse(argc, argv);
+        std::signal(SIGPIPE, SIG_IGN);
+        unsigned failed = 0;
+        for (unsigned i = 0; i < runs.getValue(); ++i) {
+            const unsigned seed = first.getValue() + i;
+            const auto place = std::filesystem::path(folder.getValue()) /
+                               fmt::format("seed-{}", seed);
+            tests::soak soak(
+                {.seed = seed,
+                 .gates = gates.getValue(),
+                 .engines = engines.getValue(),
+                 .fault_time = std::chrono::seconds(seconds.getValue()),
+                 .programs = programs.getValue(),
+                 .folder = place});
+            const bool kept = soak.run();
+            failed += kept ? 0 : 1;
+            if (kept) {
+                std::filesystem::remove_all(place);
+            }
+        }
+        fmt::print("{} of {} runs broke a promise; their logs are in {}\n",
+                   failed, runs.getValue(), folder.getValue());
+        return failed == 0 ? 0 : 1;
+    } catch (const TCLAP::ArgException& problem) {
+        fmt::print(stderr, "{}: {}\n", problem.argId(), problem.error());
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/platform/soak/operators.hpp
@@ -0,0 +1,71 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_OPERATORS_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_OPERATORS_HPP
+
+#include <bamboogate/net/http1_client.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "violations.hpp"
+
+namespace bamboogate::tests {
+
+/// Two operators that change the configuration at once, and a reader. Checks
+/// that what was acknowledged is never lost and no read is older.
+/// Not thread safe.
+class operators
+{
+public:
+    struct options
+    {
+        std::vector<net::address> control;
+        /// The document of a version.
+        std::function<std::string(unsigned)> document;
+    };
+
+    operators(net::event_loop& loop, violations& problems, unsigned seed,
+              options settings);
+    ~operators();
+    operators(const operators&) = delete;
+    operators& operator=(const operators&) = delete;
+
+    /// @brief Sends the next version from one of the operators. Versions go up
+    ///     in uneven steps, and now and then an invalid one is sent.
+    void change();
+
+    /// @brief Reads the configuration from any replica.
+    void read();
+
+    /// @brief Sends again what got no clear answer within a second.
+    void step();
+
+    [[nodiscard]] unsigned acknowledged() const { return acknowledged_; }
+    /// @brief Newest version read, and reads that were answered.
+    [[nodiscard]] unsigned newest_read() const { return newest_read_; }
+    [[nodiscard]] unsigned reads() const { return reads_; }
+    [[nodiscard]] std::size_t open_changes() const;
+
+private:
+    struct call;
+
+    void send(const std::shared_ptr<call>& which);
+    void check_read(const call& which);
+
+    net::event_loop& loop_;
+    violations& problems_;
+    std::mt19937 random_;
+    options settings_;
+    net::http1_client client_;
+    std::vector<std::shared_ptr<call>> calls_;
+    unsigned version_ = 0;
+    unsigned acknowledged_ = 0;
+    unsigned newest_read_ = 0;
+    unsigned reads_ = 0;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/soak.cpp
@@ -0,0 +1,602 @@
+#include "soak.hpp"
+
+#include <bamboogate/core/json.hpp>
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::array domains{"d1", "d2", "d3"};
+/// `recoverS` of the bounds: time after the last fault until all is served.
+constexpr duration recovery_time = 12s;
+constexpr duration checked_time = 3s;
+/// Replicas that may be lost at once, `faultTolerance.machines`.
+constexpr std::size_t tolerated_losses = 2;
+/// A replica that lost its disk needs this long to hold the log again
+/// (`catchUpS`), so that no third disk is lost before.
+constexpr duration disk_loss_spacing = 5s;
+/// Memory of the smallest entry machine on the sheets.
+constexpr double gate_memory_kib = 110.0 * 1024;
+/// Back ends announce themselves within this time.
+constexpr duration announcements_known = 1s;
+constexpr duration readiness_interval = 1s;
+constexpr duration change_interval = 300ms;
+/// Often enough to reach a replica in the moments after a pause, when it could
+/// answer from before.
+constexpr duration read_interval = 40ms;
+constexpr unsigned misses_out_of_rotation = 2;
+
+std::string host(unsigned row, std::size_t index)
+{
+    // A network of its own for each process, so that soaks run side by side.
+    const auto process = static_cast<unsigned>(::getpid());
+    return fmt::format("127.{}.{}.{}", 64 + process % 128,
+                       row + process / 128 % 120 * 2, index + 1);
+}
+
+} // namespace
+
+soak::soak(options settings)
+    : settings_(std::move(settings)), random_(settings_.seed),
+      load_random_(settings_.seed + 1), client_(loop_, {})
+{
+    std::filesystem::create_directories(settings_.folder);
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < 3; ++i) {
+        seeds.push_back(host(0, i));
+    }
+    const auto make = [&](bool gate, std::size_t i) {
+        return std::make_unique<machine>(
+            machine::options{
+                .name = fmt::format("{}-{}", gate ? "gate" : "replica", i),
+                .gate = gate,
+                .failure_domain = domains.at(i % domains.size()),
+                .ip = host(gate ? 1 : 0, i),
+                .seeds = seeds,
+                .programs = settings_.programs,
+                .folder = settings_.folder},
+            problems_);
+    };
+    std::vector<net::address> control;
+    for (std::size_t i = 0; i < settings_.replicas; ++i) {
+        replicas_.push_back(make(false, i));
+        control.push_back(replicas_.back()->control());
+    }
+    for (std::size_t i = 0; i < settings_.gates; ++i) {
+        auto program = make(true, i);
+        auto proxy = std::make_unique<fault_proxy>(loop_, program->callers());
+        gates_.push_back({std::move(program), std::move(proxy)});
+    }
+    for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
+        const bool engine = i < settings_.engines;
+        backends_.push_back(std::make_unique<backend>(
+            loop_, client_, ledger_,
+            backend::options{.service = engine ? "gen" : "book",
+                             .failure_domain = domains.at(i % domains.size()),
+                             .streams = engine,
+                             .slots = engine ? 16U : 6U,
+                             .control = control}));
+    }
+    for (auto& each : backends_) {
+        each->know(backends_);
+    }
+    callers_ = std::make_unique<caller_pool>(
+        loop_, ledger_, problems_, settings_.seed + 2,
+        caller_pool::options{.choose_gate = [this] { return choose_gate(); },
+                             .host = "h.example",
+                             .key = "k1",
+                             .paths = {{request_kind::stream, "/gen/"},
+                                       {request_kind::booking, "/book/"},
+                                       {request_kind::lookup, "/look/"}}});
+    operators_ = std::make_unique<operators>(
+        loop_, problems_, settings_.seed + 3,
+        operators::options{.control = control, .document = [this](unsigned v) {
+                               return document(v);
+                           }});
+}
+
+soak::~soak() = default;
+
+std::string soak::document(unsigned version) const
+{
+    const auto plain = [](const char* name, const char* path,
+                          const char* kind) {
+        return json{
+            {"name", name},      {"host", "h.example"}, {"pathPrefix", path},
+            {"routeType", kind}, {"timeoutMs", 1500},   {"goalMs", 300},
+            {"priority", 2},     {"service", "book"},   {"maxAttempts", 3}};
+    };
+    json out{{"version", version},
+             {"limits",
+              {{"maxHeaderBytes", 16384},
+               {"maxBodyBytes", 4194304},
+               {"headerTimeoutMs", 3000},
+               {"idleTimeoutMs", 15000}}},
+             {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
+    out["routes"] = {
+        {{"name", "gen"},
+         {"host", "h.example"},
+         {"pathPrefix", "/gen/"},
+         {"routeType", "streaming"},
+         {"timeoutMs", 25000},
+         {"goalMs", 10000},
+         {"priority", 2},
+         {"service", "gen"},
+         {"maxAttempts", 5},
+         {"resumable", true},
+         {"gapGoalMs", 700}},
+        plain("book", "/book/", "non_idempotent"),
+        plain("look", "/look/", "idempotent"),
+        plain("extra", fmt::format("/v{}/", version).c_str(), "idempotent")};
+    out["services"] = {
+        {{"name", "gen"},
+         {"healthPath", "/healthz"},
+         {"maxConns", 150},
+         {"engine",
+          {{"slots", 16},
+           {"kvCapacity", 88000},
+           {"stride", 6},
+           {"backups", true},
+           {"moves", true},
+           {"handleTtlS", 4.0}}}},
+        {{"name", "book"}, {"healthPath", "/healthz"}, {"maxConns", 96}}};
+    return out.dump();
+}
+
+void soak::at(duration delay, std::function<void()> function)
+{
+    plan_.push_back({loop_.now() + delay, std::move(function)});
+}
+
+duration soak::random_time(duration least, duration most)
+{
+    return std::uniform_int_distribution<duration::rep>(least.count(),
+                                                        most.count())(random_) *
+           duration(1);
+}
+
+std::size_t soak::replicas_down() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(replicas_.begin(), replicas_.end(),
+                      [](const auto& each) { return !each->up(); }));
+}
+
+void soak::poll_readiness()
+{
+    for (auto& each : gates_) {
+        each.missed_checks = each.answered_ready ? 0 : each.missed_checks + 1;
+        each.answered_ready = false;
+        gate_place* place = &each;
+        each.readiness =
+            client_.start(each.program->readiness(),
+                          {.method = "GET",
+                           .target = "/readyz",
+                           .headers = {{"Host", "ready"}},
+                           .body = {},
+                           .fresh_connection = true},
+                          {.on_head =
+                               [place](const net::http1_response_head& head) {
+                                   place->answered_ready = head.status == 200;
+                                   return true;
+                               },
+                           .on_body = [](std::string_view) {},
+                           .on_complete = [] {},
+                           .on_failure = [](const net::http1_failure&) {}});
+    }
+}
+
+net::address soak::choose_gate()
+{
+    std::vector<const gate_place*> ready;
+    for (const auto& each : gates_) {
+        if (each.missed_checks < misses_out_of_rotation) {
+            ready.push_back(&each);
+        }
+    }
+    if (ready.empty()) {
+        return gates_[load_random_() % gates_.size()].proxy->where();
+    }
+    return ready[load_random_() % ready.size()]->proxy->where();
+}
+
+void soak::tick()
+{
+    const time_point now = loop_.now();
+    for (std::size_t i = 0; i < plan_.size();) {
+        if (plan_[i].when > now) {
+            ++i;
+            continue;
+        }
+        const auto function = std::move(plan_[i].function);
+        plan_.erase(plan_.begin() + static_cast<std::ptrdiff_t>(i));
+        function();
+    }
+    for (auto& each : replicas_) {
+        each->check(now);
+    }
+    for (auto& each : gates_) {
+        each.program->check(now);
+        peak_gate_kib_ = std::max(peak_gate_kib_, each.program->resident_kib());
+    }
+    if (now >= next_poll_) {
+        next_poll_ = now + readiness_interval;
+        poll_readiness();
+    }
+    if (loaded_ && now >= next_request_) {
+        next_request_ = now + duration(1s) / static_cast<int>(
+                                                 settings_.requests_per_second);
+        const auto draw = load_random_() % 10;
+        callers_->start(draw < 4   ? request_kind::stream
+                        : draw < 7 ? request_kind::booking
+                                   : request_kind::lookup,
+                        must_succeed_);
+    }
+    if (changes_ && now >= next_change_) {
+        next_change_ = now + change_interval;
+        constexpr std::size_t max_open_changes = 8;
+        if (operators_->open_changes() < max_open_changes) {
+            operators_->change();
+        }
+    }
+    if (changes_ && now >= next_read_) {
+        next_read_ = now + read_interval;
+        operators_->read();
+    }
+    if (faults_ && now >= next_fault_) {
+        next_fault_ = now + random_time(150ms, 900ms);
+        inject();
+    }
+    callers_->step();
+    operators_->step();
+}
+
+void soak::restart(machine& which, duration delay)
+{
+    at(delay, [this, &which] {
+        if (which.stopping()) {
+            restart(which, 100ms);
+        } else if (!which.started()) {
+            problems_.print("start", which.name());
+            which.start(false);
+        }
+    });
+}
+
+void soak::inject()
+{
+    switch (random_() % 16) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        fault_gate();
+        break;
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        fault_replica();
+        break;
+    case 8:
+    case 9:
+    case 10:
+    case 11:
+        fault_engine();
+        break;
+    case 12:
+    case 13:
+    case 14:
+        fault_connections();
+        break;
+    default:
+        kill_everything();
+    }
+}
+
+void soak::fault_gate()
+{
+    machine& victim = *gates_[random_() % gates_.size()].program;
+    const auto kind = random_() % 3;
+    const auto away = random_time(50ms, 2500ms);
+    if (!victim.up()) {
+        return;
+    }
+    switch (kind) {
+    case 0:
+        problems_.print("kill", victim.name());
+        victim.kill();
+        restart(victim, away);
+        break;
+    case 1:
+        problems_.print("pause", victim.name());
+        victim.pause();
+        at(away, [this, &victim] {
+            if (victim.paused()) {
+                problems_.print("resume", victim.name());
+                victim.resume();
+            }
+        });
+        break;
+    default:
+        problems_.print("terminate", victim.name());
+        victim.terminate(loop_.now());
+        restart(victim, away);
+    }
+}
+
+void soak::fault_replica()
+{
+    machine& victim = *replicas_[random_() % replicas_.size()];
+    const auto kind = random_() % 5;
+    const auto away = random_time(50ms, 2500ms);
+    if (!victim.up() || replicas_down() >= tolerated_losses) {
+        return;
+    }
+    if (kind == 1) {
+        problems_.print("pause", victim.name());
+        victim.pause();
+        at(away, [this, &victim] {
+            if (victim.paused()) {
+                problems_.print("resume", victim.name());
+                victim.resume();
+            }
+        });
+        return;
+    }
+    if (kind == 2) {
+        problems_.print("terminate", victim.name());
+        victim.terminate(loop_.now());
+        restart(victim, away);
+        return;
+    }
+    problems_.print("kill", victim.name());
+    victim.kill();
+    if (kind == 3) {
+        problems_.print("tear disk", victim.name());
+        victim.tear_disk();
+    }
+    if (kind == 4 && loop_.now() >= disk_safe_at_) {
+        problems_.print("lose disk", victim.name());
+        victim.lose_disk();
+        disk_safe_at_ = loop_.now() + away + disk_loss_spacing;
+    }
+    restart(victim, away);
+}
+
+void soak::fault_engine()
+{
+    backend& victim = *backends_[random_() % backends_.size()];
+    const auto kind = random_() % 6;
+    const auto away = random_time(100ms, 2500ms);
+    if (!victim.running()) {
+        return;
+    }
+    const auto up = std::count_if(backends_.begin(), backends_.end(),
+                                  [](const auto& e) { return e->running(); });
+    switch (kind) {
+    case 0:
+    case 1:
+        if (static_cast<std::size_t>(up) + 2 < backends_.size()) {
+            return;
+        }
+        problems_.print(kind == 0 ? "crash" : "drain", victim.id());
+        if (kind == 0) {
+            victim.crash();
+        } else {
+            victim.drain();
+        }
+        at(kind == 0 ? away : away + 2500ms,
+           [this, &victim, same = random_() % 3 == 0] {
+               if (!victim.running()) {
+                   victim.start(same);
+                   problems_.print("start", victim.id());
+               }
+           });
+        break;
+    case 2:
+        problems_.print("silent", victim.id());
+        victim.silent = true;
+        at(away, [&victim] { victim.silent = false; });
+        break;
+    case 3:
+        problems_.print("slow", victim.id());
+        victim.slowness = 6;
+        at(away, [&victim] { victim.slowness = 1; });
+        break;
+    case 4:
+        problems_.print("loses answers", victim.id());
+        victim.loses_answers = true;
+        at(away, [&victim] { victim.loses_answers = false; });
+        break;
+    default:
+        problems_.print("truncates", victim.id());
+        victim.truncates = true;
+        at(away, [&victim] { victim.truncates = false; });
+    }
+}
+
+void soak::fault_connections()
+{
+    const auto which = random_() % (gates_.size() + backends_.size());
+    fault_proxy& proxy = which < gates_.size()
+                             ? *gates_[which].proxy
+                             : backends_[which - gates_.size()]->proxy();
+    const std::string name = which < gates_.size()
+                                 ? gates_[which].program->name()
+                                 : backends_[which - gates_.size()]->id();
+    const auto kind = random_() % 4;
+    const auto time = random_time(100ms, 2000ms);
+    const auto latency = random_time(20ms, 200ms);
+    switch (kind) {
+    case 0:
+        problems_.print("reset connections", name);
+        proxy.reset();
+        return;
+    case 1:
+        problems_.print("delay connections", name);
+        proxy.delay(latency);
+        break;
+    case 2:
+        problems_.print("cut connections one way", name);
+        proxy.hold(random_() % 2 == 0 ? fault_proxy::direction::to_target
+                                      : fault_proxy::direction::to_client);
+        break;
+    default:
+        problems_.print("silence connections", name);
+        proxy.hold(fault_proxy::direction::both);
+    }
+    at(time, [&proxy] { proxy.release(); });
+}
+
+void soak::kill_everything()
+{
+    problems_.print("kill", "every gate and replica");
+    const auto away = random_time(100ms, 1200ms);
+    for (auto& each : replicas_) {
+        each->kill();
+        restart(*each, away + random_time(0ms, 300ms));
+    }
+    for (auto& each : gates_) {
+        each.program->kill();
+        restart(*each.program, away + random_time(0ms, 300ms));
+    }
+}
+
+void soak::heal_everything()
+{
+    problems_.print("end of faults", "");
+    faults_ = false;
+    plan_.clear();
+    const auto heal = [](machine& each) {
+        if (each.paused()) {
+            each.resume();
+        }
+        if (!each.started()) {
+            each.start(false);
+        }
+    };
+    for (auto& each : replicas_) {
+        heal(*each);
+        if (each->stopping()) {
+            restart(*each, 100ms);
+        }
+    }
+    for (auto& each : gates_) {
+        heal(*each.program);
+        if (each.program->stopping()) {
+            restart(*each.program, 100ms);
+        }
+        each.proxy->release();
+    }
+    for (auto& each : backends_) {
+        if (!each->running()) {
+            each->start(false);
+        }
+        each->proxy().release();
+        each->silent = each->loses_answers = each->truncates = false;
+        each->slowness = 1;
+    }
+}
+
+void soak::run_for(duration time)
+{
+    net::timer ticks(loop_, [this] { tick(); });
+    ticks.start_periodic(5ms);
+    net::timer end(loop_, [this] { loop_.stop(); });
+    end.start_once(time);
+    loop_.run();
+}
+
+void soak::start_all()
+{
+    for (auto& each : replicas_) {
+        each->start(true);
+    }
+    for (auto& each : gates_) {
+        each.program->start(true);
+    }
+    for (auto& each : backends_) {
+        each->start(false);
+    }
+    changes_ = true;
+    // Traffic starts 10 s after the machines on the sheets; the soak waits for
+    // the gates.
+    constexpr duration start_limit = 10s;
+    const time_point limit = loop_.now() + start_limit;
+    const auto all_ready = [this] {
+        return std::all_of(gates_.begin(), gates_.end(), [](const auto& each) {
+            return each.missed_checks < misses_out_of_rotation;
+        });
+    };
+    while (!all_ready() && loop_.now() < limit) {
+        run_for(100ms);
+    }
+    if (!all_ready()) {
+        problems_.add("recovery", "gates are not ready 10 s after the start");
+    }
+}
+
+bool soak::run()
+{
+    start_all();
+    run_for(announcements_known);
+    loaded_ = true;
+    run_for(1s);
+    faults_ = true;
+    run_for(settings_.fault_time);
+    heal_everything();
+    run_for(recovery_time);
+    must_succeed_ = true;
+    run_for(checked_time);
+    loaded_ = must_succeed_ = changes_ = false;
+    // The longest stream and the callers' returns.
+    constexpr duration settle_limit = 26s;
+    const time_point limit = loop_.now() + settle_limit;
+    while ((callers_->running() > 0 || operators_->open_changes() > 0) &&
+           loop_.now() < limit) {
+        run_for(100ms);
+    }
+    const unsigned acknowledged = operators_->acknowledged();
+    operators_->read();
+    run_for(1s);
+    if (operators_->newest_read() < acknowledged) {
+        problems_.add("what was acknowledged is kept",
+                      fmt::format("read {}, acknowledged {}",
+                                  operators_->newest_read(), acknowledged));
+    }
+    callers_->check_runs();
+    if (peak_gate_kib_ > gate_memory_kib) {
+        problems_.add("memory",
+                      fmt::format("a gate held {} KiB", peak_gate_kib_));
+    }
+    report();
+    return problems_.none();
+}
+
+void soak::report() const
+{
+    std::string line = fmt::format(
+        "seed {}: acknowledged version {}, {} reads, gate memory {:.0f} KiB",
+        settings_.seed, operators_->acknowledged(), operators_->reads(),
+        peak_gate_kib_);
+    for (const auto& [kind, counts] : callers_->counts()) {
+        line += fmt::format("; {} {} of {} served, {} refused, {} failed",
+                            name_of(kind), counts.served, counts.started,
+                            counts.refused, counts.failed);
+    }
+    problems_.print("result", line);
+    for (const auto& [promise, count] : problems_.counts()) {
+        problems_.print("broken", fmt::format("{} x {}", count, promise));
+    }
+}
+
+} // namespace bamboogate::tests
--- /dev/null
+++ b/tests/platform/soak/soak.hpp
@@ -0,0 +1,109 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_SOAK_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_SOAK_HPP
+
+#include <bamboogate/net/event_loop.hpp>
+
+#include <filesystem>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "backend.hpp"
+#include "callers.hpp"
+#include "fleet.hpp"
+#include "operators.hpp"
+#include "violations.hpp"
+
+namespace bamboogate::tests {
+
+/// The real programs under random faults from outside, with callers, back ends
+/// and operators that check the promises. The seed fixes the faults and their
+/// times; what the programs do between them is not repeatable.
+class soak
+{
+public:
+    struct options
+    {
+        unsigned seed = 1;
+        unsigned gates = 3;
+        unsigned replicas = 5;
+        unsigned engines = 6;
+        unsigned services = 3;
+        unsigned requests_per_second = 40;
+        duration fault_time = std::chrono::seconds(12);
+        std::filesystem::path programs; ///< folder of the two programs
+        std::filesystem::path folder;   ///< for settings, logs and data
+    };
+
+    explicit soak(options settings);
+    ~soak();
+    soak(const soak&) = delete;
+    soak& operator=(const soak&) = delete;
+
+    /// @return true when no promise was broken
+    [[nodiscard]] bool run();
+
+private:
+    struct gate_place
+    {
+        std::unique_ptr<machine> program;
+        std::unique_ptr<fault_proxy> proxy;
+        unsigned missed_checks = 2;
+        bool answered_ready = false;
+        std::unique_ptr<net::http1_client::exchange> readiness;
+    };
+    struct planned
+    {
+        time_point when;
+        std::function<void()> function;
+    };
+
+    void start_all();
+    void tick();
+    void poll_readiness();
+    net::address choose_gate();
+    void at(duration delay, std::function<void()> function);
+    void inject();
+    void fault_gate();
+    void fault_replica();
+    void fault_engine();
+    void fault_connections();
+    void kill_everything();
+    void heal_everything();
+    void restart(machine& which, duration delay);
+    void run_for(duration time);
+    void report() const;
+    [[nodiscard]] duration random_time(duration least, duration most);
+    [[nodiscard]] std::size_t replicas_down() const;
+    [[nodiscard]] std::string document(unsigned version) const;
+
+    options settings_;
+    net::event_loop loop_;
+    violations problems_;
+    run_ledger ledger_;
+    std::mt19937 random_;
+    std::mt19937 load_random_;
+    net::http1_client client_;
+    std::vector<std::unique_ptr<machine>> replicas_;
+    std::vector<gate_place> gates_;
+    std::vector<std::unique_ptr<backend>> backends_;
+    std::unique_ptr<caller_pool> callers_;
+    std::unique_ptr<operators> operators_;
+    std::vector<planned> plan_;
+    time_point next_request_;
+    time_point next_poll_;
+    time_point next_change_;
+    time_point next_read_;
+    time_point next_fault_;
+    time_point disk_safe_at_; ///< earliest next loss of a disk
+    bool loaded_ = false;
+    bool faults_ = false;
+    bool must_succeed_ = false;
+    bool changes_ = false;
+    double peak_gate_kib_ = 0;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/soak/violations.hpp
@@ -0,0 +1,64 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_VIOLATIONS_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_VIOLATIONS_HPP
+
+#include <bamboogate/core/time.hpp>
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace bamboogate::tests {
+
+/// Broken promises and faults of one soak, printed as they happen with the
+/// milliseconds since its start, so that they line up with each other.
+class violations
+{
+public:
+    /// @brief Notes a broken promise.
+    void add(std::string_view promise, std::string_view detail)
+    {
+        ++counts_[std::string(promise)];
+        print("VIOLATION", fmt::format("{}: {}", promise, detail));
+    }
+
+    /// @brief Prints an injected fault or a step of the soak.
+    void print(std::string_view kind, std::string_view detail) const
+    {
+        fmt::print("{:7.0f} ms {} {}\n",
+                   to_milliseconds(monotonic_clock::now() - start_), kind,
+                   detail);
+        std::fflush(stdout);
+    }
+
+    [[nodiscard]] bool none() const { return counts_.empty(); }
+    [[nodiscard]] const std::map<std::string, unsigned>& counts() const
+    {
+        return counts_;
+    }
+
+private:
+    time_point start_ = monotonic_clock::now();
+    std::map<std::string, unsigned> counts_;
+};
+
+/// How often the back ends ran an attempt.
+class run_ledger
+{
+public:
+    void add(const std::string& attempt) { ++runs_[attempt]; }
+    [[nodiscard]] unsigned runs(const std::string& attempt) const
+    {
+        const auto found = runs_.find(attempt);
+        return found == runs_.end() ? 0 : found->second;
+    }
+
+private:
+    std::map<std::string, unsigned> runs_;
+};
+
+} // namespace bamboogate::tests
+
+#endif
