Let a new leader ask the engines which prompts they keep

Cause: after a restart of everything the new leader knows no prompts. The engines still had them.

Tests: returning_stream_is_placed_where_the_engine_keeps_its_prompt, returning_stream_goes_to_the_engine_that_keeps_its_prompt, wire_cache_events.

--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -72,6 +72,12 @@
 inline constexpr log_event copy_order_failed{
     1025, severity::warning, "stream_copy_order_failed",
     "An ordered copy was not made; another holder is asked for."};
+inline constexpr log_event engine_cache_read{
+    1027, severity::info, "relay_engine_cache_read",
+    "A new leader knows which prompts an engine keeps."};
+inline constexpr log_event engine_cache_unreadable{
+    1028, severity::warning, "relay_engine_cache_unreadable",
+    "An engine's answer about its cache could not be read."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused without being sent to an upstream."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -128,6 +128,13 @@
                                    excluded, resuming, start_within_ms)
 };
 
+/// @brief The holder of a copy that a message names; empty means none.
+[[nodiscard]] inline std::optional<upstream_id>
+named_holder(const upstream_id& id)
+{
+    return id.empty() ? std::nullopt : std::optional(id);
+}
+
 /// The leader's decision.
 struct place_reply
 {
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -5,11 +5,13 @@
 #include <bamboogate/net/link_hub.hpp>
 #include <bamboogate/relay/instance_registry.hpp>
 #include <bamboogate/relay/messages.hpp>
+#include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 
 namespace bamboogate::relay {
 
@@ -31,6 +33,18 @@
     /// @brief The upstream failed: it gets no stream for a while.
     void on_suspicion(const upstream_id& id);
 
+    /// @brief This replica leads from now on. Streams wait a moment for the
+    ///     engines' caches, which tell where a returning one belongs.
+    void on_leading();
+
+    /// @brief Every engine has told what it keeps: waiting ends.
+    void on_caches_known();
+
+    /// @brief Takes the prompts that an engine keeps, so that streams of
+    ///     callers who return find them also after a change of the leader.
+    void on_cache(const upstream_id& id,
+                  std::span<const cached_prompt> changes);
+
     /// @brief Forgets the streams of a gate that is gone.
     void forget_gate(const node_id& gate);
 
@@ -65,6 +79,7 @@
     std::map<upstream_id, time_point> suspected_at_;
     std::map<request_id, pending> pending_;
     std::map<request_id, std::pair<node_id, service_id>> owners_;
+    time_point caches_awaited_until_{};
     net::timer decide_timer_;
 };
 
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -72,6 +72,13 @@
     bool not_run = false; ///< the upstream states that it ran nothing
 };
 
+/// A prompt that an engine has read and keeps, or has given up.
+struct cached_prompt
+{
+    std::string prompt; ///< as in `request_description`
+    bool kept = false;
+};
+
 /// What an upstream says of itself.
 struct announcement
 {
@@ -112,6 +119,12 @@
     {
         T::liveness_call(delay)
         } -> std::same_as<net::http1_client::request>;
+    {
+        T::cache_call(delay)
+        } -> std::same_as<net::http1_client::request>;
+    {
+        T::read_cache(text)
+        } -> std::same_as<result<std::vector<cached_prompt>>>;
     {
         T::copy_order(run, holder)
         } -> std::same_as<upstream_call>;
@@ -136,6 +149,12 @@
     std::function<result<configuration>(std::string_view)> read_configuration;
     /// A call that a live engine answers after about the given time.
     std::function<net::http1_client::request(duration)> liveness_call;
+    /// A call that an engine answers with the changes of its cache that it
+    /// remembers, or after about the given time when there is none.
+    std::function<net::http1_client::request(duration)> cache_call;
+    /// The changes in their order.
+    std::function<result<std::vector<cached_prompt>>(std::string_view)>
+        read_cache;
     /// Tells the engine of a run to copy its memory to another engine.
     std::function<upstream_call(const request_id&, const net::address&)>
         copy_order;
@@ -153,6 +172,8 @@
             .retry_after = &Protocol::retry_after,
             .read_configuration = &Protocol::read_configuration,
             .liveness_call = &Protocol::liveness_call,
+            .cache_call = &Protocol::cache_call,
+            .read_cache = &Protocol::read_cache,
             .copy_order = &Protocol::copy_order,
             .read_copy_order = &Protocol::read_copy_order};
 }
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -137,10 +137,11 @@
 
     void release(const request_id& run);
 
-    [[nodiscard]] bool tracks(const request_id& run) const
-    {
-        return runs_.contains(run);
-    }
+    /// @brief Notes that an engine keeps a prompt, unless the planner itself
+    ///     knows where the prompt was given last.
+    void note_cached_prompt(const std::string& prompt,
+                            const upstream_id& engine, time_point now);
+
     /// @return the usable engine that has read a run's prompt lately and has
     ///     room for the run
     [[nodiscard]] std::optional<upstream_id>
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -33,9 +33,17 @@
       placements_(loop, hub_, registry_,
                   [this] { return replica_ && replica_->is_leader(); }),
       watcher_(loop, protocol_, {},
-               [this](const upstream_id& id) {
-                   on_suspicion(self_, upstream_suspicion{id.value()});
-               }),
+               {.on_silent =
+                    [this](const upstream_id& id) {
+                        on_suspicion(self_, upstream_suspicion{id.value()});
+                    },
+                .on_cache =
+                    [this](const upstream_id& id, const auto& changes) {
+                        placements_.on_cache(id, changes);
+                        if (watcher_.caches_known()) {
+                            placements_.on_caches_known();
+                        }
+                    }}),
       tick_timer_(loop, [this] { tick(); })
 {}
 
@@ -76,7 +84,10 @@
         learn_replica(member.node.value());
     }
     replica_->on_role_change([this](bool leading) {
-        if (!leading) {
+        if (leading) {
+            placements_.on_leading();
+            watch_engines();
+        } else {
             placements_.reset();
         }
         publish_view(true);
--- a/lib/source/relay/engine_watcher.cpp
+++ b/lib/source/relay/engine_watcher.cpp
@@ -1,20 +1,24 @@
 #include <bamboogate/relay/engine_watcher.hpp>
+#include <bamboogate/relay/log_events.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboogate::relay {
 
 namespace {
 
 constexpr duration min_pause = std::chrono::milliseconds(1);
+/// An engine's own list is far shorter; more is not kept in memory.
+constexpr std::size_t max_cache_bytes = 256u << 10;
 
 } // namespace
 
-engine_watcher::engine_watcher(
-    net::event_loop& loop, const relay_protocol& protocol, options settings,
-    std::function<void(const upstream_id&)> on_silent)
+engine_watcher::engine_watcher(net::event_loop& loop,
+                               const relay_protocol& protocol, options settings,
+                               observers functions)
     : loop_(loop), protocol_(protocol), settings_(settings),
-      on_silent_(std::move(on_silent)),
+      observers_(std::move(functions)),
       client_(loop,
               {.connect_timeout = settings.margin, .max_idle_per_server = 1})
 {}
@@ -41,17 +45,54 @@
 {
     call& current = calls_.at(id);
     current.started = loop_.now();
+    current.body.clear();
     // The answer's status doesn't matter: any answer is a sign of life.
     current.exchange = client_.start(
-        current.where, protocol_.liveness_call(settings_.wait),
+        current.where,
+        current.cache_known ? protocol_.liveness_call(settings_.wait)
+                            : protocol_.cache_call(settings_.wait),
         {.on_head = [](const net::http1_response_head&) { return true; },
-         .on_body = [](std::string_view) {},
-         .on_complete = [this, id] { finish(id, true); },
+         .on_body =
+             [this, id](std::string_view part) {
+                 call& reading = calls_.at(id);
+                 if (!reading.cache_known &&
+                     reading.body.size() + part.size() <= max_cache_bytes) {
+                     reading.body += part;
+                 }
+             },
+         .on_complete =
+             [this, id] {
+                 read_cache(id, calls_.at(id));
+                 finish(id, true);
+             },
          .on_failure = [this,
                         id](const net::http1_failure&) { finish(id, false); }});
     current.deadline->start_once(settings_.wait + settings_.margin);
 }
 
+bool engine_watcher::caches_known() const
+{
+    return std::all_of(calls_.begin(), calls_.end(), [](const auto& each) {
+        return each.second.cache_known;
+    });
+}
+
+void engine_watcher::read_cache(const upstream_id& id, call& current)
+{
+    if (std::exchange(current.cache_known, true)) {
+        return;
+    }
+    auto changes = protocol_.read_cache(current.body);
+    current.body = {};
+    if (!changes) {
+        observability::log(
+            log_events::engine_cache_unreadable,
+            {{"upstream", id.value()}, {"detail", changes.error().detail}});
+        return;
+    }
+    observers_.on_cache(id, std::move(changes).value());
+}
+
 void engine_watcher::finish(const upstream_id& which, bool alive)
 {
     const upstream_id id = which;
@@ -63,7 +104,7 @@
     found->second.exchange.reset();
     if (!alive) {
         client_.forget(found->second.where);
-        on_silent_(id);
+        observers_.on_silent(id);
     }
     const auto again = calls_.find(id);
     if (again == calls_.end()) {
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -1,6 +1,8 @@
 #include <bamboogate/relay/log_events.hpp>
 #include <bamboogate/relay/placement_server.hpp>
 
+#include <set>
+#include <string_view>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -16,6 +18,9 @@
 /// An engine that a gate has lost gets no stream until it announces itself
 /// again, or for this long when only its announcements are cut off.
 constexpr duration suspension = std::chrono::seconds(6);
+/// Engines answer within some milliseconds; a dark one does not hold up the
+/// streams for longer than this.
+constexpr duration cache_wait = std::chrono::milliseconds(120);
 /// Memory assumed of an engine whose service declares none.
 constexpr std::uint64_t default_memory_tokens = 100000;
 
@@ -61,6 +66,41 @@
     suspected_at_[id] = loop_.now();
 }
 
+void placement_server::on_leading()
+{
+    caches_awaited_until_ = loop_.now() + cache_wait;
+}
+
+void placement_server::on_caches_known()
+{
+    caches_awaited_until_ = {};
+    decide_all();
+}
+
+void placement_server::on_cache(const upstream_id& id,
+                                std::span<const cached_prompt> changes)
+{
+    const auto found = registry_.instances().find(id);
+    if (found == registry_.instances().end()) {
+        return;
+    }
+    std::set<std::string_view> kept;
+    for (const auto& each : changes) {
+        if (each.kept) {
+            kept.insert(each.prompt);
+        } else {
+            kept.erase(each.prompt);
+        }
+    }
+    stream_planner& planner = schedulers_[found->second.said.service].planner();
+    for (const auto prompt : kept) {
+        planner.note_cached_prompt(std::string(prompt), id, loop_.now());
+    }
+    log(events::engine_cache_read, {{"upstream", id.value()},
+                                    {"changes", changes.size()},
+                                    {"prompts", kept.size()}});
+}
+
 void placement_server::forget_gate(const node_id& gate)
 {
     std::vector<request_id> gone;
@@ -136,19 +176,16 @@
     stream_scheduler& scheduler = schedulers_[update.service];
     switch (static_cast<run_update::change>(update.what)) {
     case run_update::change::placed:
-        scheduler.adopt(
-            {.id = update.id,
-             .rank = update.rank,
-             .urgent = update.urgent,
-             .prompt_tokens = update.prompt_tokens,
-             .output_tokens = update.output_tokens,
-             .prompt = update.prompt},
-            update.account,
-            {.engine = update.engine,
-             .copy_holder = update.copy_holder.empty()
-                                ? std::nullopt
-                                : std::optional(update.copy_holder)},
-            update.unread_tokens, loop_.now());
+        scheduler.adopt({.id = update.id,
+                         .rank = update.rank,
+                         .urgent = update.urgent,
+                         .prompt_tokens = update.prompt_tokens,
+                         .output_tokens = update.output_tokens,
+                         .prompt = update.prompt},
+                        update.account,
+                        {.engine = update.engine,
+                         .copy_holder = named_holder(update.copy_holder)},
+                        update.unread_tokens, loop_.now());
         owners_[update.id] = {peer.node, update.service};
         return;
     case run_update::change::started:
@@ -193,6 +230,9 @@
 
 void placement_server::decide(const service_id& service)
 {
+    if (loop_.now() < caches_awaited_until_) {
+        return;
+    }
     stream_scheduler& scheduler = schedulers_[service];
     refresh(service, scheduler);
     for (const auto& decision : scheduler.decide(loop_.now())) {
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -153,6 +153,15 @@
     prompt_order_.emplace_back(now, run.prompt);
 }
 
+void stream_planner::note_cached_prompt(const std::string& prompt,
+                                        const upstream_id& engine,
+                                        time_point now)
+{
+    if (prompts_.try_emplace(prompt, prompt_place{engine, now, true}).second) {
+        prompt_order_.emplace_back(now, prompt);
+    }
+}
+
 std::optional<upstream_id>
 stream_planner::choose_copy_holder(const planned_run& run,
                                    const upstream_id& engine,
--- a/tests/platform/stream_system_test.cpp
+++ b/tests/platform/stream_system_test.cpp
@@ -48,6 +48,39 @@
 
 } // namespace
 
+// Guards against a prompt that is read again because the leader is new: after
+// a restart of everything only the engines know where it was read.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "returning_stream_goes_to_the_engine_that_keeps_its_prompt")
+{
+    stand_in* reader = nullptr;
+    SUBCASE("first engine")
+    {
+        reader = &engine1;
+    }
+    SUBCASE("second engine")
+    {
+        reader = &engine2;
+    }
+    reader->cache_events = R"([4,"+","","beef",600,"m"])";
+    bring_up();
+    REQUIRE(
+        wait([&] { return engine1.cache_calls + engine2.cache_calls == 2; }));
+    run_until(
+        loop, [] { return false; }, 50ms);
+    const auto request = call(gate->where(), "POST", "/gen/x",
+                              {{"Host", "h.example"},
+                               {"X-Attempt-Id", "g2"},
+                               {"X-Deadline-Ms", "3000"},
+                               {"X-Token-Count", "800,100"},
+                               {"X-Prefix-Hash", "aa:200,beef:600"},
+                               {"Authorization", "Bearer k1"}},
+                              "prompt");
+    REQUIRE(
+        wait([&] { return engine1.seen.size() + engine2.seen.size() == 1; }));
+    CHECK(reader->seen.size() == 1);
+}
+
 // Guards against a stream whose pieces are missing or repeated after its
 // engine died, and against half an event that reaches the caller.
 TEST_CASE_FIXTURE(stream_fixture,
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -56,6 +56,8 @@
     std::string id;
     std::vector<seen_request> seen;
     std::vector<std::string> copy_targets; ///< of orders to copy a run
+    std::string cache_events;              ///< that the engine remembers
+    int cache_calls = 0;                   ///< that asked for all of them
     bool drops_copy_orders = false;
     int orders_dropped = 0;
     int callers_gone = 0;
@@ -70,7 +72,13 @@
                 [this](net::http1_request request,
                        const net::http1_responder_ptr& responder) {
                     if (request.path() == "/kv-events") {
-                        responder->respond(200, {}, "{}");
+                        const bool from_the_start =
+                            request.target.ends_with("since=0");
+                        cache_calls += from_the_start ? 1 : 0;
+                        responder->respond(
+                            200, {},
+                            fmt::format(R"({{"events":[{}]}})",
+                                        from_the_start ? cache_events : ""));
                         return;
                     }
                     if (request.path() == "/kv-move" && drops_copy_orders) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -44,6 +44,23 @@
 
 } // namespace
 
+// Guards against a new leader that takes a prompt for kept that the engine has
+// given up, or that stops at what it can't read.
+TEST_CASE("wire_cache_events_name_prompts_kept_and_given_up")
+{
+    const auto changes = platform::wire::read_cache(
+        R"({"epoch":3,"next":9,"lost":false,"events":[
+[7,"+","","91bd",410,"m"],[8,"-","","5c1e",0,"m"]]})");
+    REQUIRE(changes);
+    REQUIRE(changes.value().size() == 2);
+    CHECK(changes.value()[0].prompt == "91bd");
+    CHECK(changes.value()[0].kept);
+    CHECK(changes.value()[1].prompt == "5c1e");
+    CHECK_FALSE(changes.value()[1].kept);
+    CHECK_FALSE(platform::wire::read_cache("{}"));
+    CHECK_FALSE(platform::wire::read_cache("no JSON"));
+}
+
 TEST_CASE("wire_request_is_described_in_the_products_words")
 {
     const auto described = wire::describe_request(sample_request());
--- a/tests/relay/stream_scheduler_test.cpp
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -189,6 +189,39 @@
     CHECK_FALSE(scheduler.planner().renew_copy(request_id("r"), {}));
 }
 
+// Guards against a prompt that is read twice: a new leader has placed none of
+// the streams whose callers return after all processes were killed.
+TEST_CASE_FIXTURE(
+    scheduler_fixture,
+    "returning_stream_is_placed_where_the_engine_keeps_its_prompt")
+{
+    add_engines(3);
+    const upstream_id reader("e2-1");
+    scheduler.planner().note_cached_prompt("p", reader, now);
+    planned_run again = make_run("again");
+    again.prompt = "p";
+    SUBCASE("the leader knows nothing newer")
+    {
+        submit(again);
+        const auto decisions = scheduler.decide(now);
+        REQUIRE(decisions.size() == 1);
+        CHECK(decisions[0].prompt_kept);
+        CHECK(decisions[0].where->engine == reader);
+    }
+    SUBCASE("the leader has seen it read elsewhere since")
+    {
+        const upstream_id other("e0-0");
+        scheduler.adopt(again, client_account_id("x"), {.engine = other}, 0,
+                        now);
+        scheduler.planner().note_cached_prompt("p", reader, now);
+        again.id = request_id("third");
+        submit(again);
+        const auto decisions = scheduler.decide(now);
+        REQUIRE(decisions.size() == 1);
+        CHECK(decisions[0].where->engine == other);
+    }
+}
+
 // Guards against a prompt that is read twice: a caller whose gate was lost
 // comes back while the engine still has its prompt in memory.
 TEST_CASE_FIXTURE(scheduler_fixture,
