Remove dead members and repeated code of the relay

Change: upstream_health::suspended_until is gone, stream_exchange keeps the engine's id, a token renewed for each attempt guards the late replies of stream_copy, named_holder reads the holder of both messages, and two_services_fixture sets up both tests of requests that must not be repeated.

--- a/lib/include/bamboogate/relay/upstream_health.hpp
+++ b/lib/include/bamboogate/relay/upstream_health.hpp
@@ -60,10 +60,6 @@
     {
         return now < suspended_until_;
     }
-    [[nodiscard]] time_point suspended_until() const
-    {
-        return suspended_until_;
-    }
     [[nodiscard]] unsigned failures() const { return failures_; }
     [[nodiscard]] unsigned in_flight() const { return in_flight_; }
     /// @brief Moving average of the latency in milliseconds; 0: no sample.
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -31,7 +31,7 @@
 void stream_copy::begin(const upstream_id& engine,
                         const std::optional<upstream_id>& holder)
 {
-    ++generation_;
+    attempt_token_ = std::make_shared<const bool>();
     engine_ = engine;
     copy_.reset();
     refused_by_.clear();
@@ -64,7 +64,7 @@
 std::optional<held_copy> stream_copy::end()
 {
     auto out = usable() ? copy_ : std::nullopt;
-    ++generation_;
+    attempt_token_.reset();
     timer_.stop();
     call_.reset();
     copy_.reset();
@@ -125,9 +125,9 @@
          .id = settings_.run,
          .excluded = {refused_by_.begin(), refused_by_.end()}},
         ask_timeout,
-        [this, alive = std::weak_ptr(alive_),
-         generation = generation_](const result<copy_reply>& reply) {
-            if (!alive.expired() && generation == generation_) {
+        [this, attempt = std::weak_ptr(attempt_token_)](
+            const result<copy_reply>& reply) {
+            if (!attempt.expired()) {
                 asking_ = false;
                 on_holder(reply);
             }
--- a/lib/source/relay/stream_copy.hpp
+++ b/lib/source/relay/stream_copy.hpp
@@ -72,12 +72,12 @@
     std::set<upstream_id> refused_by_;
     bool started_ = false;
     bool asking_ = false;
-    unsigned generation_ = 0; ///< counts attempts; late replies are dropped
     std::string answer_body_;
     unsigned answer_status_ = 0;
     std::unique_ptr<net::http1_client::exchange> call_;
     net::timer timer_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    /// Renewed for each attempt: a late reply finds that its own has expired.
+    std::shared_ptr<const bool> attempt_token_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -77,7 +77,7 @@
         place();
         return;
     }
-    placement_ = where;
+    engine_ = where.engine;
     from_copy_ = source.has_value();
     copy_.begin(where.engine, where.copy_holder);
     const planned_run planned = run();
@@ -200,8 +200,7 @@
         planner().note_started(accepted_.description.attempt);
         tell(run_update::change::started);
         copy_.note_started();
-        context_.directory.health(placement_.engine)
-            .note_success(now - attempt_started_);
+        context_.directory.health(engine_).note_success(now - attempt_started_);
     }
     if (resuming_) {
         resuming_ = false;
@@ -211,7 +210,7 @@
         first_event_after_ = now - started_;
     } else if (now - last_event_at_ > longest_pause_) {
         longest_pause_ = now - last_event_at_;
-        paused_at_ = placement_.engine;
+        paused_at_ = engine_;
         paused_attempt_ = attempts_;
     }
     last_event_at_ = now;
@@ -243,22 +242,21 @@
     }
     const auto self = shared_from_this();
     attempt_.reset();
-    context_.directory.health(placement_.engine)
-        .note_failure(context_.loop.now());
-    context_.suspect(placement_.engine);
+    context_.directory.health(engine_).note_failure(context_.loop.now());
+    context_.suspect(engine_);
     lose_attempt(event_seen_ ? "silent" : "silent_before_first_event", true);
 }
 
 void stream_exchange::on_complete()
 {
     attempt_.reset();
-    upstream_health& health = context_.directory.health(placement_.engine);
+    upstream_health& health = context_.directory.health(engine_);
     const time_point now = context_.loop.now();
     if (answer_.not_run) {
         if (head_.status == misdirected_status) {
             // Another start holds the address: this one has ended.
             health.note_failure(now);
-            context_.suspect(placement_.engine);
+            context_.suspect(engine_);
         } else if (!from_copy_) {
             health.note_full(now, full_pause);
         }
@@ -322,23 +320,22 @@
 void stream_exchange::on_failure(const net::http1_failure& failure)
 {
     attempt_.reset();
-    context_.directory.health(placement_.engine)
-        .note_failure(context_.loop.now());
+    context_.directory.health(engine_).note_failure(context_.loop.now());
     if (failure.code != errc::malformed_input) {
-        context_.suspect(placement_.engine);
+        context_.suspect(engine_);
     }
     lose_attempt(name_of(failure.code), failure.request_sent);
 }
 
 void stream_exchange::lose_attempt(std::string_view cause, bool may_have_run)
 {
-    log_failure(placement_.engine, cause);
+    log_failure(engine_, cause);
     silence_timer_.stop();
     const auto held = copy_.end();
-    context_.directory.health(placement_.engine).end();
+    context_.directory.health(engine_).end();
     release();
     runs_ += may_have_run ? 1 : 0;
-    excluded_.insert(placement_.engine);
+    excluded_.insert(engine_);
     const bool may_go_on =
         attempts_ < max_sends && runs_ < accepted_.where->max_attempts &&
         time_left() > duration::zero() &&
@@ -370,7 +367,7 @@
     static_cast<void>(copy_.end());
     if (attempt_) {
         attempt_.reset();
-        context_.directory.health(placement_.engine).end();
+        context_.directory.health(engine_).end();
     }
     if (attempt_ || awaiting_place_ || told_leader_) {
         awaiting_place_ = false;
@@ -410,7 +407,7 @@
         return;
     }
     copy_.on_upstream_lost(id);
-    if (id != placement_.engine) {
+    if (id != engine_) {
         return;
     }
     const bool sent = attempt_->request_sent();
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -59,7 +59,7 @@
     streaming::silence_detector detector_;
     time_point silence_check_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
-    placement placement_;
+    upstream_id engine_; ///< of the current attempt, or the last one
     stream_copy copy_;
     bool from_copy_ = false;
     bool awaiting_place_ = false;
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -92,9 +92,7 @@
         return;
     }
     send({.engine = decision.engine,
-          .copy_holder = decision.copy_holder.empty()
-                             ? std::nullopt
-                             : std::optional(decision.copy_holder)},
+          .copy_holder = named_holder(decision.copy_holder)},
          std::nullopt);
 }
 
@@ -145,7 +143,7 @@
          .output_tokens = planned.output_tokens,
          .prompt = planned.prompt,
          .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
-         .engine = placement_.engine,
+         .engine = engine_,
          .copy_holder = copy_.holder()});
     told_leader_ = what != run_update::change::ended;
 }
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -3,6 +3,30 @@
 using namespace bamboogate;
 using namespace bamboogate::tests;
 
+namespace {
+
+/// A request that must not be repeated, at one of two services.
+struct two_services_fixture : relay_fixture
+{
+    stand_in second{loop, "s2"};
+    std::unique_ptr<caller> request;
+    stand_in* first = nullptr; ///< has the request
+    stand_in* other = nullptr;
+
+    void start_booking()
+    {
+        bring_up();
+        announce(second, "book", "d1");
+        request = ask("/book/x", "b1");
+        REQUIRE(wait(
+            [&] { return service.seen.size() + second.seen.size() == 1; }));
+        first = service.seen.empty() ? &second : &service;
+        other = service.seen.empty() ? &service : &second;
+    }
+};
+
+} // namespace
+
 TEST_CASE_FIXTURE(relay_fixture,
                   "configuration_of_any_node_is_read_back_at_every_node")
 {
@@ -99,40 +123,23 @@
 
 // Guards against a doubled booking, and against a refusal that says "not run"
 // of a request that may have run.
-TEST_CASE_FIXTURE(relay_fixture,
+TEST_CASE_FIXTURE(two_services_fixture,
                   "non_idempotent_request_with_lost_answer_is_not_repeated")
 {
-    bring_up();
-    stand_in second(loop, "s2");
-    announce(second, "book", "d1");
-    auto request = ask("/book/x", "b1");
-    const auto arrivals = [&] {
-        return service.seen.size() + second.seen.size();
-    };
-    REQUIRE(wait([&] { return arrivals() == 1; }));
-    auto& engine = service.seen.empty() ? second : service;
-    engine.seen[0].responder->abort();
+    start_booking();
+    first->seen[0].responder->abort();
     REQUIRE(wait([&] { return request->over(); }));
     CHECK(request->status() == 502);
-    CHECK(arrivals() == 1);
+    CHECK(other->seen.empty());
 }
 
-TEST_CASE_FIXTURE(relay_fixture,
+TEST_CASE_FIXTURE(two_services_fixture,
                   "non_idempotent_request_that_was_not_run_goes_elsewhere")
 {
-    bring_up();
-    stand_in second(loop, "s2");
-    announce(second, "book", "d1");
-    auto request = ask("/book/x", "b1");
-    const auto arrivals = [&] {
-        return service.seen.size() + second.seen.size();
-    };
-    REQUIRE(wait([&] { return arrivals() == 1; }));
-    auto& first = service.seen.empty() ? second : service;
-    auto& other = service.seen.empty() ? service : second;
-    first.seen[0].responder->respond(503, {{"X-Not-Executed", "1"}}, {});
-    REQUIRE(wait([&] { return other.seen.size() == 1; }));
-    other.answer(0, "booked");
+    start_booking();
+    first->seen[0].responder->respond(503, {{"X-Not-Executed", "1"}}, {});
+    REQUIRE(wait([&] { return other->seen.size() == 1; }));
+    other->answer(0, "booked");
     REQUIRE(wait([&] { return request->over(); }));
     CHECK(request->status() == 200);
 }
