Trace a request through the logs of all processes

Cause: a failed request was explained by searching several logs by hand; lines of different processes within a second had no order, because the time had no milliseconds, and the product's own daemons logged to standard error, unbuffered.

Change: `bamboogatectl trace ID LOGFILE...` joins the request's lines with those of its upstreams and processes in the order of time and names other attempts of the same prompt. Log lines carry milliseconds. net::log_writer, which the platform programs had as a function of their own, writes the log of all daemons to standard output, buffered and never blocking.

--- a/lib/include/bamboogate/operations/ctl_command.hpp
+++ b/lib/include/bamboogate/operations/ctl_command.hpp
@@ -26,6 +26,7 @@
     history,
     show,
     order,
+    trace,
     completion_bash,
 };
 
@@ -35,9 +36,11 @@
     ctl_verb verb;
     std::string_view words; ///< such as `preset use`
     std::string_view arguments;
-    std::size_t argument_count;
+    std::size_t argument_count; ///< at least, when the last one repeats
     /// Flags with a meaning for this command, beside the general ones.
     std::vector<std::string_view> flags;
+    bool last_repeats = false;
+    bool offline = false; ///< asks no process, so it needs no address or key
 };
 
 /// A command as given.
--- a/lib/source/observability/logger.cpp
+++ b/lib/source/observability/logger.cpp
@@ -112,8 +112,11 @@
         std::chrono::system_clock::now());
     const std::string line = format_log_line(event, fields);
     const std::lock_guard lock(output_mutex);
+    const auto second = std::chrono::floor<std::chrono::seconds>(now);
+    // Milliseconds, so that the lines of several processes can be put in order.
     const std::string whole =
-        fmt::format("{:%Y-%m-%dT%H:%M:%S}Z {} {}\n", now, source_name, line);
+        fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}\n", second,
+                    (now - second).count(), source_name, line);
     if (buffer_limit == 0) {
         fmt::print(stderr, "{}", whole);
         return;
--- a/lib/source/operations/ctl.cpp
+++ b/lib/source/operations/ctl.cpp
@@ -7,6 +7,7 @@
 #include <bamboogate/operations/ctl.hpp>
 #include <bamboogate/operations/ctl_command.hpp>
 #include <bamboogate/operations/log_events.hpp>
+#include <bamboogate/operations/log_trace.hpp>
 
 #include <fmt/format.h>
 
@@ -62,6 +63,8 @@
             return show();
         case ctl_verb::order:
             return order(arguments);
+        case ctl_verb::trace:
+            return trace(arguments);
         case ctl_verb::completion_bash:
             break;
         }
@@ -114,6 +117,17 @@
         return exit_code::ok;
     }
 
+    exit_code trace(const std::vector<std::string>& arguments)
+    {
+        const auto lines = trace_request(
+            arguments.front(), {arguments.begin() + 1, arguments.end()});
+        if (!lines) {
+            return failed(lines.error());
+        }
+        streams_.output(lines.value());
+        return exit_code::ok;
+    }
+
     exit_code send_once(const std::string& path, const json& body)
     {
         const auto answer = session_.call({.method = "POST",
@@ -331,7 +345,7 @@
     const auto verb = request.command->verb;
     const std::string needed =
         verb == ctl_verb::burn ? "gate-addresses" : "control";
-    if (verb != ctl_verb::completion_bash && !values.find(needed)) {
+    if (!request.command->offline && !values.find(needed)) {
         faults.push_back({needed, std::nullopt, "an address for this command"});
     }
 }
@@ -366,8 +380,7 @@
     auto faults = parsed.faults;
     const auto key = config::take_secret(parsed, "operator-key", faults);
     check_needs(request.value(), parsed.values, faults);
-    if (!key && request.value().command->verb != ctl_verb::completion_bash &&
-        faults.empty()) {
+    if (!key && !request.value().command->offline && faults.empty()) {
         faults.push_back({"operator-key-file", std::nullopt,
                           "a file here or the variable "
                           "BAMBOOGATE_OPERATOR_KEY"});
--- a/lib/source/operations/ctl_command.cpp
+++ b/lib/source/operations/ctl_command.cpp
@@ -59,7 +59,16 @@
          "UPSTREAM IP:PORT JSON",
          3,
          {"operation-id", "based-on"}},
-        {completion_bash, "completion bash", "", 0, {}},
+        {.verb = trace,
+         .words = "trace",
+         .arguments = "ID LOGFILE...",
+         .argument_count = 2,
+         .last_repeats = true,
+         .offline = true},
+        {.verb = completion_bash,
+         .words = "completion bash",
+         .argument_count = 0,
+         .offline = true},
     };
     return commands;
 }
@@ -80,7 +89,9 @@
             &command,
             {given.begin() + static_cast<std::ptrdiff_t>(words.size()),
              given.end()}};
-        if (request.arguments.size() != command.argument_count) {
+        const std::size_t count = request.arguments.size();
+        if (command.last_repeats ? count < command.argument_count
+                                 : count != command.argument_count) {
             return fail(errc::invalid_argument,
                         fmt::format("{}: needs {}", command.words,
                                     command.arguments.empty()
--- a/main/control.cpp
+++ b/main/control.cpp
@@ -9,6 +9,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http_client.hpp>
 #include <bamboogate/net/link_hub.hpp>
+#include <bamboogate/net/log_writer.hpp>
 
 #include <chrono>
 #include <csignal>
@@ -136,6 +137,7 @@
 
     config::control_settings settings_;
     net::event_loop loop_;
+    net::log_writer writes_log_{loop_};
     net::link_hub hub_;
     net::http_client http_{loop_};
     control::state_machine state_;
--- a/main/gate.cpp
+++ b/main/gate.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/config/settings.hpp>
 #include <bamboogate/gate/gate.hpp>
+#include <bamboogate/net/log_writer.hpp>
 
 #include <fmt/format.h>
 
@@ -19,6 +20,7 @@
     }
     config::start_logging(*launched.settings, launched.unknown_variables);
     net::event_loop loop;
+    const net::log_writer writes_log(loop);
     auto started = gate::gate::start(loop, *launched.settings);
     if (!started) {
         fmt::print(stderr, "bamboogate-gate: {}\n", started.error().detail);
