Keep upstreams away that left before they were heard of

Cause: found by a model of late heartbeats against leaves (spec/announcements.pml). A process that hears first that a start leaves, and then a delayed announcement of that start, took it for ready: the word was dropped because the upstream was unknown. The same holds for the word of a start newer than the known one, and for a gate that subscribes afterwards.

Ruled out: announcements that say themselves that they drain (kept), and late words of an older start (ignored, as before).

Change: the registry keeps the newest start that left, for as long as it keeps silent upstreams (30 s), and replicas pass these on to new subscribers.

Tests: registry_leave_before_the_first_announcement_holds failed 5 checks without the record and passes with it.

--- a/lib/include/bamboogate/relay/instance_registry.hpp
+++ b/lib/include/bamboogate/relay/instance_registry.hpp
@@ -27,10 +27,19 @@
     time_point heard; ///< when its newest announcement arrived
 };
 
+/// The newest start of an upstream that is known to leave.
+struct departure
+{
+    std::uint64_t started_at = 0;
+    time_point heard;
+};
+
 /// The upstreams that have announced themselves. Announcements may arrive
 /// late, twice and out of order, also after the sender has crashed and a new
 /// start holds its id or its address; the newest start and, within it, the
-/// highest sequence number decide. Pure. Not thread safe.
+/// highest sequence number decide. A start that leaves stays away, also where
+/// its announcements arrive only after that word; `spec/announcements.pml` is
+/// the model. Pure. Not thread safe.
 class instance_registry
 {
 public:
@@ -67,12 +76,20 @@
         return instances_;
     }
 
+    /// @brief Starts that left, for processes that hear of them later.
+    [[nodiscard]] const std::map<upstream_id, departure>& departures() const
+    {
+        return departures_;
+    }
+
 private:
+    [[nodiscard]] bool has_departed(const announcement& said) const;
     [[nodiscard]] bool claim_address(const announcement& said);
 
     options settings_;
     std::map<upstream_id, instance> instances_;
     std::map<std::string, upstream_id> by_address_;
+    std::map<upstream_id, departure> departures_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -112,6 +112,9 @@
                 news.leaving.push_back(each.said);
             }
         }
+        for (const auto& [id, each] : registry_.departures()) {
+            news.leaving.push_back({.id = id, .started_at = each.started_at});
+        }
         hub_.send(peer.node, view());
         hub_.send(peer.node, news);
     });
--- a/lib/source/relay/instance_registry.cpp
+++ b/lib/source/relay/instance_registry.cpp
@@ -1,5 +1,7 @@
 #include <bamboogate/relay/instance_registry.hpp>
 
+#include <algorithm>
+
 namespace bamboogate::relay {
 
 namespace {
@@ -32,6 +34,14 @@
     return true;
 }
 
+bool instance_registry::has_departed(const announcement& said) const
+{
+    // A word that names no start holds for the start that was known by then.
+    const auto found = departures_.find(said.id);
+    return found != departures_.end() &&
+           said.started_at <= found->second.started_at;
+}
+
 instance_registry::change instance_registry::hear(const announcement& said,
                                                   time_point now)
 {
@@ -42,8 +52,9 @@
     if (!claim_address(said)) {
         return change::none;
     }
-    const auto state =
-        said.draining ? instance_state::leaving : instance_state::ready;
+    const auto state = said.draining || has_departed(said)
+                           ? instance_state::leaving
+                           : instance_state::ready;
     if (found == instances_.end()) {
         instances_[said.id] = {said, state, now};
         return change::updated;
@@ -67,6 +78,9 @@
                                                    std::uint64_t started_at,
                                                    time_point now)
 {
+    departure& departed = departures_[id];
+    departed.started_at = std::max(departed.started_at, started_at);
+    departed.heard = now;
     const auto found = instances_.find(id);
     if (found == instances_.end() ||
         found->second.state != instance_state::ready ||
@@ -80,6 +94,9 @@
 
 std::vector<upstream_id> instance_registry::expire(time_point now)
 {
+    std::erase_if(departures_, [&](const auto& each) {
+        return now - each.second.heard > settings_.expiry;
+    });
     std::vector<upstream_id> gone;
     for (const auto& [id, each] : instances_) {
         if (now - each.heard > settings_.expiry) {
--- a/tests/relay/instance_registry_test.cpp
+++ b/tests/relay/instance_registry_test.cpp
@@ -75,6 +75,33 @@
     CHECK(state("b") == instance_state::ready);
 }
 
+// Guards against work for an upstream that has left, in a process that first
+// hears of it by a delayed announcement.
+TEST_CASE_FIXTURE(registry_fixture,
+                  "registry_leave_before_the_first_announcement_holds")
+{
+    CHECK(registry.leave(upstream_id("a"), 100, now) == change::none);
+    registry.hear(said("a", 5, 100, "10.0.0.1"), now);
+    CHECK(state("a") == instance_state::leaving);
+    SUBCASE("a new start is ready")
+    {
+        registry.hear(said("a", 1, 200, "10.0.0.1"), now);
+        CHECK(state("a") == instance_state::ready);
+    }
+    SUBCASE("the word of a start that is not known yet holds for it")
+    {
+        CHECK(registry.leave(upstream_id("a"), 200, now) == change::none);
+        registry.hear(said("a", 1, 200, "10.0.0.1"), now);
+        CHECK(state("a") == instance_state::leaving);
+    }
+    SUBCASE("it is forgotten like an upstream")
+    {
+        now += 31s;
+        registry.expire(now);
+        CHECK(registry.departures().empty());
+    }
+}
+
 TEST_CASE_FIXTURE(registry_fixture, "registry_silent_upstream_is_forgotten")
 {
     registry.hear(said("a", 5, 100, "10.0.0.1"), now);
