--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -179,6 +179,22 @@
     CHECK(service.seen.empty());
 }
 
+// Guards against callers that are sent to a gate that has to refuse them.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "gate_is_ready_with_a_configuration_and_until_it_stops")
+{
+    CHECK_FALSE(gate->ready());
+    bring_up();
+    CHECK(gate->ready());
+    auto request = ask("/book/x", "b1");
+    REQUIRE(wait([&] { return service.seen.size() == 1; }));
+    gate->stop([] {});
+    CHECK_FALSE(gate->ready());
+    service.answer(0, "booked");
+    REQUIRE(wait([&] { return request->over(); }));
+    CHECK(request->status() == 200);
+}
+
 // Guards against acknowledged changes that are lost with a disk.
 TEST_CASE_FIXTURE(relay_fixture,
                   "node_with_a_lost_disk_comes_back_and_nothing_is_lost")
