Split the soak's faults from its run and print what is not served

Change: soak_faults.cpp holds the faults, soak::pause both pauses, and callers print the reason of each request that ends unserved. The soak's configuration has limits of its own.

--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -145,7 +145,7 @@
         refuse(responder, attempt, 421);
         return;
     }
-    if (runs_.size() >= 2 * settings_.slots) {
+    if (runs_.size() >= std::size_t{2} * settings_.slots) {
         refuse(responder, attempt, 503);
         return;
     }
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -254,6 +254,12 @@
         ended_ = true;
         return_timer_.stop();
         ++(pool_.counts_[kind_].*count);
+        if (count == &caller_counts::failed) {
+            pool_.problems_.print("not served",
+                                  fmt::format("{} {}, {} of {} events",
+                                              attempts_.back(), reason, got_,
+                                              events_));
+        }
         if (must_succeed_ && count != &caller_counts::served) {
             violate("recovery",
                     fmt::format("{}, {} of {} events", reason, got_, events_));
--- a/tests/platform/soak/operators.cpp
+++ b/tests/platform/soak/operators.cpp
@@ -69,7 +69,7 @@
     which->sent = loop_.now();
     which->status = 0;
     which->body.clear();
-    // A route without a service makes a configuration invalid.
+    // Half a document makes a configuration invalid.
     std::string document =
         which->read ? "" : settings_.document(which->version);
     if (which->invalid) {
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/net/event_loop.hpp>
 
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -64,6 +65,7 @@
     void poll_readiness();
     net::address choose_gate();
     void at(duration delay, std::function<void()> function);
+    void pause(machine& which, duration time);
     void inject();
     void fault_gate();
     void fault_replica();
--- /dev/null
+++ b/tests/platform/soak/soak_faults.cpp
@@ -0,0 +1,266 @@
+// The faults of the soak: what is disturbed, and how it comes back.
+#include <algorithm>
+
+#include "soak.hpp"
+
+namespace bamboogate::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Replicas that may be lost at once, `faultTolerance.machines`.
+constexpr std::size_t tolerated_losses = 2;
+/// A replica that lost its disk needs this long to hold the log again
+/// (`catchUpS`), so that no third disk is lost before.
+constexpr duration disk_loss_spacing = 5s;
+
+} // namespace
+
+void soak::restart(machine& which, duration delay)
+{
+    at(delay, [this, &which] {
+        if (which.stopping()) {
+            restart(which, 100ms);
+        } else if (!which.started()) {
+            problems_.print("start", which.name());
+            which.start(false);
+        }
+    });
+}
+
+void soak::pause(machine& which, duration time)
+{
+    problems_.print("pause", which.name());
+    which.pause();
+    at(time, [this, &which] {
+        if (which.paused()) {
+            problems_.print("resume", which.name());
+            which.resume();
+        }
+    });
+}
+
+void soak::inject()
+{
+    switch (random_() % 16) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        fault_gate();
+        break;
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        fault_replica();
+        break;
+    case 8:
+    case 9:
+    case 10:
+    case 11:
+        fault_engine();
+        break;
+    case 12:
+    case 13:
+    case 14:
+        fault_connections();
+        break;
+    default:
+        kill_everything();
+    }
+}
+
+void soak::fault_gate()
+{
+    machine& victim = *gates_[random_() % gates_.size()].program;
+    const auto kind = random_() % 3;
+    const auto away = random_time(50ms, 2500ms);
+    if (!victim.up()) {
+        return;
+    }
+    switch (kind) {
+    case 0:
+        problems_.print("kill", victim.name());
+        victim.kill();
+        restart(victim, away);
+        break;
+    case 1:
+        pause(victim, away);
+        break;
+    default:
+        problems_.print("terminate", victim.name());
+        victim.terminate(loop_.now());
+        restart(victim, away);
+    }
+}
+
+void soak::fault_replica()
+{
+    machine& victim = *replicas_[random_() % replicas_.size()];
+    const auto kind = random_() % 5;
+    const auto away = random_time(50ms, 2500ms);
+    if (!victim.up() || replicas_down() >= tolerated_losses) {
+        return;
+    }
+    if (kind == 1) {
+        pause(victim, away);
+        return;
+    }
+    if (kind == 2) {
+        problems_.print("terminate", victim.name());
+        victim.terminate(loop_.now());
+        restart(victim, away);
+        return;
+    }
+    problems_.print("kill", victim.name());
+    victim.kill();
+    if (kind == 3) {
+        problems_.print("tear disk", victim.name());
+        victim.tear_disk();
+    }
+    if (kind == 4 && loop_.now() >= disk_safe_at_) {
+        problems_.print("lose disk", victim.name());
+        victim.lose_disk();
+        disk_safe_at_ = loop_.now() + away + disk_loss_spacing;
+    }
+    restart(victim, away);
+}
+
+void soak::fault_engine()
+{
+    backend& victim = *backends_[random_() % backends_.size()];
+    const auto kind = random_() % 6;
+    const auto away = random_time(100ms, 2500ms);
+    if (!victim.running()) {
+        return;
+    }
+    const auto up = std::count_if(backends_.begin(), backends_.end(),
+                                  [](const auto& e) { return e->running(); });
+    switch (kind) {
+    case 0:
+    case 1:
+        if (static_cast<std::size_t>(up) + 2 < backends_.size()) {
+            return;
+        }
+        problems_.print(kind == 0 ? "crash" : "drain", victim.id());
+        if (kind == 0) {
+            victim.crash();
+        } else {
+            victim.drain();
+        }
+        at(kind == 0 ? away : away + 2500ms,
+           [this, &victim, same = random_() % 3 == 0] {
+               if (!victim.running()) {
+                   victim.start(same);
+                   problems_.print("start", victim.id());
+               }
+           });
+        break;
+    case 2:
+        problems_.print("silent", victim.id());
+        victim.silent = true;
+        at(away, [&victim] { victim.silent = false; });
+        break;
+    case 3:
+        problems_.print("slow", victim.id());
+        victim.slowness = 6;
+        at(away, [&victim] { victim.slowness = 1; });
+        break;
+    case 4:
+        problems_.print("loses answers", victim.id());
+        victim.loses_answers = true;
+        at(away, [&victim] { victim.loses_answers = false; });
+        break;
+    default:
+        problems_.print("truncates", victim.id());
+        victim.truncates = true;
+        at(away, [&victim] { victim.truncates = false; });
+    }
+}
+
+void soak::fault_connections()
+{
+    const auto which = random_() % (gates_.size() + backends_.size());
+    fault_proxy& proxy = which < gates_.size()
+                             ? *gates_[which].proxy
+                             : backends_[which - gates_.size()]->proxy();
+    const std::string name = which < gates_.size()
+                                 ? gates_[which].program->name()
+                                 : backends_[which - gates_.size()]->id();
+    const auto kind = random_() % 4;
+    const auto time = random_time(100ms, 2000ms);
+    const auto latency = random_time(20ms, 200ms);
+    switch (kind) {
+    case 0:
+        problems_.print("reset connections", name);
+        proxy.reset();
+        return;
+    case 1:
+        problems_.print("delay connections", name);
+        proxy.delay(latency);
+        break;
+    case 2:
+        problems_.print("cut connections one way", name);
+        proxy.hold(random_() % 2 == 0 ? fault_proxy::direction::to_target
+                                      : fault_proxy::direction::to_client);
+        break;
+    default:
+        problems_.print("silence connections", name);
+        proxy.hold(fault_proxy::direction::both);
+    }
+    at(time, [&proxy] { proxy.release(); });
+}
+
+void soak::kill_everything()
+{
+    problems_.print("kill", "every gate and replica");
+    const auto away = random_time(100ms, 1200ms);
+    for (auto& each : replicas_) {
+        each->kill();
+        restart(*each, away + random_time(0ms, 300ms));
+    }
+    for (auto& each : gates_) {
+        each.program->kill();
+        restart(*each.program, away + random_time(0ms, 300ms));
+    }
+}
+
+void soak::heal_everything()
+{
+    problems_.print("end of faults", "");
+    faults_ = false;
+    plan_.clear();
+    const auto heal = [](machine& each) {
+        if (each.paused()) {
+            each.resume();
+        }
+        if (!each.started()) {
+            each.start(false);
+        }
+    };
+    for (auto& each : replicas_) {
+        heal(*each);
+        if (each->stopping()) {
+            restart(*each, 100ms);
+        }
+    }
+    for (auto& each : gates_) {
+        heal(*each.program);
+        if (each.program->stopping()) {
+            restart(*each.program, 100ms);
+        }
+        each.proxy->release();
+    }
+    for (auto& each : backends_) {
+        if (!each->running()) {
+            each->start(false);
+        }
+        each->proxy().release();
+        each->silent = each->loses_answers = each->truncates = false;
+        each->slowness = 1;
+    }
+}
+
+} // namespace bamboogate::tests
