Say things once in the soak and the relay fixture

The wait for a leader stood in the fixture and in a test, planned stops and their healing twice each in the soak's faults, and the tokens of an event in the callers and in the back ends.

Change: relay_fixture::wait_for_leader, soak::terminate, one healing function and one tokens_per_event, which the soak's configuration uses as well.

--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -65,14 +65,7 @@
 TEST_CASE_FIXTURE(relay_fixture,
                   "request_before_the_first_configuration_waits_and_is_served")
 {
-    REQUIRE(run_until(
-        loop,
-        [&] {
-            return std::any_of(
-                nodes.begin(), nodes.end(),
-                [](const auto& node) { return node->is_leader(); });
-        },
-        10s));
+    wait_for_leader();
     announce(service, "book", "d1");
     auto request = ask("/book/x", "a0");
     auto left = ask("/book/x", "a1");
--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -21,7 +21,6 @@
 constexpr duration copy_interval = 100ms;
 constexpr duration copy_lifetime = 4s; ///< `handleTtlS` of the configuration
 constexpr duration leave_time = 2s;    ///< `drainMs` of the bounds
-constexpr unsigned tokens_per_event = 6;
 
 std::string header(const net::http1_request& request, std::string_view name)
 {
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -14,6 +14,9 @@
 
 namespace bamboogate::tests {
 
+/// Tokens of one event, the stride of the soak's configuration.
+inline constexpr unsigned tokens_per_event = 6;
+
 /// @brief The text of an event, so that callers can check each one.
 [[nodiscard]] std::string event_text(std::string_view prompt, unsigned number);
 
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -23,7 +23,6 @@
 /// reach the paths of a second return as well.
 constexpr unsigned max_returns = 3;
 constexpr duration return_delay = 50ms;
-constexpr unsigned tokens_per_event = 6;
 constexpr unsigned min_events = 30;
 constexpr unsigned max_events = 150;
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -138,7 +138,7 @@
          {"engine",
           {{"slots", 16},
            {"kvCapacity", 88000},
-           {"stride", 6},
+           {"stride", tokens_per_event},
            {"backups", true},
            {"moves", true},
            {"handleTtlS", 4.0}}}},
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -66,6 +66,7 @@
     net::address choose_gate();
     void at(duration delay, std::function<void()> function);
     void pause(machine& which, duration time);
+    void terminate(machine& which, duration time);
     void inject();
     void fault_gate();
     void fault_replica();
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -41,6 +41,13 @@
     });
 }
 
+void soak::terminate(machine& which, duration time)
+{
+    problems_.print("terminate", which.name());
+    which.terminate(loop_.now());
+    restart(which, time);
+}
+
 void soak::inject()
 {
     switch (random_() % 16) {
@@ -90,9 +97,7 @@
         pause(victim, away);
         break;
     default:
-        problems_.print("terminate", victim.name());
-        victim.terminate(loop_.now());
-        restart(victim, away);
+        terminate(victim, away);
     }
 }
 
@@ -109,9 +114,7 @@
         return;
     }
     if (kind == 2) {
-        problems_.print("terminate", victim.name());
-        victim.terminate(loop_.now());
-        restart(victim, away);
+        terminate(victim, away);
         return;
     }
     problems_.print("kill", victim.name());
@@ -232,25 +235,22 @@
     problems_.print("end of faults", "");
     faults_ = false;
     plan_.clear();
-    const auto heal = [](machine& each) {
+    const auto heal = [this](machine& each) {
         if (each.paused()) {
             each.resume();
         }
         if (!each.started()) {
             each.start(false);
         }
+        if (each.stopping()) {
+            restart(each, 100ms);
+        }
     };
     for (auto& each : replicas_) {
         heal(*each);
-        if (each->stopping()) {
-            restart(*each, 100ms);
-        }
     }
     for (auto& each : gates_) {
         heal(*each.program);
-        if (each.program->stopping()) {
-            restart(*each.program, 100ms);
-        }
         each.proxy->release();
     }
     for (auto& each : backends_) {
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -279,8 +279,7 @@
                         sequence, started_at));
         CHECK(reply->status() == 200);
     }
-    /// Stores a configuration, announces the stand-ins, waits for the gate.
-    void bring_up()
+    void wait_for_leader()
     {
         REQUIRE(run_until(
             loop,
@@ -290,6 +289,11 @@
                     [](const auto& node) { return node->is_leader(); });
             },
             10s));
+    }
+    /// Stores a configuration, announces the stand-ins, waits for the gate.
+    void bring_up()
+    {
+        wait_for_leader();
         REQUIRE(control_call(1, "POST", "/Config.Replace", configuration(5))
                     ->status() == 200);
         REQUIRE(run_until(loop, [&] { return gate->ready(); }));
