Spread streams that gates place without a leader

Change: equal costs are ordered by a rendezvous hash of run and engine, for engines and for copy holders.

--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -160,6 +160,9 @@
     [[nodiscard]] std::uint64_t resident_tokens(const upstream_id& id) const;
     /// @brief Number of runs on an engine.
     [[nodiscard]] std::size_t runs(const upstream_id& id) const;
+    /// @brief The runs on an engine and those whose copy it holds.
+    [[nodiscard]] std::vector<request_id>
+    runs_using(const upstream_id& id) const;
     [[nodiscard]] std::size_t engines() const { return engines_.size(); }
     /// @brief Number of engines that may receive work.
     [[nodiscard]] std::size_t usable_engines() const;
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -1,10 +1,36 @@
 #include <bamboogate/relay/stream_planner.hpp>
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 namespace bamboogate::relay {
 
+namespace {
+
+/// Order of engines of equal cost for one run: a rendezvous hash (FNV-1a with a
+/// final mix). Planners that know nothing of one another's runs would otherwise
+/// all choose the engine with the smallest id.
+std::uint64_t tie_break(const request_id& run, const upstream_id& engine)
+{
+    constexpr std::uint64_t fnv_offset = 14695981039346656037U;
+    constexpr std::uint64_t fnv_prime = 1099511628211U;
+    std::uint64_t hash = fnv_offset;
+    const auto add = [&hash](std::string_view text) {
+        for (const char c : text) {
+            hash = (hash ^ static_cast<unsigned char>(c)) * fnv_prime;
+        }
+        hash *= fnv_prime; // separates the two names
+    };
+    add(run.value());
+    add(engine.value());
+    hash ^= hash >> 33U;
+    hash *= 0xff51afd7ed558ccdU;
+    return hash ^ (hash >> 33U);
+}
+
+} // namespace
+
 void stream_planner::update_engine(const planned_engine& engine)
 {
     engines_[engine.id] = engine;
@@ -95,7 +121,7 @@
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
     // Engines with capacity first, then by ascending cost.
-    std::tuple<bool, double> best_key;
+    std::tuple<bool, double, std::uint64_t> best_key;
     for (const auto& [id, engine] : engines_) {
         if (!engine.usable || excluded.contains(id) ||
             tokens > engine.kv_capacity_tokens) {
@@ -105,7 +131,8 @@
         if (full && needed == capacity_policy::required) {
             continue;
         }
-        const std::tuple key{full, cost(engine, run.prompt_tokens, now)};
+        const std::tuple key{full, cost(engine, run.prompt_tokens, now),
+                             tie_break(run.id, id)};
         if (best == nullptr || key < best_key) {
             best = &engine;
             best_key = key;
@@ -177,7 +204,7 @@
     const double share = run.urgent ? settings_.urgent_copy_memory_share
                                     : settings_.copy_memory_share;
     const planned_engine* best = nullptr;
-    std::tuple<bool, std::uint64_t> best_key;
+    std::tuple<bool, std::uint64_t, std::uint64_t> best_key;
     for (const auto& [id, candidate] : engines_) {
         if (id == engine || !candidate.usable || excluded.contains(id) ||
             !fits(candidate, tokens, share)) {
@@ -185,7 +212,8 @@
         }
         const bool same_domain = primary != engines_.end() &&
                                  primary->second.domain == candidate.domain;
-        const std::tuple key{same_domain, load_of(id).resident_tokens};
+        const std::tuple key{same_domain, load_of(id).resident_tokens,
+                             tie_break(run.id, id)};
         if (best == nullptr || key < best_key) {
             best = &candidate;
             best_key = key;
@@ -295,6 +323,17 @@
                       [](const auto& each) { return each.second.usable; }));
 }
 
+std::vector<request_id> stream_planner::runs_using(const upstream_id& id) const
+{
+    std::vector<request_id> out;
+    for (const auto& [run, entry] : runs_) {
+        if (entry.engine == id || entry.copy_holder == id) {
+            out.push_back(run);
+        }
+    }
+    return out;
+}
+
 std::size_t stream_planner::runs(const upstream_id& id) const
 {
     return load_of(id).runs;
