--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,7 +18,8 @@
 struct http1_failure
 {
     /// `connection_failed` (not connected), `connection_lost` or
-    /// `malformed_input` (invalid response)
+    /// `malformed_input` (invalid response), `limit_exceeded` (response too
+    /// large)
     errc code = errc::connection_lost;
     /// True if a byte of the request may have reached the server.
     bool request_sent = false;
@@ -39,6 +41,10 @@
         /// server's `Keep-Alive` field demands it.
         duration max_idle = std::chrono::seconds(4);
         std::size_t max_idle_per_server = 16;
+        /// Bytes of interim responses and of responses to other requests that
+        /// are discarded before the request's own response. A server in trouble
+        /// may send them without end.
+        std::size_t max_discarded_bytes = 1u << 20;
     };
 
     struct callbacks
@@ -81,6 +87,9 @@
         header_list headers;
         std::string_view body; ///< copied by `start`
         bool fresh_connection = false;
+        /// A response with a larger body fails the exchange; unlimited if not
+        /// set, for streams whose receiver limits each part.
+        std::optional<std::size_t> max_body_bytes = std::nullopt;
     };
 
     /// @brief Sends a request; callbacks are called from the event loop.
--- a/lib/include/bamboogate/net/link_hub.hpp
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -10,8 +10,10 @@
 
 #include <concepts>
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -59,6 +61,13 @@
         std::size_t max_queued_bytes = 64u << 20;
     };
 
+    /// Messages and their encoded bytes, without the framing of the link.
+    struct message_traffic
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+
     /// Totals since the start, for metrics and capacity planning.
     struct traffic
     {
@@ -69,6 +78,8 @@
         std::uint64_t links_closed_silent = 0; ///< after `heartbeat_timeout`
         /// Closed for malformed input or failed authentication.
         std::uint64_t links_refused = 0;
+        /// Sent messages by their type; replies count as `reply`.
+        std::map<std::string, message_traffic, std::less<>> sent_by_type;
     };
 
     link_hub(event_loop& loop, options settings);
--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -3,11 +3,14 @@
 
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/link_hub.hpp>
+#include <bamboogate/relay/home_replica.hpp>
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,8 +18,8 @@
 namespace bamboogate::relay {
 
 /// A gate's links to the control replicas: discovers them from the seeds,
-/// receives the newest configuration and the upstreams' announcements, and
-/// reports suspected upstreams. Not thread safe.
+/// receives the newest configuration and the upstreams' announcements from its
+/// home replica, and reports suspected upstreams. Not thread safe.
 class control_feed
 {
 public:
@@ -30,6 +33,13 @@
         /// If a replica doesn't send its configuration within this time,
         /// another replica is asked.
         duration fetch_deadline = std::chrono::milliseconds(600);
+        /// A newer configuration is requested from another replica if the home
+        /// replica does not have it after this time. It usually lags behind the
+        /// leader by less than a heartbeat.
+        duration home_lag = std::chrono::milliseconds(250);
+        /// How long a gate without a configuration waits for the leader's
+        /// view. Another replica may have restarted with an old snapshot.
+        duration first_leader_wait = std::chrono::milliseconds(800);
     };
 
     /// Called on the loop's thread; all of them must be set.
@@ -38,6 +48,8 @@
         /// Receives a newer configuration; it was validated when it was stored.
         std::function<void(configuration)> on_configuration;
         std::function<void(const announcement&)> on_announcement;
+        /// A known upstream announced itself again without a change.
+        std::function<void(const upstream_refresh&)> on_refresh;
         /// An upstream deregistered.
         std::function<void(const announcement&)> on_departure;
         /// Another process suspects an upstream.
@@ -68,21 +80,39 @@
 
 private:
     void add_replica(const std::string& node);
+    void on_peer_state(const net::peer_info& peer, bool up);
     void on_view(const net::peer_info& peer, const control_view& view);
+    /// Chooses the home replica, subscribes to it and opens missing links.
+    void update_links();
+    void close_surplus_links();
+    void update_subscriptions();
     void fetch();
+    /// The replica to request the configuration from; empty if it is better to
+    /// wait.
+    [[nodiscard]] node_id fetch_source() const;
     void on_document(const node_id& from, result<configuration_document> reply);
 
+    net::event_loop& loop_;
     relay_protocol protocol_;
     options settings_;
     observers observers_;
     net::link_hub hub_;
-    std::set<std::string> known_replicas_;
+    /// Link addresses of the replicas that are known.
+    std::map<node_id, net::address> known_replicas_;
+    home_replica home_;
+    std::set<node_id> subscribed_; ///< on the links that are up
+    std::set<node_id> linked_;     ///< replicas that the hub connects to
+    net::timer links_timer_;
+    net::timer fetch_timer_; ///< fetches from another replica than the home
     std::uint64_t version_ = 0;
     std::uint64_t gates_ = 1;
     node_id leader_;
-    /// Replicas that have reported a newer version, the latest report last.
-    std::vector<node_id> sources_;
+    /// The version that each replica has reported.
+    std::map<node_id, std::uint64_t> offered_;
     std::uint64_t target_version_ = 0;
+    time_point target_since_;      ///< when `target_version_` was reported
+    bool leader_reported_ = false; ///< a leader has sent its own view
+    std::optional<time_point> first_link_up_at_;
     bool fetching_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -10,6 +10,7 @@
 #include <bamboogate/relay/membership_plan.hpp>
 #include <bamboogate/relay/placement_server.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/suspicion_limiter.hpp>
 
 #include <filesystem>
 #include <functional>
@@ -48,9 +49,9 @@
         duration operator_deadline = std::chrono::milliseconds(850);
         /// Time limit for storing a large document, whose sender waits longer.
         duration large_operator_deadline = std::chrono::milliseconds(1500);
-        /// Interval at which unchanged announcements are forwarded to the
-        /// gates.
-        duration refresh_interval = std::chrono::seconds(5);
+        /// Interval at which the gates are told which upstreams have announced
+        /// themselves again. Gates remove upstreams after 30 s without.
+        duration refresh_interval = std::chrono::seconds(10);
     };
 
     using version_callback = std::function<void(result<std::uint64_t>)>;
@@ -124,8 +125,16 @@
     void store_through_leader(const std::shared_ptr<pending_store>& job);
     void acknowledge_when_replicated(std::uint64_t version, time_point deadline,
                                      version_callback callback);
-    void broadcast(const announcement_update& update);
+    /// All upstreams and departures, for a new subscriber or replica.
+    [[nodiscard]] announcement_update known_upstreams() const;
+    void on_subscribe(const net::peer_info& peer,
+                      const subscribe& subscription);
     void on_announcement_update(const announcement_update& update);
+    void send_to_replicas(const announcement_update& update);
+    void send_to_gates(const announcement_update& update);
+    /// Sends the unchanged announcements since the last call to the replicas
+    /// and, at `refresh_interval`, to the gates.
+    void send_refreshes();
     void on_suspicion(const node_id& from, const upstream_suspicion& suspicion);
     void watch_engines();
     void on_configuration(
@@ -143,7 +152,15 @@
     engine_watcher watcher_;
     std::set<service_id> engine_services_;
     std::map<upstream_id, time_point> last_forwarded_;
-    std::set<node_id> gates_;
+    suspicion_limiter forwarded_suspicions_;
+    /// The subscribed gates, and whether they read refreshes.
+    std::map<node_id, bool> gates_;
+    /// The number of gates subscribed to each other replica.
+    std::map<node_id, std::uint64_t> gates_of_replicas_;
+    /// Upstreams with an unchanged announcement not yet sent to the replicas.
+    std::set<upstream_id> pending_refreshes_;
+    time_point gates_refreshed_at_;
+    time_point traffic_logged_at_;
     std::set<std::string> known_replicas_;
     std::map<node_id, time_point> last_reachable_;
     std::string published_view_;
@@ -153,6 +170,9 @@
     bool stopping_ = false;
 };
 
+/// @brief Logs the traffic of a hub by message type.
+void log_link_traffic(const net::link_hub::traffic& totals);
+
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/net/http1_server.hpp>
+#include <bamboogate/relay/buffer_budget.hpp>
 #include <bamboogate/relay/configuration.hpp>
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/protocol.hpp>
@@ -38,6 +39,7 @@
     retry_limiter& retries;
     stream_placer& placer;
     gate_metrics& metrics;
+    buffer_budget& response_buffers;
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
@@ -91,6 +93,10 @@
     ///     as lost.
     virtual void on_upstream_suspected(const upstream_id&) {}
 
+    /// @return whether the failure of this upstream concerns the exchange: an
+    ///     attempt runs there, or the copy of its stream is there
+    [[nodiscard]] virtual bool uses_upstream(const upstream_id& id) const = 0;
+
     /// @brief Reports to a new leader where this stream runs.
     virtual void report_placement() {}
 
--- a/lib/include/bamboogate/relay/instance_registry.hpp
+++ b/lib/include/bamboogate/relay/instance_registry.hpp
@@ -61,6 +61,13 @@
     /// @brief Records an announcement.
     change record_announcement(const announcement& received, time_point now);
 
+    /// @brief Records that a known start announced itself again without a
+    ///     change; other starts are ignored.
+    /// @return `refreshed`, or `none` if the start is unknown or the sequence
+    ///     number is not newer
+    change record_refresh(const upstream_id& id, std::uint64_t started_at,
+                          std::uint64_t sequence, time_point now);
+
     /// @brief Records that an upstream deregistered.
     /// @param started_at 0 if the message doesn't identify the start
     change record_departure(const upstream_id& id, std::uint64_t started_at,
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -49,6 +49,14 @@
 inline constexpr log_event members_changed{
     1017, severity::info, "control_members_changed",
     "The leader adds, promotes or removes a control replica."};
+inline constexpr log_event home_replica_changed{
+    1018, severity::info, "home_replica_changed",
+    "The gate subscribed to another control replica for announcements and "
+    "configurations."};
+inline constexpr log_event link_traffic{
+    1019, severity::info, "relay_link_traffic",
+    "The bytes and messages sent over links since the start, by message "
+    "type."};
 inline constexpr log_event upstream_changed{
     1020, severity::info, "relay_upstream_changed",
     "An upstream was added, deregistered or drains, was replaced or has "
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -18,12 +18,17 @@
 // identified by the address of their link listener, so that the id is
 // sufficient to connect to them.
 
-/// Gate to replica, when their link comes up: subscribes to updates.
+/// Gate to replica: subscribes to announcements, or ends the subscription.
 struct subscribe
 {
     static constexpr std::string_view type = "relay_subscribe";
     std::uint64_t version = 0; ///< configuration in use by the gate
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(subscribe, version)
+    /// False ends the subscription. Earlier builds don't send the field.
+    bool active = true;
+    /// The gate reads `announcement_update::refreshed`. Earlier builds don't.
+    bool reads_refreshes = false;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(subscribe, version, active,
+                                                reads_refreshes)
 };
 
 /// Replica to all peers: its view of the control plane.
@@ -31,11 +36,16 @@
 {
     static constexpr std::string_view type = "relay_control_view";
     std::vector<std::string> replicas;
-    std::string leader;        ///< empty: unknown
-    std::uint64_t version = 0; ///< newest committed configuration
-    std::uint64_t gates = 0;   ///< gates subscribed to this replica
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(control_view, replicas, leader, version,
-                                   gates)
+    std::string leader;           ///< empty: unknown
+    std::uint64_t version = 0;    ///< newest committed configuration
+    std::uint64_t gates = 0;      ///< all gates, as far as this replica knows
+    std::uint64_t subscribed = 0; ///< gates subscribed to this replica
+    /// The replica passes on what other replicas have received, so that one
+    /// subscription is enough. Earlier builds don't and don't send the field.
+    bool forwards = false;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(control_view, replicas, leader,
+                                                version, gates, subscribed,
+                                                forwards)
 };
 
 /// Requests the newest configuration that a replica has applied.
@@ -88,6 +98,18 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(join_request, node)
 };
 
+/// An announcement that changed nothing but the time at which the upstream was
+/// last heard.
+struct upstream_refresh
+{
+    upstream_id id;
+    std::uint64_t started_at = 0;
+    std::uint64_t sequence = 0;
+};
+
+void to_json(json& document, const upstream_refresh& value);
+void from_json(const json& document, upstream_refresh& value);
+
 /// Announcements and deregistrations that a replica has received from
 /// upstreams.
 struct announcement_update
@@ -95,7 +117,9 @@
     static constexpr std::string_view type = "relay_announcement_news";
     std::vector<announcement> heard;   ///< announced
     std::vector<announcement> leaving; ///< deregistered; id and start time
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(announcement_update, heard, leaving)
+    std::vector<upstream_refresh> refreshed; ///< announced without a change
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(announcement_update, heard,
+                                                leaving, refreshed)
 };
 
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 
 namespace bamboogate::relay {
@@ -52,6 +53,10 @@
     /// @brief Removes the streams of a disconnected gate.
     void remove_gate(const node_id& gate);
 
+    /// @return the gates whose streams run on the engine or have their copies
+    ///     there
+    [[nodiscard]] std::set<node_id> gates_using(const upstream_id& id) const;
+
     /// @brief Discards all streams after the loss of leadership; waiting
     ///     requests are answered with `not_leader`.
     void reset();
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/relay/control_feed.hpp>
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/relay/startup_queue.hpp>
+#include <bamboogate/relay/suspicion_limiter.hpp>
 #include <bamboogate/relay/upstream_prober.hpp>
 
 #include <functional>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace bamboogate::relay {
 
@@ -36,6 +38,9 @@
         duration accept_after_stop = std::chrono::seconds(3);
         /// Longest duration of a planned stop.
         duration stop_limit = std::chrono::milliseconds(7800);
+        /// Bytes of upstreams' responses that all requests buffer together. A
+        /// third of the memory of the smallest gates in use.
+        std::size_t response_buffer_bytes = 28u << 20;
     };
 
     relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -79,7 +84,12 @@
     void on_configuration(configuration document);
     void on_announcement(const announcement& announced);
     void on_departure(const announcement& announced);
-    void on_suspicion(const upstream_id& id, bool observed_here);
+    /// An exchange of this gate lost an upstream or a connection to it.
+    void on_loss_observed(const upstream_id& id);
+    /// Another process suspects the upstream.
+    void on_suspicion(const upstream_id& id);
+    void check_upstream(const instance& upstream);
+    [[nodiscard]] std::vector<std::shared_ptr<exchange>> exchanges() const;
     void on_probe_failed(const upstream_id& id);
     void fail_attempts_on(const upstream_id& id);
     void refresh_planner(const service_id& service);
@@ -93,6 +103,7 @@
     options settings_;
     observability::metric_registry registry_;
     gate_metrics metrics_;
+    buffer_budget response_buffers_;
     net::http1_client client_;
     upstream_directory directory_;
     std::map<service_id, stream_planner> planners_;
@@ -105,7 +116,11 @@
     /// Observes connections of the server, so it has to outlive the server.
     startup_queue startup_queue_;
     std::unique_ptr<net::http1_server> server_;
-    std::set<std::shared_ptr<exchange>> exchanges_;
+    /// By their order of creation, so that the streams of a lost engine are
+    /// placed in the same order in every run.
+    std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    std::uint64_t next_exchange_ = 0;
+    suspicion_limiter reported_suspicions_;
     net::timer tick_timer_;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/lib/include/bamboogate/relay/upstream_directory.hpp
+++ b/lib/include/bamboogate/relay/upstream_directory.hpp
@@ -39,6 +39,13 @@
         return registry_.record_departure(received.id, received.started_at,
                                           now);
     }
+    instance_registry::change record_refresh(const upstream_id& id,
+                                             std::uint64_t started_at,
+                                             std::uint64_t sequence,
+                                             time_point now)
+    {
+        return registry_.record_refresh(id, started_at, sequence, now);
+    }
     /// @brief Removes upstreams without announcements, with their health.
     /// @return the removed upstreams
     std::vector<upstream_id> expire(time_point now);
--- a/lib/source/net/http1.cpp
+++ b/lib/source/net/http1.cpp
@@ -15,6 +15,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Limit of the head of a response, and of an unfinished line or trailer of any
+/// message. A peer in trouble may send one without end.
+constexpr std::size_t max_unparsed_bytes = 64u << 10;
+
 std::string to_text(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -159,6 +163,9 @@
         return used - std::min(used, before);
     }
     unparsed.erase(0, used);
+    if (unparsed.size() > max_unparsed_bytes) {
+        return fail(errc::limit_exceeded, "header");
+    }
     return bytes.size();
 }
 
@@ -307,7 +314,7 @@
     {
         parser = std::make_unique<collecting_parser<false>>();
         parser->eager(true);
-        parser->header_limit(64u << 10);
+        parser->header_limit(static_cast<std::uint32_t>(max_unparsed_bytes));
         // The length of a response is up to the engine.
         parser->body_limit(boost::none);
         parser->skip(head_request);
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -94,6 +95,10 @@
     bool ended = false;
     bool reused = false;
     bool sent = false;
+    std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_discarded_bytes = 0;
+    std::size_t body_bytes = 0;
+    std::size_t discarded_bytes = 0;
     timer connect_timer;
 
     impl(event_loop& loop, callbacks c)
@@ -117,10 +122,16 @@
                     },
                 .on_body =
                     [this](std::string_view part) {
-                        if (accepted && !ended) {
-                            const auto handler = handlers.on_body;
-                            handler(part);
+                        if (!accepted || ended) {
+                            return;
                         }
+                        body_bytes += part.size();
+                        if (body_bytes > max_body_bytes) {
+                            fail_exchange(errc::limit_exceeded, false);
+                            return;
+                        }
+                        const auto handler = handlers.on_body;
+                        handler(part);
                     }},
             head_request);
     }
@@ -141,7 +152,12 @@
                 return;
             }
             if (!consumed) {
-                fail_exchange(errc::malformed_input, false);
+                fail_exchange(consumed.error().code, false);
+                return;
+            }
+            discarded_bytes += accepted ? 0 : consumed.value();
+            if (discarded_bytes > max_discarded_bytes) {
+                fail_exchange(errc::limit_exceeded, false);
                 return;
             }
             bytes.remove_prefix(consumed.value());
@@ -320,6 +336,9 @@
         std::make_shared<exchange::impl>(impl_->loop, std::move(handlers));
     state->client = impl_;
     state->head_request = message.method == "HEAD";
+    state->max_body_bytes =
+        message.max_body_bytes.value_or(state->max_body_bytes);
+    state->max_discarded_bytes = impl_->settings.max_discarded_bytes;
     state->new_reader();
     state->output = serialize_request_head(
         message.method, message.target, message.headers, message.body.size());
--- a/lib/source/net/link_hub.cpp
+++ b/lib/source/net/link_hub.cpp
@@ -11,6 +11,13 @@
 
 namespace bamboogate::net {
 
+namespace {
+
+/// Name under which replies, which carry no type, are counted.
+constexpr std::string_view reply_type = "reply";
+
+} // namespace
+
 struct link_hub::impl
 {
     struct target
@@ -207,13 +214,26 @@
         envelope.push_back(static_cast<int>(kind));
         envelope.push_back(call_id);
         envelope.push_back(std::move(body));
-        if (!connection->send(encode_cbor(envelope))) {
+        const std::string encoded = encode_cbor(envelope);
+        if (!connection->send(encoded)) {
             return false;
         }
         ++closed_totals.messages_sent;
+        count_sent(type.empty() ? reply_type : type, encoded.size());
         return true;
     }
 
+    void count_sent(std::string_view type, std::size_t bytes)
+    {
+        auto& by_type = closed_totals.sent_by_type;
+        auto found = by_type.find(type);
+        if (found == by_type.end()) {
+            found = by_type.emplace(type, message_traffic{}).first;
+        }
+        ++found->second.messages;
+        found->second.bytes += bytes;
+    }
+
     void on_message(link* connection, std::string_view bytes)
     {
         ++closed_totals.messages_received;
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -8,25 +8,31 @@
 using observability::log;
 namespace events = log_events;
 
+namespace {
+
+constexpr duration links_interval = std::chrono::milliseconds(250);
+
+} // namespace
+
 control_feed::control_feed(net::event_loop& loop, relay_protocol protocol,
                            options settings, observers functions)
-    : protocol_(std::move(protocol)), settings_(std::move(settings)),
-      observers_(std::move(functions)),
+    : loop_(loop), protocol_(std::move(protocol)),
+      settings_(std::move(settings)), observers_(std::move(functions)),
       hub_(loop, {.identity = {settings_.self, settings_.incarnation,
                                settings_.failure_domain},
                   .shared_secret = settings_.shared_secret,
-                  .heartbeat_interval = std::chrono::milliseconds(400)})
+                  .heartbeat_interval = std::chrono::milliseconds(400)}),
+      home_({.own_domain = settings_.failure_domain}),
+      links_timer_(loop,
+                   [this] {
+                       update_links();
+                       close_surplus_links();
+                       fetch();
+                   }),
+      fetch_timer_(loop, [this] { fetch(); })
 {
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
-        log(up ? events::control_link_up : events::control_link_down,
-            {{"peer", peer.node.value()},
-             {"domain", peer.failure_domain.value()}});
-        if (up) {
-            hub_.send(peer.node, subscribe{version_});
-        }
-        if (up && peer.node == leader_) {
-            observers_.on_new_leader();
-        }
+        on_peer_state(peer, up);
     });
     hub_.on<control_view>(
         [this](const net::peer_info& peer, const control_view& view) {
@@ -40,6 +46,9 @@
             for (const auto& each : update.leaving) {
                 observers_.on_departure(each);
             }
+            for (const auto& each : update.refreshed) {
+                observers_.on_refresh(each);
+            }
         });
     hub_.on<upstream_suspicion>(
         [this](const net::peer_info&, const upstream_suspicion& suspicion) {
@@ -48,6 +57,7 @@
     for (const auto& seed : settings_.seeds) {
         add_replica(seed.text());
     }
+    links_timer_.start_periodic(links_interval);
 }
 
 control_feed::~control_feed()
@@ -57,12 +67,81 @@
 
 void control_feed::add_replica(const std::string& node)
 {
-    if (!known_replicas_.insert(node).second) {
+    const auto address = net::parse_address(node);
+    if (!address ||
+        !known_replicas_.emplace(node_id(node), address.value()).second) {
         return;
     }
-    const auto address = net::parse_address(node);
-    if (address) {
-        hub_.add_peer(node_id(node), address.value());
+    home_.add(node_id(node));
+    linked_.insert(node_id(node));
+    hub_.add_peer(node_id(node), address.value());
+}
+
+void control_feed::on_peer_state(const net::peer_info& peer, bool up)
+{
+    log(up ? events::control_link_up : events::control_link_down,
+        {{"peer", peer.node.value()}, {"domain", peer.failure_domain.value()}});
+    if (up) {
+        home_.on_link_up(peer.node, peer.failure_domain, loop_.now());
+        first_link_up_at_ = first_link_up_at_.value_or(loop_.now());
+    } else {
+        home_.on_link_down(peer.node);
+        subscribed_.erase(peer.node);
+        offered_.erase(peer.node);
+    }
+    update_links();
+    if (up && peer.node == leader_) {
+        observers_.on_new_leader();
+    }
+}
+
+void control_feed::update_links()
+{
+    const time_point now = loop_.now();
+    const node_id previous = home_.current();
+    const node_id& home = home_.choose(leader_, now);
+    if (home != previous) {
+        log(events::home_replica_changed,
+            {{"replica", home.value()}, {"previous", previous.value()}});
+    }
+    update_subscriptions();
+    for (const auto& node : home_.wanted_links(leader_, now)) {
+        if (linked_.insert(node).second) {
+            hub_.add_peer(node, known_replicas_.at(node));
+        }
+    }
+}
+
+void control_feed::close_surplus_links()
+{
+    const auto wanted = home_.wanted_links(leader_, loop_.now());
+    std::vector<node_id> surplus;
+    for (const auto& node : linked_) {
+        if (!wanted.contains(node)) {
+            surplus.push_back(node);
+        }
+    }
+    for (const auto& node : surplus) {
+        linked_.erase(node);
+        hub_.remove_peer(node);
+    }
+}
+
+void control_feed::update_subscriptions()
+{
+    for (const auto& peer : hub_.peers_up()) {
+        const bool needed = home_.needs_subscription(peer.node);
+        if (needed == subscribed_.contains(peer.node)) {
+            continue;
+        }
+        hub_.send(peer.node, subscribe{.version = version_,
+                                       .active = needed,
+                                       .reads_refreshes = true});
+        if (needed) {
+            subscribed_.insert(peer.node);
+        } else {
+            subscribed_.erase(peer.node);
+        }
     }
 }
 
@@ -71,33 +150,63 @@
     for (const auto& node : view.replicas) {
         add_replica(node);
     }
+    const node_id leader(view.leader);
+    home_.on_view(peer.node, !leader.empty(), view.forwards, loop_.now());
     // Only the leader's own report is reliable; other replicas may still report
     // the previous leader.
-    const node_id leader(view.leader);
     const bool reports_itself = leader == peer.node;
+    leader_reported_ = leader_reported_ || reports_itself;
     if (leader != leader_ && !leader.empty() &&
         (reports_itself || !hub_.is_up(leader_))) {
         leader_ = leader;
         observers_.on_new_leader();
     }
     gates_ = std::max<std::uint64_t>(view.gates, 1);
-    if (view.version <= version_) {
-        return;
+    update_links();
+    offered_[peer.node] = view.version;
+    if (view.version > target_version_) {
+        target_version_ = view.version;
+        target_since_ = loop_.now();
+        fetch_timer_.start_once(settings_.home_lag);
     }
-    target_version_ = std::max(target_version_, view.version);
-    std::erase(sources_, peer.node);
-    sources_.push_back(peer.node);
     fetch();
 }
 
+node_id control_feed::fetch_source() const
+{
+    const time_point now = loop_.now();
+    const bool first = version_ == 0;
+    if (first && !leader_reported_ && first_link_up_at_ &&
+        now - *first_link_up_at_ < settings_.first_leader_wait) {
+        return {};
+    }
+    // Any newer version is an improvement on the one in use, but the first one
+    // must not be older than what the leader has.
+    const std::uint64_t needed = first ? target_version_ : version_ + 1;
+    const auto home = offered_.find(home_.current());
+    if (home != offered_.end() && home->second >= needed) {
+        return home->first;
+    }
+    if (now - target_since_ < settings_.home_lag) {
+        return {};
+    }
+    const auto newest = std::max_element(
+        offered_.begin(), offered_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    return newest != offered_.end() && newest->second >= needed ? newest->first
+                                                                : node_id();
+}
+
 void control_feed::fetch()
 {
-    if (fetching_ || sources_.empty() || target_version_ <= version_) {
+    if (fetching_ || target_version_ <= version_) {
+        return;
+    }
+    const node_id from = fetch_source();
+    if (from.empty()) {
         return;
     }
     fetching_ = true;
-    const node_id from = sources_.back();
-    sources_.pop_back();
     hub_.call<fetch_configuration, configuration_document>(
         from, {.above = version_}, settings_.fetch_deadline,
         [this, from, alive = alive_](result<configuration_document> reply) {
@@ -114,6 +223,9 @@
     if (!reply) {
         log(events::configuration_rejected,
             {{"from", from.value()}, {"error", name_of(reply.error().code)}});
+        // The replica is asked again only after it has reported its version
+        // once more.
+        offered_.erase(from);
         fetch();
         return;
     }
@@ -125,6 +237,8 @@
                  {"version", reply.value().version},
                  {"error", name_of(document.error().code)},
                  {"detail", document.error().detail}});
+            offered_.erase(from);
+            fetch();
             return;
         }
         version_ = reply.value().version;
@@ -147,10 +261,7 @@
     if (hub_.send(leader_, suspicion)) {
         return;
     }
-    const auto peers = hub_.peers_up();
-    if (!peers.empty()) {
-        hub_.send(peers.front().node, suspicion);
-    }
+    hub_.send(home_.current(), suspicion);
 }
 
 std::size_t control_feed::links_up() const
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -15,6 +15,7 @@
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 /// The view is sent again at this interval, for peers that missed a change.
 constexpr duration view_interval = std::chrono::seconds(2);
+constexpr duration traffic_log_interval = std::chrono::seconds(10);
 /// Number of configurations after which a snapshot replaces the log. The disk
 /// has enough space for the documents between two snapshots.
 constexpr std::uint64_t snapshot_interval_entries = 64;
@@ -101,28 +102,19 @@
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
         on_peer_state(peer, up);
     });
-    hub_.on<subscribe>([this](const net::peer_info& peer, subscribe) {
-        gates_.insert(peer.node);
-        announcement_update update;
-        for (const auto& [id, each] : registry_.instances()) {
-            if (each.state == instance_state::ready) {
-                update.heard.push_back(each.announced);
-            } else if (each.state == instance_state::leaving) {
-                update.heard.push_back(each.announced);
-                update.leaving.push_back(each.announced);
+    hub_.on<subscribe>(
+        [this](const net::peer_info& peer, subscribe subscription) {
+            on_subscribe(peer, subscription);
+        });
+    hub_.on<control_view>(
+        [this](const net::peer_info& peer, control_view received) {
+            for (const auto& node : received.replicas) {
+                add_replica(node);
             }
-        }
-        for (const auto& [id, each] : registry_.departures()) {
-            update.leaving.push_back({.id = id, .started_at = each.started_at});
-        }
-        hub_.send(peer.node, view());
-        hub_.send(peer.node, update);
-    });
-    hub_.on<control_view>([this](const net::peer_info&, control_view received) {
-        for (const auto& node : received.replicas) {
-            add_replica(node);
-        }
-    });
+            // Earlier builds report their own gates only.
+            gates_of_replicas_[peer.node] =
+                received.forwards ? received.subscribed : received.gates;
+        });
     hub_.on<upstream_suspicion>(
         [this](const net::peer_info& peer, upstream_suspicion suspicion) {
             on_suspicion(peer.node, suspicion);
@@ -185,10 +177,15 @@
         {{"peer", peer.node.value()}, {"domain", peer.failure_domain.value()}});
     if (!up) {
         gates_.erase(peer.node);
+        gates_of_replicas_.erase(peer.node);
         placements_.remove_gate(peer.node);
         return;
     }
     hub_.send(peer.node, view());
+    if (known_replicas_.contains(peer.node.value())) {
+        // A restarted replica knows no upstream and no departure.
+        hub_.send(peer.node, known_upstreams());
+    }
 }
 
 void control_node::add_replica(const std::string& node)
@@ -212,10 +209,15 @@
         log(events::upstream_changed,
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
+    send_refreshes();
     watch_engines();
     join_group();
     update_membership();
     publish_view(false);
+    if (loop_.now() - traffic_logged_at_ >= traffic_log_interval) {
+        traffic_logged_at_ = loop_.now();
+        log_link_traffic(hub_.totals());
+    }
 }
 
 control_view control_node::view() const
@@ -231,7 +233,12 @@
         }
     }
     out.version = store_.current()->version;
+    out.subscribed = gates_.size();
     out.gates = gates_.size();
+    for (const auto& [replica, subscribed] : gates_of_replicas_) {
+        out.gates += subscribed;
+    }
+    out.forwards = true;
     return out;
 }
 
@@ -270,69 +277,6 @@
     }
 }
 
-void control_node::on_announcement(const announcement& announced)
-{
-    const time_point now = loop_.now();
-    const auto change = registry_.record_announcement(announced, now);
-    if (change == instance_registry::change::none) {
-        return;
-    }
-    // Other replicas track liveness by announcements, so they get every one.
-    const announcement_update update{.heard = {announced}, .leaving = {}};
-    for (const auto& node : known_replicas_) {
-        hub_.send(node_id(node), update);
-    }
-    time_point& sent = last_forwarded_[announced.id];
-    if (change == instance_registry::change::refreshed &&
-        now - sent < settings_.refresh_interval) {
-        return;
-    }
-    sent = now;
-    if (change == instance_registry::change::updated) {
-        log(events::upstream_changed,
-            {{"upstream", announced.id.value()},
-             {"service", announced.service.value()},
-             {"where", announced.address.text()},
-             {"state", announced.draining ? "leaving" : "ready"},
-             {"sequence", announced.sequence}});
-    }
-    for (const auto& gate : gates_) {
-        hub_.send(gate, update);
-    }
-}
-
-void control_node::on_departure(const announcement& announced)
-{
-    const auto change = registry_.record_departure(
-        announced.id, announced.started_at, loop_.now());
-    if (change != instance_registry::change::none) {
-        log(events::upstream_changed, {{"upstream", announced.id.value()},
-                                       {"state", "leaving"},
-                                       {"cause", "deregistered"}});
-    }
-    // Another replica may know this upstream even if this one doesn't, so the
-    // gates are informed in any case.
-    broadcast({.heard = {}, .leaving = {announced}});
-}
-
-void control_node::broadcast(const announcement_update& update)
-{
-    for (const auto& peer : hub_.peers_up()) {
-        hub_.send(peer.node, update);
-    }
-}
-
-void control_node::on_announcement_update(const announcement_update& update)
-{
-    const time_point now = loop_.now();
-    for (const auto& each : update.heard) {
-        registry_.record_announcement(each, now);
-    }
-    for (const auto& each : update.leaving) {
-        registry_.record_departure(each.id, each.started_at, now);
-    }
-}
-
 void control_node::on_suspicion(const node_id& from,
                                 const upstream_suspicion& suspicion)
 {
@@ -341,9 +285,31 @@
         log(events::upstream_suspended,
             {{"upstream", suspicion.upstream}, {"cause", "no_sign_of_life"}});
     }
-    for (const auto& gate : gates_) {
-        if (gate != from) {
-            hub_.send(gate, suspicion);
+    if (!forwarded_suspicions_.admit(upstream_id(suspicion.upstream),
+                                     loop_.now())) {
+        return;
+    }
+    const upstream_id id(suspicion.upstream);
+    const instance* upstream = registry_.find(id);
+    const bool placed_here =
+        is_leader() && upstream != nullptr &&
+        engine_services_.contains(upstream->announced.service);
+    std::set<node_id> concerned;
+    if (placed_here) {
+        concerned = placements_.gates_using(id);
+    } else {
+        for (const auto& [gate, reads_refreshes] : gates_) {
+            concerned.insert(gate);
+        }
+    }
+    concerned.erase(from);
+    for (const auto& gate : concerned) {
+        hub_.send(gate, suspicion);
+    }
+    if (!placed_here && !known_replicas_.contains(from.value())) {
+        // The other replicas inform their own gates.
+        for (const auto& node : known_replicas_) {
+            hub_.send(node_id(node), suspicion);
         }
     }
 }
--- /dev/null
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -0,0 +1,191 @@
+// Distributes the upstreams' announcements: to the other replicas, which need
+// all of them, and to the gates that are subscribed to this replica.
+#include <bamboogate/relay/control_node.hpp>
+#include <bamboogate/relay/log_events.hpp>
+
+#include <fmt/format.h>
+
+namespace bamboogate::relay {
+
+namespace {
+
+using observability::log;
+namespace events = log_events;
+
+/// Unchanged announcements are sent in full to the other replicas at this
+/// interval, for replicas of earlier builds, which ignore refreshes.
+constexpr duration full_announcement_interval = std::chrono::seconds(10);
+
+void log_change(const announcement& announced)
+{
+    log(events::upstream_changed,
+        {{"upstream", announced.id.value()},
+         {"service", announced.service.value()},
+         {"where", announced.address.text()},
+         {"state", announced.draining ? "leaving" : "ready"},
+         {"sequence", announced.sequence}});
+}
+
+} // namespace
+
+announcement_update control_node::known_upstreams() const
+{
+    announcement_update update;
+    for (const auto& [id, each] : registry_.instances()) {
+        if (each.state == instance_state::lost) {
+            continue;
+        }
+        update.heard.push_back(each.announced);
+        if (each.state == instance_state::leaving) {
+            update.leaving.push_back(each.announced);
+        }
+    }
+    for (const auto& [id, each] : registry_.departures()) {
+        update.leaving.push_back({.id = id, .started_at = each.started_at});
+    }
+    return update;
+}
+
+void control_node::on_subscribe(const net::peer_info& peer,
+                                const subscribe& subscription)
+{
+    if (!subscription.active) {
+        gates_.erase(peer.node);
+        return;
+    }
+    gates_.insert_or_assign(peer.node, subscription.reads_refreshes);
+    hub_.send(peer.node, view());
+    hub_.send(peer.node, known_upstreams());
+}
+
+void control_node::on_announcement(const announcement& announced)
+{
+    const time_point now = loop_.now();
+    const auto change = registry_.record_announcement(announced, now);
+    if (change == instance_registry::change::none) {
+        return;
+    }
+    time_point& sent = last_forwarded_[announced.id];
+    if (change == instance_registry::change::refreshed &&
+        now - sent < full_announcement_interval) {
+        pending_refreshes_.insert(announced.id);
+        return;
+    }
+    sent = now;
+    const announcement_update update{
+        .heard = {announced}, .leaving = {}, .refreshed = {}};
+    send_to_replicas(update);
+    if (change == instance_registry::change::updated) {
+        log_change(announced);
+        send_to_gates(update);
+    }
+}
+
+void control_node::on_departure(const announcement& announced)
+{
+    const auto change = registry_.record_departure(
+        announced.id, announced.started_at, loop_.now());
+    if (change != instance_registry::change::none) {
+        log(events::upstream_changed, {{"upstream", announced.id.value()},
+                                       {"state", "leaving"},
+                                       {"cause", "deregistered"}});
+    }
+    // Another replica may know this upstream even if this one doesn't, so all
+    // of them and the gates are informed in any case.
+    const announcement_update update{
+        .heard = {}, .leaving = {announced}, .refreshed = {}};
+    send_to_replicas(update);
+    send_to_gates(update);
+}
+
+void control_node::on_announcement_update(const announcement_update& update)
+{
+    const time_point now = loop_.now();
+    announcement_update changed;
+    for (const auto& each : update.heard) {
+        if (registry_.record_announcement(each, now) ==
+            instance_registry::change::updated) {
+            changed.heard.push_back(each);
+        }
+    }
+    for (const auto& each : update.leaving) {
+        const bool unknown = registry_.find(each.id) == nullptr;
+        if (registry_.record_departure(each.id, each.started_at, now) !=
+                instance_registry::change::none ||
+            unknown) {
+            changed.leaving.push_back(each);
+        }
+    }
+    for (const auto& each : update.refreshed) {
+        registry_.record_refresh(each.id, each.started_at, each.sequence, now);
+    }
+    if (!changed.heard.empty() || !changed.leaving.empty()) {
+        send_to_gates(changed);
+    }
+}
+
+void control_node::send_to_replicas(const announcement_update& update)
+{
+    for (const auto& node : known_replicas_) {
+        hub_.send(node_id(node), update);
+    }
+}
+
+void control_node::send_to_gates(const announcement_update& update)
+{
+    for (const auto& [gate, reads_refreshes] : gates_) {
+        hub_.send(gate, update);
+    }
+}
+
+void control_node::send_refreshes()
+{
+    announcement_update update;
+    for (const auto& id : pending_refreshes_) {
+        if (const instance* each = registry_.find(id)) {
+            update.refreshed.push_back(
+                {.id = id,
+                 .started_at = each->announced.started_at,
+                 .sequence = each->announced.sequence});
+        }
+    }
+    pending_refreshes_.clear();
+    if (!update.refreshed.empty()) {
+        send_to_replicas(update);
+    }
+    const time_point now = loop_.now();
+    if (now - gates_refreshed_at_ < settings_.refresh_interval) {
+        return;
+    }
+    announcement_update for_gates;
+    announcement_update for_earlier_builds;
+    for (const auto& [id, each] : registry_.instances()) {
+        if (each.state == instance_state::ready &&
+            each.last_seen >= gates_refreshed_at_) {
+            for_gates.refreshed.push_back(
+                {.id = id,
+                 .started_at = each.announced.started_at,
+                 .sequence = each.announced.sequence});
+            for_earlier_builds.heard.push_back(each.announced);
+        }
+    }
+    gates_refreshed_at_ = now;
+    for (const auto& [gate, reads_refreshes] : gates_) {
+        hub_.send(gate, reads_refreshes ? for_gates : for_earlier_builds);
+    }
+}
+
+void log_link_traffic(const net::link_hub::traffic& totals)
+{
+    std::string types;
+    for (const auto& [type, sent] : totals.sent_by_type) {
+        types += fmt::format("{}{}:{}/{}", types.empty() ? "" : " ", type,
+                             sent.messages, sent.bytes);
+    }
+    log(events::link_traffic, {{"sent_bytes", totals.bytes_sent},
+                               {"received_bytes", totals.bytes_received},
+                               {"messages", totals.messages_sent},
+                               {"by_type", types}});
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/instance_registry.cpp
+++ b/lib/source/relay/instance_registry.cpp
@@ -77,6 +77,22 @@
     return changed ? change::updated : change::refreshed;
 }
 
+instance_registry::change
+instance_registry::record_refresh(const upstream_id& id,
+                                  std::uint64_t started_at,
+                                  std::uint64_t sequence, time_point now)
+{
+    const auto found = instances_.find(id);
+    if (found == instances_.end() ||
+        found->second.announced.started_at != started_at ||
+        sequence <= found->second.announced.sequence) {
+        return change::none;
+    }
+    found->second.announced.sequence = sequence;
+    found->second.last_seen = now;
+    return change::refreshed;
+}
+
 instance_registry::change
 instance_registry::record_departure(const upstream_id& id,
                                     std::uint64_t started_at, time_point now)
--- a/lib/source/relay/messages.cpp
+++ b/lib/source/relay/messages.cpp
@@ -30,4 +30,17 @@
     document.at(9).get_to(value.started_at);
 }
 
+void to_json(json& document, const upstream_refresh& value)
+{
+    document =
+        json::array({value.id.value(), value.started_at, value.sequence});
+}
+
+void from_json(const json& document, upstream_refresh& value)
+{
+    value.id = upstream_id(document.at(0).get<std::string>());
+    document.at(1).get_to(value.started_at);
+    document.at(2).get_to(value.sequence);
+}
+
 } // namespace bamboogate::relay
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -118,6 +118,20 @@
     }
 }
 
+std::set<node_id> placement_server::gates_using(const upstream_id& id) const
+{
+    std::set<node_id> gates;
+    for (const auto& [service, scheduler] : schedulers_) {
+        for (const auto& run : scheduler.planner().runs_using(id)) {
+            const auto owner = owners_.find(run);
+            if (owner != owners_.end()) {
+                gates.insert(owner->second.first);
+            }
+        }
+    }
+    return gates;
+}
+
 void placement_server::reset()
 {
     schedulers_.clear();
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -17,6 +17,10 @@
 /// Retry delay sent to callers when no upstream could accept the request.
 constexpr duration refusal_retry_after = std::chrono::milliseconds(150);
 
+/// Largest body of a response, which is buffered as a whole. As large as the
+/// largest body of a request.
+constexpr std::size_t max_response_bytes = 4u << 20;
+
 /// Statuses that guarantee the caller that its request was not executed.
 bool guarantees_not_run(unsigned status)
 {
@@ -25,6 +29,12 @@
 
 } // namespace
 
+plain_exchange::plain_exchange(gate_context& context, accepted_request accepted,
+                               std::function<void()> on_end)
+    : exchange(context, std::move(accepted), std::move(on_end)),
+      buffered_(context.response_buffers)
+{}
+
 void plain_exchange::begin()
 {
     attempt();
@@ -43,23 +53,25 @@
     attempt_started_ = now;
     head_ = {};
     body_.clear();
+    buffered_.release();
     ++attempts_;
     context_.directory.health(upstream_).request_started();
     log_attempt("plain", *chosen, attempts_);
+    auto message = upstream_request({.time_left = time_left(),
+                                     .expected_upstream = upstream_,
+                                     .account = accepted_.account,
+                                     .urgency = std::nullopt,
+                                     .copy_to = std::nullopt,
+                                     .continue_from = std::nullopt,
+                                     .resume_after = std::nullopt});
+    message.max_body_bytes = max_response_bytes;
     attempt_ = context_.upstream_client.start(
-        chosen->announced.address,
-        upstream_request({.time_left = time_left(),
-                          .expected_upstream = upstream_,
-                          .account = accepted_.account,
-                          .urgency = std::nullopt,
-                          .copy_to = std::nullopt,
-                          .continue_from = std::nullopt,
-                          .resume_after = std::nullopt}),
+        chosen->announced.address, message,
         {.on_head =
              [this](const net::http1_response_head& head) {
                  return on_head(head);
              },
-         .on_body = [this](std::string_view part) { body_.append(part); },
+         .on_body = [this](std::string_view part) { on_body(part); },
          .on_complete =
              [this] {
                  const auto self = shared_from_this();
@@ -84,6 +96,16 @@
     return true;
 }
 
+void plain_exchange::on_body(std::string_view part)
+{
+    if (!buffered_.reserve(part.size())) {
+        const auto self = shared_from_this();
+        on_failure({.code = errc::limit_exceeded, .request_sent = true});
+        return;
+    }
+    body_.append(part);
+}
+
 void plain_exchange::on_complete()
 {
     attempt_.reset();
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -13,9 +13,14 @@
 class plain_exchange : public exchange
 {
 public:
-    using exchange::exchange;
+    plain_exchange(gate_context& context, accepted_request accepted,
+                   std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
+    [[nodiscard]] bool uses_upstream(const upstream_id& id) const override
+    {
+        return attempt_ != nullptr && upstream_ == id;
+    }
 
 private:
     void begin() override;
@@ -24,6 +29,7 @@
 
     void attempt();
     bool on_head(const net::http1_response_head& head);
+    void on_body(std::string_view part);
     void on_complete();
     void on_failure(const net::http1_failure& failure);
     void on_not_run(std::string_view cause);
@@ -39,6 +45,7 @@
     net::http1_response_head head_;
     response_description answer_;
     std::string body_;
+    buffer_reservation buffered_; ///< for `body_`
     std::set<upstream_id> excluded_;
     /// A 5xx response of an upstream, forwarded if no other upstream gives a
     /// better one.
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -29,26 +29,32 @@
 relay_gate::relay_gate(net::event_loop& loop, relay_protocol protocol,
                        options settings)
     : loop_(loop), protocol_(std::move(protocol)),
-      settings_(std::move(settings)), metrics_(registry_), client_(loop, {}),
+      settings_(std::move(settings)), metrics_(registry_),
+      response_buffers_(settings_.response_buffer_bytes), client_(loop, {}),
       directory_(
           {.own_domain = settings_.control.failure_domain, .registry = {}}),
       retries_(settings_.retries),
-      feed_(loop, protocol_, settings_.control,
-            {.on_configuration =
-                 [this](configuration document) {
-                     on_configuration(std::move(document));
-                 },
-             .on_announcement =
-                 [this](const announcement& announced) {
-                     on_announcement(announced);
-                 },
-             .on_departure =
-                 [this](const announcement& announced) {
-                     on_departure(announced);
-                 },
-             .on_suspicion =
-                 [this](const upstream_id& id) { on_suspicion(id, false); },
-             .on_new_leader = [this] { on_new_leader(); }}),
+      feed_(
+          loop, protocol_, settings_.control,
+          {.on_configuration =
+               [this](configuration document) {
+                   on_configuration(std::move(document));
+               },
+           .on_announcement =
+               [this](const announcement& announced) {
+                   on_announcement(announced);
+               },
+           .on_refresh =
+               [this](const upstream_refresh& refreshed) {
+                   directory_.record_refresh(refreshed.id, refreshed.started_at,
+                                             refreshed.sequence, loop_.now());
+               },
+           .on_departure =
+               [this](const announcement& announced) {
+                   on_departure(announced);
+               },
+           .on_suspicion = [this](const upstream_id& id) { on_suspicion(id); },
+           .on_new_leader = [this] { on_new_leader(); }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
       prober_(loop, {}, [this](const upstream_id& id) { on_probe_failed(id); }),
       context_{
@@ -59,8 +65,9 @@
           .retries = retries_,
           .placer = placer_,
           .metrics = metrics_,
+          .response_buffers = response_buffers_,
           .report_suspicion =
-              [this](const upstream_id& id) { on_suspicion(id, true); },
+              [this](const upstream_id& id) { on_loss_observed(id); },
           .planner = [this](const service_id& service) -> stream_planner& {
               return planners_[service];
           },
@@ -179,13 +186,13 @@
         .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
                               matched->rank),
         .description = std::move(description)};
-    auto slot = std::make_shared<std::weak_ptr<exchange>>();
-    auto created = make_exchange(context_, std::move(accepted), [this, slot] {
-        exchanges_.erase(slot->lock());
-        check_stopped();
-    });
-    *slot = created;
-    exchanges_.insert(created);
+    const std::uint64_t number = next_exchange_++;
+    const auto created =
+        make_exchange(context_, std::move(accepted), [this, number] {
+            exchanges_.erase(number);
+            check_stopped();
+        });
+    exchanges_.emplace(number, created);
     created->start();
 }
 
@@ -225,7 +232,7 @@
          {"started_at", announced.started_at},
          {"sequence", announced.sequence}});
     if (restarted) {
-        for (const auto& each : exchanges_) {
+        for (const auto& each : exchanges()) {
             each->on_upstream_restarted(announced.id);
         }
     }
@@ -250,24 +257,56 @@
     }
 }
 
-void relay_gate::on_suspicion(const upstream_id& id, bool observed_here)
+std::vector<std::shared_ptr<exchange>> relay_gate::exchanges() const
+{
+    std::vector<std::shared_ptr<exchange>> out;
+    out.reserve(exchanges_.size());
+    for (const auto& [number, each] : exchanges_) {
+        out.push_back(each);
+    }
+    return out;
+}
+
+void relay_gate::on_loss_observed(const upstream_id& id)
 {
     const instance* upstream = directory_.find(id);
     if (upstream == nullptr) {
         return;
     }
-    if (observed_here) {
+    client_.close_idle_connections(upstream->announced.address);
+    // The streams of one engine are lost together; the first report is enough.
+    if (reported_suspicions_.admit(id, loop_.now())) {
         log(events::upstream_suspended,
             {{"upstream", id.value()},
              {"failures", directory_.health(id).failures()}});
-        client_.close_idle_connections(upstream->announced.address);
         feed_.report_suspicion(id);
     }
-    const auto all = exchanges_;
-    for (const auto& each : all) {
+    check_upstream(*upstream);
+}
+
+void relay_gate::on_suspicion(const upstream_id& id)
+{
+    const instance* upstream = directory_.find(id);
+    if (upstream != nullptr) {
+        check_upstream(*upstream);
+    }
+}
+
+void relay_gate::check_upstream(const instance& upstream)
+{
+    const upstream_id id = upstream.announced.id;
+    const net::address address = upstream.announced.address;
+    // The leader places the streams of engines, so a gate without a stream
+    // there has nothing to lose. It chooses plain upstreams itself, and the
+    // probe keeps its next request away from a dead one.
+    bool concerned = context_.profile(upstream.announced.service) == nullptr;
+    for (const auto& each : exchanges()) {
         each->on_upstream_suspected(id);
+        concerned = concerned || each->uses_upstream(id);
+    }
+    if (concerned) {
+        prober_.probe(id, address);
     }
-    prober_.probe(id, upstream->announced.address);
 }
 
 void relay_gate::on_probe_failed(const upstream_id& id)
@@ -282,9 +321,7 @@
 
 void relay_gate::fail_attempts_on(const upstream_id& id)
 {
-    const std::vector<std::shared_ptr<exchange>> all(exchanges_.begin(),
-                                                     exchanges_.end());
-    for (const auto& each : all) {
+    for (const auto& each : exchanges()) {
         each->on_upstream_lost(id);
     }
 }
@@ -313,7 +350,7 @@
 
 void relay_gate::on_new_leader()
 {
-    for (const auto& each : exchanges_) {
+    for (const auto& each : exchanges()) {
         each->report_placement();
     }
 }
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -21,6 +21,8 @@
 /// link.
 constexpr duration copy_call_timeout = std::chrono::seconds(1);
 constexpr duration holder_request_timeout = std::chrono::milliseconds(500);
+/// Upper bound for the answer to a copy call, which names one handle.
+constexpr std::size_t max_answer_bytes = 16u << 10;
 
 } // namespace
 
@@ -165,7 +167,8 @@
         {.method = request.method,
          .target = request.target,
          .headers = request.headers,
-         .body = request.body},
+         .body = request.body,
+         .max_body_bytes = max_answer_bytes},
         {.on_head =
              [this](const net::http1_response_head& head) {
                  response_status_ = head.status;
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -15,6 +15,8 @@
 /// An engine that refused a stream receives no streams for this long.
 constexpr duration full_backoff = std::chrono::milliseconds(300);
 constexpr unsigned misdirected_status = 421;
+/// Largest body of an answer that is no stream.
+constexpr std::size_t max_error_body_bytes = 64u << 10;
 
 /// Longest time per token of a live engine: a decode step that also prefills a
 /// chunk of a prompt takes 28 to 30 ms.
@@ -22,18 +24,27 @@
 /// Network allowance on top of 1.5 times the slowest event.
 constexpr duration silence_margin = std::chrono::milliseconds(50);
 
+/// Upper bound of the silence limit, below the pause after which callers leave.
+constexpr duration max_silence_limit = std::chrono::seconds(4);
+
 /// The token rate of a stream drops abruptly when its engine starts to prefill
 /// a prompt, so the limit is derived from the slowest event and not from the
-/// observed rate.
-streaming::silence_detector::options silence_options(const service* declared)
+/// observed rate. It doubles with each attempt that was lost to silence:
+/// otherwise a service whose engines are all slower than expected would lose
+/// every attempt although its streams are sound.
+streaming::silence_detector::options silence_options(const service* declared,
+                                                     unsigned silent_losses)
 {
     const std::uint64_t tokens =
         declared != nullptr && declared->engine
             ? std::max<std::uint64_t>(declared->engine->tokens_per_event, 1)
             : 1;
-    const duration limit =
-        max_token_time * static_cast<std::int64_t>(tokens) * 3 / 2 +
-        silence_margin;
+    constexpr unsigned max_doublings = 8;
+    const duration limit = std::min<duration>(
+        (max_token_time * static_cast<std::int64_t>(tokens) * 3 / 2 +
+         silence_margin) *
+            (1 << std::min(silent_losses, max_doublings)),
+        max_silence_limit);
     return {.header_limit = std::chrono::seconds(15),
             .first_token_limit = std::chrono::seconds(15),
             .min_limit = limit,
@@ -57,7 +68,7 @@
     : exchange(context, std::move(accepted), std::move(on_end)),
       silence_timer_(context.loop, [this] { on_silence(); }),
       detector_(
-          silence_options(accepted_.table->find_service(accepted_.service))),
+          silence_options(accepted_.table->find_service(accepted_.service), 0)),
       copy_(context, {.service = accepted_.service,
                       .run = accepted_.description.attempt}),
       last_event_(accepted_.description.resume_after)
@@ -72,9 +83,11 @@
                            const std::optional<copy_source>& source)
 {
     const instance* engine = context_.directory.find(target.engine);
-    if (engine == nullptr) {
-        excluded_.insert(target.engine);
-        place();
+    // The leader may not know yet that the engine leaves, for example after a
+    // restart. A leaving engine still resumes from the copy that it holds.
+    if (engine == nullptr ||
+        (!source && engine->state != instance_state::ready)) {
+        place_elsewhere(target.engine);
         return;
     }
     engine_ = target.engine;
@@ -107,8 +120,8 @@
     attempt_started_ = context_.loop.now();
     log_attempt(from_copy_ ? "stream_from_copy" : "stream", *engine, attempts_);
     context_.directory.health(target.engine).request_started();
-    detector_ = streaming::silence_detector(
-        silence_options(accepted_.table->find_service(accepted_.service)));
+    detector_ = streaming::silence_detector(silence_options(
+        accepted_.table->find_service(accepted_.service), silent_losses_));
     detector_.start(attempt_started_, expected_first_event(target));
     attempt_ = context_.upstream_client.start(
         engine->announced.address, upstream_request(options),
@@ -152,10 +165,19 @@
 void stream_exchange::on_body(std::string_view part)
 {
     if (head_.status != 200 || !answer_.sealed) {
+        if (error_body_.size() + part.size() > max_error_body_bytes) {
+            lose_unusable_attempt("error_too_large");
+            return;
+        }
         error_body_.append(part);
         return;
     }
-    for (const auto& event : splitter_.read(part)) {
+    const auto events = splitter_.read(part);
+    if (splitter_.overflowed()) {
+        lose_unusable_attempt("event_too_large");
+        return;
+    }
+    for (const auto& event : events) {
         if (!attempt_) {
             return;
         }
@@ -169,14 +191,20 @@
         }
         const bool gap = last_event_ && *event.id != *last_event_ + 1;
         if (gap) {
-            attempt_.reset();
-            on_attempt_lost("gap_in_events", true);
+            lose_unusable_attempt("gap_in_events");
             return;
         }
         forward(event);
     }
 }
 
+void stream_exchange::lose_unusable_attempt(std::string_view cause)
+{
+    attempt_.reset();
+    context_.directory.health(engine_).note_failure(context_.loop.now());
+    on_attempt_lost(cause, true);
+}
+
 void stream_exchange::forward(const stream_event& event)
 {
     note_event();
@@ -244,6 +272,7 @@
     const auto self = shared_from_this();
     attempt_.reset();
     context_.directory.health(engine_).note_failure(context_.loop.now());
+    silent_losses_ += event_seen_ ? 1 : 0;
     context_.report_suspicion(engine_);
     on_attempt_lost(event_seen_ ? "silent" : "silent_before_first_event", true);
 }
@@ -325,7 +354,9 @@
 {
     attempt_.reset();
     context_.directory.health(engine_).note_failure(context_.loop.now());
-    if (failure.code != errc::malformed_input) {
+    const bool engine_may_be_gone = failure.code != errc::malformed_input &&
+                                    failure.code != errc::limit_exceeded;
+    if (engine_may_be_gone) {
         context_.report_suspicion(engine_);
     }
     on_attempt_lost(name_of(failure.code), failure.request_sent);
@@ -392,6 +423,11 @@
     refuse("deadline", refusal_retry_after);
 }
 
+bool stream_exchange::uses_upstream(const upstream_id& id) const
+{
+    return attempt_ != nullptr && (engine_ == id || copy_.holder() == id);
+}
+
 void stream_exchange::on_upstream_restarted(const upstream_id& id)
 {
     copy_.on_upstream_lost(id);
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -24,6 +24,7 @@
     void on_upstream_restarted(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
     void report_placement() override;
+    [[nodiscard]] bool uses_upstream(const upstream_id& id) const override;
 
 private:
     /// Retry delay sent to callers when no engine could accept the stream.
@@ -37,6 +38,9 @@
     void place();
     void on_placed(const result<place_reply>& reply);
     void place_locally();
+    /// Requests another placement after one on an engine that this gate cannot
+    /// use.
+    void place_elsewhere(const upstream_id& unusable);
     /// Removes the run from the planner and reports its end to the leader.
     void release();
     void report_run(run_update::change kind);
@@ -45,6 +49,8 @@
               const std::optional<copy_source>& source);
     bool on_head(const net::http1_response_head& head);
     void on_body(std::string_view part);
+    /// Ends an attempt whose answer cannot be used.
+    void lose_unusable_attempt(std::string_view cause);
     void on_complete();
     void on_failure(const net::http1_failure& failure);
     void on_silence();
@@ -79,6 +85,8 @@
     time_point attempt_started_;
     time_point last_event_at_;
     bool resuming_ = false;
+    unsigned silent_losses_ = 0; ///< attempts lost to silence between events
+    unsigned unusable_placements_ = 0;
     duration first_event_after_{};
     duration longest_pause_{};
     upstream_id longest_pause_engine_; ///< engine that ended the longest pause
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -14,6 +14,9 @@
 /// Prefill rate of a typical engine, including the decode steps of its other
 /// streams.
 constexpr double prompt_tokens_per_ms = 6.0;
+/// Placements on unknown or leaving engines after which the gate chooses an
+/// engine itself.
+constexpr unsigned max_unusable_placements = 3;
 
 } // namespace
 
@@ -98,6 +101,19 @@
          std::nullopt);
 }
 
+void stream_exchange::place_elsewhere(const upstream_id& unusable)
+{
+    excluded_.insert(unusable);
+    ++unusable_placements_;
+    if (unusable_placements_ < max_unusable_placements) {
+        place();
+        return;
+    }
+    // The leader knows no engine that this gate can use.
+    release();
+    place_locally();
+}
+
 void stream_exchange::place_locally()
 {
     context_.refresh_planner(accepted_.service);
