--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -98,6 +98,11 @@
     ///     connections are closed. New connections are still accepted.
     void begin_drain();
 
+    /// @brief Accepts the connections that are waiting and stops listening, so
+    ///     that none is reset when the process exits. Later connections are
+    ///     refused. Further calls have no effect.
+    void stop_listening();
+
     [[nodiscard]] address bound_address() const;
     /// @brief Requests that the handler has not fully answered yet.
     [[nodiscard]] std::size_t active_requests() const;
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -396,10 +396,22 @@
 http1_server::~http1_server()
 {
     impl_->watcher.reset();
-    ::close(impl_->listener);
+    if (impl_->listener >= 0) {
+        ::close(impl_->listener);
+    }
     impl_->connections.clear();
 }
 
+void http1_server::stop_listening()
+{
+    if (impl_->listener < 0) {
+        return;
+    }
+    impl_->accept_connections();
+    impl_->watcher.reset();
+    ::close(std::exchange(impl_->listener, -1));
+}
+
 void http1_server::change_limits(http1_limits limits, duration header_timeout,
                                  duration idle_timeout)
 {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -400,6 +400,12 @@
         (since < settings_.accept_after_stop || !idle)) {
         return;
     }
+    // Connections that were accepted by the system but not by the server would
+    // be reset by the exit.
+    server_->stop_listening();
+    if (since < settings_.stop_limit && server_->connections() > 0) {
+        return;
+    }
     log(events::process_stopped, {{"active", exchanges_.size()}});
     std::exchange(on_stopped_, nullptr)();
 }
