Dial a link again early when its opening packet is lost

Change: a connection that is not established within 150 ms is dialled again. Result: link_hub_lost_opening_packet_is_dialled_again_early.

--- a/lib/include/bamboogate/net/link.hpp
+++ b/lib/include/bamboogate/net/link.hpp
@@ -32,6 +32,7 @@
         refused,           ///< malformed input or failed authentication
         queue_full,        ///< more queued output than `max_queued_bytes`
         dropped,           ///< closed by its owner
+        not_connected,     ///< not established within `connect_timeout`
     };
 
     struct callbacks
--- a/lib/include/bamboogate/net/link_hub.hpp
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -55,6 +55,11 @@
         duration heartbeat_interval = std::chrono::milliseconds(250);
         duration heartbeat_timeout = std::chrono::seconds(1);
         duration reconnect_interval = std::chrono::milliseconds(200);
+        /// A connection that is not established after this time is dialled
+        /// again. The system repeats a lost opening packet only after 1 s, and
+        /// a machine without power loses all of them. The longest round trip
+        /// is 24 ms.
+        duration connect_timeout = std::chrono::milliseconds(150);
         std::size_t max_frame_bytes = 16u << 20;
         /// A link with more queued output than this is closed: the peer does
         /// not read.
--- a/lib/source/net/link.cpp
+++ b/lib/source/net/link.cpp
@@ -264,6 +264,13 @@
 void link::check_liveness()
 {
     const time_point now = loop_.now();
+    // The first bytes are sent as soon as the connection is established; until
+    // then `last_input_` is the time of the start.
+    const bool connecting = side_ == side::dialer && sent_ == 0;
+    if (connecting && now - last_input_ >= settings_.connect_timeout) {
+        close(close_reason::not_connected);
+        return;
+    }
     if (now - last_input_ > settings_.heartbeat_timeout) {
         close(close_reason::heartbeat_timeout);
         return;
--- a/tests/net/link_hub_test.cpp
+++ b/tests/net/link_hub_test.cpp
@@ -1,7 +1,11 @@
 #include <bamboogate/net/link_hub.hpp>
 
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -142,3 +146,52 @@
                               [&](result<answer> r) { code = r.error().code; });
     CHECK(run_until([&] { return code == errc::connection_failed; }));
 }
+
+// Guards against a link that comes up a second late after a power loss: the
+// opening packet to a machine without power is lost, and the system repeats it
+// only after 1 s. A full accept queue loses it in the same way.
+TEST_CASE_FIXTURE(link_fixture,
+                  "link_hub_lost_opening_packet_is_dialled_again_early")
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in endpoint{};
+    endpoint.sin_family = AF_INET;
+    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&endpoint),
+                   sizeof endpoint) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    const address server = local_address(listener);
+    // Fills the accept queue.
+    std::array<int, 4> fillers{};
+    for (int& each : fillers) {
+        each = start_connect(server).value();
+    }
+    tests::run_until(
+        loop, [] { return false; }, 50ms);
+    auto hub = make_hub("gate");
+    const time_point started = loop.now();
+    hub->add_peer(node_id("replica"), server);
+    tests::run_until(
+        loop, [] { return false; }, 50ms);
+    for (const int each : fillers) {
+        ::close(each);
+    }
+    bool connected = false;
+    std::vector<int> accepted;
+    CHECK(run_until([&] {
+        const int fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (fd >= 0) {
+            accepted.push_back(fd);
+        }
+        for (const int each : accepted) {
+            char first = 0;
+            connected = connected || ::recv(each, &first, 1, MSG_PEEK) == 1;
+        }
+        return connected;
+    }));
+    CHECK(loop.now() - started < 700ms);
+    for (const int each : accepted) {
+        ::close(each);
+    }
+    ::close(listener);
+}
