Keep generations apart from late copies and end answers without end on the product's path

Cause: token events don't name their request, so on a reused connection the late second copy of an answer would reach the next generation; the head of a response and the body of a failure had no limit. Change: an attempt at an engine uses a connection of its own; heads are limited to 64 KiB, and the body of a failure ends the attempt at its limit.

--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -12,6 +12,9 @@
 
 // Small, to limit the memory that thousands of open streams need.
 constexpr long receive_buffer_bytes = 4096;
+/// Largest head of a response, interim responses included. A server in trouble
+/// may send one without end.
+constexpr std::size_t max_head_bytes = 64u << 10;
 
 std::string_view trim(std::string_view text)
 {
@@ -120,7 +123,7 @@
         }
         if (too_large_) {
             done(http_client::failure{
-                {errc::limit_exceeded, "response body too large"}, true});
+                {errc::limit_exceeded, "response too large"}, true});
             return;
         }
         if (code == CURLE_OK) {
@@ -190,6 +193,11 @@
                                  std::size_t count, void* cls)
     {
         auto* self = static_cast<transfer*>(cls);
+        self->head_bytes_ += size * count;
+        if (self->head_bytes_ > max_head_bytes) {
+            self->too_large_ = true;
+            return 0;
+        }
         self->parse_header({data, size * count});
         return size * count;
     }
@@ -262,6 +270,7 @@
     bool paused_ = false;
     bool in_callback_ = false;
     bool too_large_ = false;
+    std::size_t head_bytes_ = 0;
 };
 
 } // namespace
--- a/lib/source/streaming/engine_stream.cpp
+++ b/lib/source/streaming/engine_stream.cpp
@@ -72,7 +72,10 @@
          .url = "http://" + request.address + "/v1/completions",
          .headers = {{"content-type", "application/json"},
                      {"accept", "text/event-stream"}},
-         .body = body_of(request)},
+         .body = body_of(request),
+         // Token events don't name their request, so a second copy of an
+         // earlier answer on a reused connection could not be told apart.
+         .fresh_connection = true},
         {.on_headers =
              [this](const net::http_client::response& head) {
                  handle_headers(head);
@@ -107,6 +110,11 @@
     if (status_ != status_ok) {
         const auto remaining = max_error_body_bytes - error_body_.size();
         error_body_.append(bytes.substr(0, remaining));
+        if (bytes.size() > remaining) {
+            // An engine in trouble may send a body without end.
+            report_end(attempt_outcome::refused,
+                       error_from_response(status_, error_body_));
+        }
         return;
     }
     if (auto fed = parser_.feed(bytes); !fed) {
