--- a/tests/e2e/support/deployment.cpp
+++ b/tests/e2e/support/deployment.cpp
@@ -251,11 +251,13 @@
         10s);
     if (applied.status != 200) {
         problem = fmt::format("apply: {} {}", applied.status, applied.body);
+        fmt::print(stderr, "deployment not started: {}\n", problem);
         return false;
     }
     for (unsigned i = 0; i < settings_.gates; ++i) {
         if (!wait_ready(i)) {
             problem = fmt::format("gate {} is not ready", i);
+            fmt::print(stderr, "deployment not started: {}\n", problem);
             return false;
         }
     }
