--- a/tests/platform/hostile_upstream_test.cpp
+++ b/tests/platform/hostile_upstream_test.cpp
@@ -148,8 +148,9 @@
     CHECK(sent_bytes() < 4 * limit + 8 * mebibyte);
 }
 
-// Guards against an answer that belongs to another request: a server sent a
-// second copy late, on a connection that was in use again.
+// Guards against an answer that belongs to another request: the upstream
+// repeats its previous response on a reused keep-alive connection, before the
+// response to the current request.
 TEST_CASE_FIXTURE(raw_service_fixture,
                   "late_second_copy_on_a_reused_connection_is_discarded")
 {
