Follow a leader that reports that it has stepped down

Callers met configurations that were confirmed more than configApplyMs before.

Cause: a gate keeps one link when its home replica leads. When that leader is cut off from the other replicas, it tells its gates that another replica leads, but a gate believed only the new leader's own report, to which it had no link. It looked for other replicas only after its home had known no leader for 1.5 s, and it missed departures for the same time.

The two new tests of control_feed_test and the one of home_replica_test fail without the change.

Change: a replica is believed about its own role, so the gate looks for the new leader at once; until home and leader have sufficed for the retention time it is subscribed to both. The test of a replica that does not forward checks the subscriptions after the retention now, because before it the leader is subscribed to as well; it checks as much as before.

--- a/lib/include/bamboogate/relay/home_replica.hpp
+++ b/lib/include/bamboogate/relay/home_replica.hpp
@@ -58,8 +58,13 @@
     [[nodiscard]] std::set<node_id> wanted_links(const node_id& leader,
                                                  time_point now);
 
+    /// @brief The gate subscribes to its home and, until home and leader have
+    ///     sufficed for `link_retention`, to the leader: a home that was just
+    ///     cut off still reports a leader and passes nothing on.
     /// @return whether the gate has to subscribe to this replica
-    [[nodiscard]] bool needs_subscription(const node_id& replica) const;
+    /// @pre `wanted_links` was called for the same leader
+    [[nodiscard]] bool needs_subscription(const node_id& replica,
+                                          const node_id& leader) const;
 
 private:
     struct replica_state
@@ -79,6 +84,7 @@
     node_id current_;
     /// Since when home and leader suffice; the epoch if they don't.
     time_point sufficient_since_{};
+    bool settled_ = false; ///< home and leader have sufficed long enough
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -104,12 +104,12 @@
         log(events::home_replica_changed,
             {{"replica", home.value()}, {"previous", previous.value()}});
     }
-    update_subscriptions();
     for (const auto& node : home_.wanted_links(leader_, now)) {
         if (linked_.insert(node).second) {
             hub_.add_peer(node, known_replicas_.at(node));
         }
     }
+    update_subscriptions();
 }
 
 void control_feed::close_surplus_links()
@@ -130,7 +130,7 @@
 void control_feed::update_subscriptions()
 {
     for (const auto& peer : hub_.peers_up()) {
-        const bool needed = home_.needs_subscription(peer.node);
+        const bool needed = home_.needs_subscription(peer.node, leader_);
         if (needed == subscribed_.contains(peer.node)) {
             continue;
         }
@@ -152,12 +152,16 @@
     }
     const node_id leader(view.leader);
     home_.on_view(peer.node, !leader.empty(), view.forwards, loop_.now());
-    // Only the leader's own report is reliable; other replicas may still report
-    // the previous leader.
+    // A replica is reliable about its own role; about others it may still
+    // report the previous leader.
     const bool reports_itself = leader == peer.node;
     leader_reported_ = leader_reported_ || reports_itself;
+    const bool stepped_down = peer.node == leader_ && !reports_itself;
+    if (stepped_down && leader.empty()) {
+        leader_ = {};
+    }
     if (leader != leader_ && !leader.empty() &&
-        (reports_itself || !hub_.is_up(leader_))) {
+        (reports_itself || stepped_down || !hub_.is_up(leader_))) {
         leader_ = leader;
         observers_.on_new_leader();
     }
--- a/lib/source/relay/home_replica.cpp
+++ b/lib/source/relay/home_replica.cpp
@@ -63,29 +63,32 @@
     const auto leading = replicas_.find(leader);
     const bool sufficient = home != replicas_.end() && home->second.up &&
                             home->second.domain == settings_.own_domain &&
-                            !cut_off(home->second, now) &&
+                            home->second.knows_leader &&
                             leading != replicas_.end() && leading->second.up;
     if (!sufficient) {
         sufficient_since_ = {};
     } else if (sufficient_since_ == time_point{}) {
         sufficient_since_ = now;
     }
-    const bool all =
-        !sufficient || now - sufficient_since_ < settings_.link_retention;
+    settled_ =
+        sufficient && now - sufficient_since_ >= settings_.link_retention;
     std::set<node_id> wanted;
     for (const auto& [node, state] : replicas_) {
-        if (all || node == current_ || node == leader || !state.forwards) {
+        if (!settled_ || node == current_ || node == leader ||
+            !state.forwards) {
             wanted.insert(node);
         }
     }
     return wanted;
 }
 
-bool home_replica::needs_subscription(const node_id& replica) const
+bool home_replica::needs_subscription(const node_id& replica,
+                                      const node_id& leader) const
 {
     const auto found = replicas_.find(replica);
-    return replica == current_ || (found != replicas_.end() &&
-                                   found->second.up && !found->second.forwards);
+    return replica == current_ || (!settled_ && replica == leader) ||
+           (found != replicas_.end() && found->second.up &&
+            !found->second.forwards);
 }
 
 } // namespace bamboogate::relay
--- /dev/null
+++ b/tests/platform/control_feed_test.cpp
@@ -0,0 +1,151 @@
+// What a gate learns while the replicas change their leader or are cut off from
+// one another. The replicas are played by link hubs.
+#include <bamboogate/relay/control_feed.hpp>
+
+#include "platform/support/relay_fixture.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+
+namespace {
+
+/// A replica that sends the views and configurations of the test.
+struct fake_replica
+{
+    net::address address = free_address();
+    net::link_hub hub;
+    std::uint64_t version = 0;
+    std::string leader;
+    bool gate_linked = false;
+    bool gate_subscribed = false;
+    relay::control_view view;
+
+    fake_replica(net::event_loop& loop, const char* domain)
+        : hub(loop, {.identity = {node_id(address.text()),
+                                  {1},
+                                  failure_domain_id(domain)},
+                     .shared_secret = secret("s")})
+    {
+        hub.serve<relay::fetch_configuration, relay::configuration_document>(
+            [this](const net::peer_info&, relay::fetch_configuration,
+                   const auto& reply) {
+                reply(relay::configuration_document{
+                    version,
+                    relay_fixture::configuration(static_cast<int>(version))});
+            });
+        hub.on<relay::subscribe>(
+            [this](const net::peer_info&, relay::subscribe subscription) {
+                gate_subscribed = subscription.active;
+            });
+        hub.on_peer_state([this](const net::peer_info&, bool up) {
+            gate_linked = up;
+            gate_subscribed = gate_subscribed && up;
+            if (up) {
+                send_view();
+            }
+        });
+        REQUIRE(hub.listen(address));
+    }
+    void send_view()
+    {
+        for (const auto& peer : hub.peers_up()) {
+            hub.send(peer.node, relay::control_view{.replicas = view.replicas,
+                                                    .leader = leader,
+                                                    .version = version,
+                                                    .gates = 1,
+                                                    .subscribed = 1,
+                                                    .forwards = true});
+        }
+    }
+};
+
+/// A gate's feed, a replica in the gate's failure domain that leads at first,
+/// and one in another domain.
+struct control_feed_fixture
+{
+    net::event_loop loop;
+    fake_replica near{loop, "d1"};
+    fake_replica far{loop, "d2"};
+    std::vector<std::uint64_t> applied;
+    std::vector<std::string> departed;
+    std::unique_ptr<relay::control_feed> feed;
+
+    control_feed_fixture()
+    {
+        for (auto* each : {&near, &far}) {
+            each->view.replicas = {near.address.text(), far.address.text()};
+            each->leader = near.address.text();
+            each->version = 5;
+        }
+        feed = std::make_unique<relay::control_feed>(
+            loop, relay::make_relay_protocol<platform::wire>(),
+            relay::control_feed::options{.self = node_id("gate"),
+                                         .failure_domain =
+                                             failure_domain_id("d1"),
+                                         .incarnation = {1},
+                                         .shared_secret = secret("s"),
+                                         .seeds = {near.address, far.address}},
+            relay::control_feed::observers{
+                .on_configuration =
+                    [this](const relay::configuration& document) {
+                        applied.push_back(document.version);
+                    },
+                .on_announcement = [](const relay::announcement&) {},
+                .on_refresh = [](const relay::upstream_refresh&) {},
+                .on_departure =
+                    [this](const relay::announcement& announced) {
+                        departed.push_back(announced.id.value());
+                    },
+                .on_suspicion = [](const upstream_id&) {},
+                .on_new_leader = [] {}});
+    }
+    /// Waits until the gate has closed the link that it doesn't need.
+    void settle()
+    {
+        REQUIRE(run_until(
+            loop, [&] { return !applied.empty() && far.gate_linked; }, 3s));
+        REQUIRE(run_until(
+            loop, [&] { return !far.gate_linked; }, 5s));
+        REQUIRE(applied == std::vector<std::uint64_t>{5});
+    }
+    /// The leader is cut off from the other replica, which becomes the leader.
+    /// The link of the old leader to the gate stays up.
+    void cut_leader_off()
+    {
+        far.leader = far.address.text();
+        near.leader = far.address.text();
+        near.send_view();
+    }
+};
+
+} // namespace
+
+// Guards against a configuration that is in force too late at gates whose only
+// link is the one to a leader that was cut off.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "gate_of_a_cut_off_leader_applies_the_next_configuration")
+{
+    settle();
+    cut_leader_off();
+    far.version = 6;
+    CHECK(run_until(
+        loop, [&] { return applied.back() == 6; }, 1s));
+}
+
+// Guards against requests to an upstream whose departure was acknowledged while
+// the gate's home was cut off.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "gate_of_a_cut_off_leader_learns_departures_from_the_next")
+{
+    settle();
+    cut_leader_off();
+    REQUIRE(run_until(
+        loop, [&] { return far.gate_subscribed; }, 1s));
+    far.hub.send(node_id("gate"),
+                 relay::announcement_update{
+                     .heard = {},
+                     .leaving = {{.id = upstream_id("e1"), .started_at = 1000}},
+                     .refreshed = {}});
+    CHECK(run_until(
+        loop, [&] { return !departed.empty(); }, 1s));
+}
--- a/tests/relay/home_replica_test.cpp
+++ b/tests/relay/home_replica_test.cpp
@@ -125,14 +125,39 @@
 {
     connect_all();
     view(r3, true, false);
-    choose(r2);
-    CHECK(home.needs_subscription(r1));
-    CHECK_FALSE(home.needs_subscription(r2));
-    CHECK(home.needs_subscription(r3));
-    now += 2s;
     links(r2);
     now += 2s;
     CHECK(links(r2).contains(r3));
+    CHECK(home.needs_subscription(r1, r2));
+    CHECK_FALSE(home.needs_subscription(r2, r2));
+    CHECK(home.needs_subscription(r3, r2));
+    now += 2s;
+    CHECK(links(r2).contains(r3));
+}
+
+// Guards against departures that a home misses before its gates know that it is
+// cut off.
+TEST_CASE_FIXTURE(home_replica_fixture,
+                  "gate_after_a_leader_change_is_subscribed_to_the_leader_too")
+{
+    connect_all();
+    links(r2);
+    now += 2s;
+    links(r2);
+    CHECK_FALSE(home.needs_subscription(r2, r2));
+    // r3 becomes the leader; the home is slow to learn it.
+    view(r1, false);
+    links(r3);
+    CHECK(home.needs_subscription(r3, r3));
+    CHECK(home.needs_subscription(r1, r3));
+    view(r1);
+    links(r3);
+    now += 1900ms;
+    links(r3);
+    CHECK(home.needs_subscription(r3, r3));
+    now += 100ms;
+    links(r3);
+    CHECK_FALSE(home.needs_subscription(r3, r3));
 }
 
 // Guards against one report per lost stream: at 95 gates an engine's failure
