Acknowledge a leaving upstream only when a majority has recorded it

Callers' requests reached upstreams that had announced that they leave.

Cause: a replica acknowledged a departure at once and sent it to the others without waiting. If it was cut off, or lost before the message was out, no other replica learned it, and the upstream, which had its acknowledgement, told nobody else.

With the wait for the confirmation taken out, both new tests of restart_test fail.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -80,13 +80,21 @@
     ///     its configuration is the newest, `not_found` if none is stored
     void read_configuration(document_callback callback);
 
+    using acknowledge_callback = std::function<void(result<void>)>;
+
     /// @brief Records an announcement and forwards it to replicas and gates.
-    void on_announcement(const announcement& announced);
+    /// @param callback called at once, but for a draining upstream only when a
+    ///     majority of the replicas has recorded it; `no_quorum` if that takes
+    ///     too long, so that the upstream tells another replica
+    void on_announcement(const announcement& announced,
+                         const acknowledge_callback& callback);
 
     /// @brief Records that an upstream deregistered and informs replicas and
     ///     gates.
     /// @param announced carries its id and, if known, its start time
-    void on_departure(const announcement& announced);
+    /// @param callback as for a draining upstream
+    void on_departure(const announcement& announced,
+                      const acknowledge_callback& callback);
 
     /// @brief Transfers leadership before a planned stop.
     /// @param done called when the transfer has succeeded or failed, at once if
@@ -130,6 +138,10 @@
     void on_subscribe(const net::peer_info& peer,
                       const subscribe& subscription);
     void on_announcement_update(const announcement_update& update);
+    void forward_announcement(const announcement& announced);
+    /// Acknowledges a leaving upstream once a majority has recorded it.
+    void confirm_leaving(const record_leaving& leaving,
+                         const acknowledge_callback& callback);
     void send_to_replicas(const announcement_update& update);
     void send_to_gates(const announcement_update& update);
     /// Sends the unchanged announcements since the last call to the replicas
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -89,6 +89,10 @@
 inline constexpr log_event engine_cache_unreadable{
     1028, severity::warning, "relay_engine_cache_unreadable",
     "An engine's response to the cache call could not be parsed."};
+inline constexpr log_event leaving_unconfirmed{
+    1029, severity::warning, "relay_upstream_leaving_unconfirmed",
+    "An upstream that leaves got no acknowledgement, because too few other "
+    "replicas recorded it; it has to tell another replica."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -122,6 +122,23 @@
                                                 leaving, refreshed)
 };
 
+/// Replica to replica: an upstream leaves. The reply confirms that the receiver
+/// has recorded it.
+struct record_leaving
+{
+    static constexpr std::string_view type = "relay_record_leaving";
+    announcement announced;
+    bool deregistered = false; ///< only id and start time are known
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(record_leaving, announced, deregistered)
+};
+
+struct leaving_recorded
+{
+    static constexpr std::string_view type = "relay_leaving_recorded";
+    std::string upstream;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(leaving_recorded, upstream)
+};
+
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
 /// stalled.
 struct upstream_suspicion
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -123,6 +123,15 @@
         [this](const net::peer_info&, const announcement_update& update) {
             on_announcement_update(update);
         });
+    hub_.serve<record_leaving, leaving_recorded>(
+        [this](const net::peer_info&, const record_leaving& leaving,
+               const auto& reply) {
+            announcement_update update;
+            (leaving.deregistered ? update.leaving
+                                  : update.heard) = {leaving.announced};
+            on_announcement_update(update);
+            reply(leaving_recorded{leaving.announced.id.value()});
+        });
     hub_.on<join_request>([this](const net::peer_info&, join_request request) {
         add_replica(request.node);
         if (!replica_ || !replica_->is_leader()) {
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -132,7 +132,8 @@
                                .domain = failure_domain_id("d1"),
                                .slots = 8,
                                .sequence = 7,
-                               .started_at = 1000});
+                               .started_at = 1000},
+                              [](const result<void>&) {});
     const auto* left = nodes[2]->registry().find(upstream_id("e1"));
     REQUIRE(left != nullptr);
     CHECK(left->state == relay::instance_state::leaving);
@@ -141,6 +142,47 @@
     CHECK(engine1.received.empty());
 }
 
+// Guards against a departure that is acknowledged and then lost with the only
+// replica that has it: the others keep sending work to the upstream.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "departure_told_to_a_replica_without_a_majority_is_not_"
+                  "acknowledged")
+{
+    start_system();
+    nodes[1].reset();
+    nodes[2].reset();
+    CHECK(
+        control_call(0, "POST", "/Instances.Deregister/e1", R"({"born":1000})")
+            ->status() == 503);
+    const auto* left = nodes[0]->registry().find(upstream_id("e1"));
+    REQUIRE(left != nullptr);
+    CHECK(left->state == relay::instance_state::leaving);
+    const auto draining = control_call(
+        0, "POST", "/Instances.Heartbeat/e2",
+        fmt::format(R"({{"service":"gen","address":"{}","zone":"d2",)"
+                    R"("slots":8,"state":"draining","seqNo":2,"born":1000}})",
+                    engine2.server->bound_address().text()));
+    CHECK(draining->status() == 503);
+}
+
+// Guards against a departure that one replica acknowledges before the others
+// can know it.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "departure_that_is_acknowledged_is_known_to_a_majority")
+{
+    start_system();
+    CHECK(
+        control_call(0, "POST", "/Instances.Deregister/e1", R"({"born":1000})")
+            ->status() == 200);
+    const auto known =
+        std::count_if(nodes.begin(), nodes.end(), [](const auto& node) {
+            const auto* left = node->registry().find(upstream_id("e1"));
+            return left != nullptr &&
+                   left->state == relay::instance_state::leaving;
+        });
+    CHECK(known >= 2);
+}
+
 // Guards against requests that are cut off without an answer by a planned stop
 // under load: new connections arrive until the gate is gone.
 TEST_CASE_FIXTURE(relay_fixture,
