Repeat a fetch of a configuration that got no reply

A confirmed configuration could be late at a gate by more than the bound of 2 s.

Cause: after a fetch without a reply the gate forgot that the replica offers the version and waited for its next view, up to 2 s later, on top of the 0.6 s of the call.

Evidence: found by reading. The new test, gate_whose_fetch_is_not_answered_asks_again_in_time, failed before (not applied within 1.5 s) and passes now.

Change: another replica that offers the version is asked after 100 ms, or the same one if there is no other.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -114,6 +114,7 @@
     bool leader_reported_ = false; ///< a leader has sent its own view
     std::optional<time_point> first_link_up_at_;
     bool fetching_ = false;
+    node_id failed_source_; ///< did not answer the last fetch
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -2,6 +2,7 @@
 #include <bamboogate/relay/log_events.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace bamboogate::relay {
 
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr duration links_interval = std::chrono::milliseconds(250);
+/// Delay after a fetch that got no reply.
+constexpr duration fetch_retry_delay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -188,15 +191,21 @@
     // must not be older than what the leader has.
     const std::uint64_t needed = first ? target_version_ : version_ + 1;
     const auto home = offered_.find(home_.current());
-    if (home != offered_.end() && home->second >= needed) {
+    if (home != offered_.end() && home->second >= needed &&
+        home->first != failed_source_) {
         return home->first;
     }
-    if (now - target_since_ < settings_.home_lag) {
+    if (failed_source_.empty() && now - target_since_ < settings_.home_lag) {
         return {};
     }
+    // The replica that did not answer is asked again if no other has it.
+    const auto key = [&](const auto& each) {
+        return std::tuple(each.second >= needed, each.first != failed_source_,
+                          each.second);
+    };
     const auto newest = std::max_element(
         offered_.begin(), offered_.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
+        [&](const auto& a, const auto& b) { return key(a) < key(b); });
     return newest != offered_.end() && newest->second >= needed ? newest->first
                                                                 : node_id();
 }
@@ -227,12 +236,11 @@
     if (!reply) {
         log(events::configuration_rejected,
             {{"from", from.value()}, {"error", name_of(reply.error().code)}});
-        // The replica is asked again only after it has reported its version
-        // once more.
-        offered_.erase(from);
-        fetch();
+        failed_source_ = from;
+        fetch_timer_.start_once(fetch_retry_delay);
         return;
     }
+    failed_source_ = {};
     if (reply.value().version > version_) {
         auto document = protocol_.read_configuration(reply.value().text);
         if (!document) {
@@ -241,6 +249,8 @@
                  {"version", reply.value().version},
                  {"error", name_of(document.error().code)},
                  {"detail", document.error().detail}});
+            // The replica is asked again only after it has reported its
+            // version once more.
             offered_.erase(from);
             fetch();
             return;
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -16,6 +16,7 @@
     net::link_hub hub;
     std::uint64_t version = 0;
     std::string leader;
+    int ignored_fetches = 0; ///< that are left unanswered
     bool gate_linked = false;
     bool gate_subscribed = false;
     relay::control_view view;
@@ -29,6 +30,10 @@
         hub.serve<relay::fetch_configuration, relay::configuration_document>(
             [this](const net::peer_info&, relay::fetch_configuration,
                    const auto& reply) {
+                if (ignored_fetches > 0) {
+                    --ignored_fetches;
+                    return;
+                }
                 reply(relay::configuration_document{
                     version,
                     relay_fixture::configuration(static_cast<int>(version))});
@@ -149,3 +154,16 @@
     CHECK(run_until(
         loop, [&] { return !departed.empty(); }, 1s));
 }
+
+// Guards against a configuration that is in force too late because one reply to
+// the gate was lost: the smallest bound in use is 2 s.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "gate_whose_fetch_is_not_answered_asks_again_in_time")
+{
+    settle();
+    near.version = 6;
+    near.ignored_fetches = 1;
+    near.send_view();
+    CHECK(run_until(
+        loop, [&] { return applied.back() == 6; }, 1500ms));
+}
