--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -54,6 +54,8 @@
         std::function<void(const announcement&)> on_departure;
         /// Another process suspects an upstream.
         std::function<void(const upstream_id&)> on_suspicion;
+        /// Requests that would crash their engines have to be refused.
+        std::function<void(const quarantine_update&)> on_quarantine;
         /// The leader changed, or the link to it was established again.
         std::function<void()> on_new_leader;
     };
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -144,6 +144,9 @@
                          const acknowledge_callback& callback);
     void send_to_replicas(const announcement_update& update);
     void send_to_gates(const announcement_update& update);
+    /// Sends the quarantines in effect to a new subscriber or replica.
+    void send_quarantines(const node_id& peer);
+    void send_quarantine_to_gates(const quarantine_update& update);
     /// Sends the unchanged announcements since the last call to the replicas
     /// and, at `refresh_interval`, to the gates.
     void send_refreshes();
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -93,6 +93,10 @@
     ///     as lost.
     virtual void on_upstream_suspected(const upstream_id&) {}
 
+    /// @brief Requests that would crash their engines were quarantined. An
+    ///     exchange among them that has not begun is ended.
+    virtual void on_quarantine(const service_id&, const prompt_quarantine&) {}
+
     /// @return whether the failure of this upstream concerns the exchange: an
     ///     attempt runs there, or the copy of its stream is there
     [[nodiscard]] virtual bool uses_upstream(const upstream_id& id) const = 0;
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -13,6 +13,9 @@
                                         "Requests read from callers.")),
           refused(registry.add_counter("bamboogate_relay_refused_total",
                                        "Requests refused as not run.")),
+          quarantined(registry.add_counter(
+              "bamboogate_relay_quarantined_total",
+              "Requests refused because they would crash their engines.")),
           failed(registry.add_counter(
               "bamboogate_relay_failed_total",
               "Requests that ended without an upstream's answer.")),
@@ -34,6 +37,7 @@
 
     observability::counter& requests;
     observability::counter& refused;
+    observability::counter& quarantined;
     observability::counter& failed;
     observability::counter& attempts;
     observability::counter& resumed;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -93,6 +93,14 @@
     1029, severity::warning, "relay_upstream_leaving_unconfirmed",
     "An upstream that leaves got no acknowledgement, because too few other "
     "replicas recorded it; it has to tell another replica."};
+inline constexpr log_event quarantine_decided{
+    1037, severity::warning, "relay_quarantine_decided",
+    "The leader found parts of prompts under which engines crash; requests "
+    "that contain all of them are refused for the recorded time."};
+inline constexpr log_event quarantine_added{
+    1038, severity::info, "relay_quarantine_added",
+    "A process refuses requests with the recorded parts of a prompt, as the "
+    "leader has decided."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_RELAY_MESSAGES_HPP
 
 #include <bamboogate/core/json.hpp>
+#include <bamboogate/relay/prompt_quarantine.hpp>
 #include <bamboogate/relay/protocol.hpp>
 
 #include <cstdint>
@@ -164,9 +165,14 @@
     std::vector<upstream_id> excluded;
     bool resuming = false;
     std::int64_t start_within_ms = 0; ///< a later start misses the objective
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_request, service, id, account, rank,
-                                   urgent, prompt_tokens, output_tokens, prompt,
-                                   excluded, resuming, start_within_ms)
+    /// Parts of the prompt that other requests may share, see
+    /// `prompt_quarantine`. Earlier builds don't send them.
+    std::vector<std::string> shared_parts;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_request, service, id,
+                                                account, rank, urgent,
+                                                prompt_tokens, output_tokens,
+                                                prompt, excluded, resuming,
+                                                start_within_ms, shared_parts)
 };
 
 /// @brief Converts the copy holder in a message, where empty means none.
@@ -183,8 +189,10 @@
     upstream_id engine;              ///< empty: refused
     upstream_id copy_holder;         ///< empty: no copy
     std::int64_t retry_after_ms = 0; ///< if refused
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(place_reply, engine, copy_holder,
-                                   retry_after_ms)
+    bool quarantined = false; ///< refused because it would crash its engine
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_reply, engine,
+                                                copy_holder, retry_after_ms,
+                                                quarantined)
 };
 
 /// Gate to leader: requests another copy holder for a running stream.
@@ -229,11 +237,47 @@
     std::uint64_t unread_tokens = 0; ///< of the prompt, not prefilled yet
     upstream_id engine;
     upstream_id copy_holder;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(run_update, service, id, what, account, rank,
-                                   urgent, prompt_tokens, output_tokens, prompt,
-                                   unread_tokens, engine, copy_holder)
+    std::vector<std::string> shared_parts; ///< of a run that has not begun
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(run_update, service, id, what,
+                                                account, rank, urgent,
+                                                prompt_tokens, output_tokens,
+                                                prompt, unread_tokens, engine,
+                                                copy_holder, shared_parts)
 };
 
+/// Gate to leader: the connection of a stream that had not begun broke, so its
+/// engine may have crashed because of it.
+struct crash_report
+{
+    static constexpr std::string_view type = "relay_crash_report";
+    service_id service;
+    request_id id;
+    upstream_id engine;
+    std::uint64_t engine_started_at = 0;
+    std::vector<std::string> shared_parts;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(crash_report, service, id, engine,
+                                   engine_started_at, shared_parts)
+};
+
+/// Leader to replicas, and replicas to gates: requests of the service that
+/// contain all of these parts are refused.
+struct quarantine_update
+{
+    static constexpr std::string_view type = "relay_quarantine_update";
+    service_id service;
+    std::vector<std::string> parts;
+    unsigned crashes = 0;
+    unsigned repetitions = 0;
+    std::int64_t remaining_ms = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(quarantine_update, service, parts, crashes,
+                                   repetitions, remaining_ms)
+};
+
+[[nodiscard]] quarantine_update
+make_quarantine_update(const service_id& service,
+                       const quarantined_parts& quarantine);
+[[nodiscard]] quarantined_parts to_quarantine(const quarantine_update& update);
+
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -35,6 +35,20 @@
     ///     time.
     void on_suspicion(const upstream_id& id);
 
+    /// @brief Refuses the requests of a quarantine that another process
+    /// decided.
+    /// @return false if it is known already
+    bool add_quarantine(const quarantine_update& update);
+
+    /// @brief The quarantines in effect, for processes that connect later.
+    [[nodiscard]] std::vector<quarantine_update> quarantines() const;
+
+    /// @param function receives each quarantine that this replica decides
+    void on_quarantine(std::function<void(const quarantine_update&)> function)
+    {
+        on_quarantine_ = std::move(function);
+    }
+
     /// @brief This replica became the leader. Placement is delayed until the
     ///     engines' caches are known, so that a retried stream goes to the
     ///     engine that caches its prompt. The delay is bounded.
@@ -76,6 +90,7 @@
                     std::function<void(result<place_reply>)> reply);
     [[nodiscard]] copy_reply on_copy_request(const copy_request& request);
     void on_update(const net::peer_info& peer, const run_update& update);
+    void on_crash(const crash_report& report);
     void refresh(const service_id& service, stream_scheduler& scheduler);
     void decide(const service_id& service);
     void decide_all();
@@ -86,6 +101,9 @@
     std::function<bool()> is_leader_;
     std::map<service_id, engine_profile> profiles_;
     std::map<service_id, stream_scheduler> schedulers_;
+    /// Kept while this replica does not lead.
+    std::map<service_id, prompt_quarantine> quarantines_;
+    std::function<void(const quarantine_update&)> on_quarantine_;
     std::map<upstream_id, time_point> suspected_at_;
     std::map<request_id, pending> pending_;
     std::map<request_id, std::pair<node_id, service_id>> owners_;
--- /dev/null
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -0,0 +1,123 @@
+#ifndef BAMBOOGATE_RELAY_PROMPT_QUARANTINE_HPP
+#define BAMBOOGATE_RELAY_PROMPT_QUARANTINE_HPP
+
+#include <bamboogate/core/ids.hpp>
+#include <bamboogate/core/time.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboogate::relay {
+
+/// Requests that contain all of these prompt parts crash engines and are
+/// refused for some time.
+struct quarantined_parts
+{
+    std::vector<std::string> parts; ///< sorted, without duplicates
+    unsigned crashes = 0;           ///< since the last start of these parts
+    unsigned repetitions = 0;       ///< earlier quarantines of these parts
+    duration remaining{};
+};
+
+/// Finds poison requests: those whose prompt crashes every engine that begins
+/// to generate on it. The prompts of one service consist of parts that requests
+/// share. The cause of a crash is among the parts of the streams that had not
+/// begun; a part whose streams begin is cleared. Parts that were present in
+/// several crashes without a start in between are quarantined; parts with the
+/// same evidence are quarantined together, so that a sound part is not refused
+/// for the company that it had. Bounded memory. Performs no I/O. Not thread
+/// safe.
+class prompt_quarantine
+{
+public:
+    struct options
+    {
+        /// Crashes after which parts are quarantined. A request meets one or
+        /// two unrelated crashes in a row on days with many failures.
+        unsigned max_crashes = 3;
+        /// Crashes of different engines in shorter succession count as one: the
+        /// engines of a failure domain that fails crash together.
+        duration crash_separation = std::chrono::milliseconds(500);
+        /// The first quarantine; doubled with each repetition. Then the parts
+        /// are suspected, and the next crash repeats the quarantine.
+        duration first_quarantine = std::chrono::minutes(10);
+        duration max_quarantine = std::chrono::hours(24);
+        /// A part without a further crash for this long is no longer suspected.
+        duration suspicion_retention = std::chrono::minutes(10);
+        /// Bounds against callers that send new parts without end.
+        std::size_t max_started_parts = 8192;
+        std::size_t max_suspects = 1024;
+        std::size_t max_quarantined = 256;
+    };
+
+    prompt_quarantine() : prompt_quarantine(options{}) {}
+    explicit prompt_quarantine(options settings) : settings_(settings) {}
+
+    /// @brief Records the first event of a stream, which clears its parts.
+    void note_started(std::span<const std::string> parts);
+
+    /// @brief Records that an engine crashed under a stream that had not begun.
+    /// @param engine identifies the start of the engine; a crash is counted
+    ///     once per part
+    /// @return the parts that are quarantined because of this crash
+    std::optional<quarantined_parts>
+    note_crash(std::span<const std::string> parts, const std::string& engine,
+               time_point now);
+
+    /// @return the parts of a prompt that crashed engines and did not begin
+    ///     since; one crash doesn't make a part suspect that has begun before
+    [[nodiscard]] std::vector<std::string>
+    suspects(std::span<const std::string> parts) const;
+
+    /// @return the rest of the quarantine if a prompt contains all parts of one
+    [[nodiscard]] std::optional<duration>
+    quarantine_of(std::span<const std::string> parts, time_point now) const;
+
+    /// @brief Adds a quarantine that another process decided.
+    /// @return false if it is known already
+    bool add(quarantined_parts added, time_point now);
+
+    /// @brief Ends expired quarantines, whose parts become suspects, and old
+    ///     suspicions.
+    void expire(time_point now);
+
+    [[nodiscard]] std::vector<quarantined_parts>
+    quarantined(time_point now) const;
+    [[nodiscard]] bool empty() const { return quarantined_.empty(); }
+
+private:
+    struct suspicion
+    {
+        unsigned crashes = 0;
+        unsigned repetitions = 0;
+        time_point last_crash;
+        std::string last_engine;
+    };
+    struct quarantine
+    {
+        unsigned crashes = 0;
+        unsigned repetitions = 0;
+        time_point until;
+    };
+
+    void remember_start(const std::string& part);
+    suspicion& suspicion_of(const std::string& part);
+
+    options settings_;
+    std::map<std::string, suspicion> suspicions_;
+    std::map<std::vector<std::string>, quarantine> quarantined_;
+    /// Parts that began, the most recent first.
+    std::list<std::string> started_;
+    std::unordered_map<std::string, std::list<std::string>::iterator>
+        started_index_;
+};
+
+} // namespace bamboogate::relay
+
+#endif
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -31,6 +31,8 @@
     /// Identifies the last part of the prompt, which a caller's retry shares
     /// with the previous attempt; empty if unknown.
     std::string prompt;
+    /// The parts before the last one, which requests may share.
+    std::vector<std::string> shared_parts = {};
     std::string key; ///< API key of the client account; empty if none
 };
 
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -93,6 +94,10 @@
     void on_probe_failed(const upstream_id& id);
     void fail_attempts_on(const upstream_id& id);
     void refresh_planner(const service_id& service);
+    void on_quarantine(const quarantine_update& update);
+    /// @return the rest of the quarantine that the request falls under
+    [[nodiscard]] std::optional<duration>
+    quarantine_of(const accepted_request& accepted) const;
     void on_new_leader();
     void tick();
     [[nodiscard]] bool refuses_while_stopping(const route& candidate) const;
@@ -107,6 +112,8 @@
     net::http1_client client_;
     upstream_directory directory_;
     std::map<service_id, stream_planner> planners_;
+    /// As decided by the leaders.
+    std::map<service_id, prompt_quarantine> quarantines_;
     retry_limiter retries_;
     control_feed feed_;
     stream_placer placer_;
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -37,6 +37,8 @@
     /// Identifies the prompt: an engine that has prefilled it before may still
     /// cache it. Empty if unknown.
     std::string prompt = {};
+    /// The run may crash its engine when it begins, see `prompt_quarantine`.
+    bool suspect = false;
 };
 
 /// The engine of a stream and the holder of its KV cache copy.
@@ -173,6 +175,7 @@
         std::uint64_t pending_prefill = 0;
         std::uint64_t resident_tokens = 0;
         std::size_t runs = 0;
+        std::size_t suspects = 0; ///< runs that may crash it when they begin
         /// Prompt tokens assigned within the window, with their time.
         std::deque<std::pair<time_point, std::uint64_t>> recent_prefills;
     };
@@ -184,6 +187,7 @@
         std::uint64_t pending_prefill = 0;
         bool urgent = false;
         std::string prompt;
+        bool suspect = false; ///< until its first event
     };
     /// The engine to which a prompt was last assigned.
     struct prompt_location
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -2,12 +2,14 @@
 #define BAMBOOGATE_RELAY_STREAM_SCHEDULER_HPP
 
 #include <bamboogate/core/time.hpp>
+#include <bamboogate/relay/prompt_quarantine.hpp>
 #include <bamboogate/relay/stream_planner.hpp>
 
 #include <list>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -24,6 +26,8 @@
     time_point arrived;
     /// Latest start that still meets the latency objective.
     time_point latest_start;
+    /// Parts of the prompt that other requests may share.
+    std::vector<std::string> shared_parts = {};
 };
 
 /// The scheduler's decision on one demand.
@@ -32,6 +36,7 @@
     request_id id;
     std::optional<placement> target; ///< unset: refused
     duration retry_after{};
+    bool quarantined = false; ///< refused because it would crash its engine
     std::string prompt;
     bool prompt_cached = false; ///< the engine is expected to cache it
 };
@@ -41,7 +46,9 @@
 /// only while it can still start in time; otherwise it is refused at once, with
 /// the expected wait as retry delay. This handles bursts beyond the engines'
 /// capacity, where streams that start too late would take capacity from those
-/// that could be in time. Performs no I/O. Not thread safe.
+/// that could be in time. Of the streams that share a suspect part of their
+/// prompt only one is placed until it begins: if the part crashes engines, each
+/// further one would cost another engine. Performs no I/O. Not thread safe.
 class stream_scheduler
 {
 public:
@@ -67,18 +74,28 @@
     void submit(stream_demand demand);
 
     /// @brief Records a run that was placed by a gate or by a previous leader.
+    /// @param shared_parts as in `stream_demand`; empty for a run that has
+    /// begun
     void add_running(const planned_run& run, const client_account_id& account,
                      const placement& target, std::uint64_t prefill_tokens,
-                     time_point now);
+                     time_point now,
+                     std::vector<std::string> shared_parts = {});
 
-    void note_started(const request_id& id) { planner_.note_started(id); }
+    /// @brief Records the first event of a run.
+    /// @return the shared parts of its prompt, at the first call for this run
+    std::vector<std::string> note_started(const request_id& id);
 
     /// @brief Removes a run that has ended or a demand that is withdrawn.
     void end(const request_id& id);
 
     /// @brief Decides on every demand that can be placed or can no longer start
-    ///     in time.
-    [[nodiscard]] std::vector<stream_decision> decide(time_point now);
+    ///     in time or is quarantined.
+    [[nodiscard]] std::vector<stream_decision>
+    decide(time_point now, const prompt_quarantine& quarantine);
+    [[nodiscard]] std::vector<stream_decision> decide(time_point now)
+    {
+        return decide(now, prompt_quarantine());
+    }
 
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
     [[nodiscard]] std::size_t running() const { return running_.size(); }
@@ -88,6 +105,7 @@
     {
         client_account_id account;
         std::uint64_t tokens = 0;
+        std::vector<std::string> unstarted_parts; ///< until its first event
     };
 
     using demand_list = std::list<stream_demand>;
@@ -97,12 +115,22 @@
     /// @return whether the engine is expected to cache the prompt
     bool place(const stream_demand& demand, const placement& target,
                time_point now);
+    void add_running_stream(const request_id& id,
+                            const client_account_id& account,
+                            std::uint64_t tokens,
+                            std::vector<std::string> shared_parts);
+    void remove_unstarted_parts(running_stream& stream);
+    /// @return a run that has not begun shares one of the parts
+    [[nodiscard]] bool
+    any_unstarted(const std::vector<std::string>& parts) const;
 
     options settings_;
     stream_planner planner_;
     demand_list waiting_;
     std::map<request_id, running_stream> running_;
     std::map<client_account_id, std::uint64_t> tokens_by_account_;
+    /// Shared parts of the runs that have not begun.
+    std::multiset<std::string> unstarted_parts_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -57,6 +57,10 @@
         [this](const net::peer_info&, const upstream_suspicion& suspicion) {
             observers_.on_suspicion(upstream_id(suspicion.upstream));
         });
+    hub_.on<quarantine_update>(
+        [this](const net::peer_info&, const quarantine_update& update) {
+            observers_.on_quarantine(update);
+        });
     for (const auto& seed : settings_.seeds) {
         add_replica(seed.text());
     }
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -52,6 +52,12 @@
 
 result<void> control_node::start()
 {
+    placements_.on_quarantine([this](const quarantine_update& update) {
+        for (const auto& node : known_replicas_) {
+            hub_.send(node_id(node), update);
+        }
+        send_quarantine_to_gates(update);
+    });
     store_.on_change(
         [this](const std::shared_ptr<const configuration_document>& document) {
             on_configuration(document);
@@ -123,6 +129,12 @@
         [this](const net::peer_info&, const announcement_update& update) {
             on_announcement_update(update);
         });
+    hub_.on<quarantine_update>(
+        [this](const net::peer_info&, const quarantine_update& update) {
+            if (placements_.add_quarantine(update)) {
+                send_quarantine_to_gates(update);
+            }
+        });
     hub_.serve<record_leaving, leaving_recorded>(
         [this](const net::peer_info&, const record_leaving& leaving,
                const auto& reply) {
@@ -192,8 +204,9 @@
     }
     hub_.send(peer.node, view());
     if (known_replicas_.contains(peer.node.value())) {
-        // A restarted replica knows no upstream and no departure.
+        // A restarted replica knows no upstream, departure or quarantine.
         hub_.send(peer.node, known_upstreams());
+        send_quarantines(peer.node);
     }
 }
 
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -60,6 +60,7 @@
     gates_.insert_or_assign(peer.node, subscription.reads_refreshes);
     hub_.send(peer.node, view());
     hub_.send(peer.node, known_upstreams());
+    send_quarantines(peer.node);
 }
 
 void control_node::on_announcement(const announcement& announced,
@@ -211,6 +212,20 @@
     }
 }
 
+void control_node::send_quarantines(const node_id& peer)
+{
+    for (const auto& each : placements_.quarantines()) {
+        hub_.send(peer, each);
+    }
+}
+
+void control_node::send_quarantine_to_gates(const quarantine_update& update)
+{
+    for (const auto& [gate, reads_refreshes] : gates_) {
+        hub_.send(gate, update);
+    }
+}
+
 void control_node::send_refreshes()
 {
     announcement_update update;
--- a/lib/source/relay/messages.cpp
+++ b/lib/source/relay/messages.cpp
@@ -43,4 +43,25 @@
     document.at(2).get_to(value.sequence);
 }
 
+quarantine_update make_quarantine_update(const service_id& service,
+                                         const quarantined_parts& quarantine)
+{
+    return {.service = service,
+            .parts = quarantine.parts,
+            .crashes = quarantine.crashes,
+            .repetitions = quarantine.repetitions,
+            .remaining_ms =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    quarantine.remaining)
+                    .count()};
+}
+
+quarantined_parts to_quarantine(const quarantine_update& update)
+{
+    return {.parts = update.parts,
+            .crashes = update.crashes,
+            .repetitions = update.repetitions,
+            .remaining = std::chrono::milliseconds(update.remaining_ms)};
+}
+
 } // namespace bamboogate::relay
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -1,6 +1,9 @@
 #include <bamboogate/relay/log_events.hpp>
 #include <bamboogate/relay/placement_server.hpp>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <set>
 #include <string_view>
 #include <vector>
@@ -49,6 +52,10 @@
         [this](const net::peer_info& peer, const run_update& update) {
             on_update(peer, update);
         });
+    hub.on<crash_report>(
+        [this](const net::peer_info&, const crash_report& report) {
+            on_crash(report);
+        });
     decide_timer_.start_periodic(decide_interval);
 }
 
@@ -67,6 +74,57 @@
     suspected_at_[id] = loop_.now();
 }
 
+bool placement_server::add_quarantine(const quarantine_update& update)
+{
+    if (!quarantines_[update.service].add(to_quarantine(update), loop_.now())) {
+        return false;
+    }
+    log(events::quarantine_added,
+        {{"service", update.service.value()},
+         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
+         {"remaining_ms", update.remaining_ms}});
+    return true;
+}
+
+std::vector<quarantine_update> placement_server::quarantines() const
+{
+    std::vector<quarantine_update> out;
+    for (const auto& [service, quarantine] : quarantines_) {
+        for (const auto& each : quarantine.quarantined(loop_.now())) {
+            out.push_back(make_quarantine_update(service, each));
+        }
+    }
+    return out;
+}
+
+void placement_server::on_crash(const crash_report& report)
+{
+    if (!is_leader_()) {
+        return;
+    }
+    const auto found = quarantines_[report.service].note_crash(
+        report.shared_parts,
+        fmt::format("{}@{}", report.engine.value(), report.engine_started_at),
+        loop_.now());
+    if (!found) {
+        return;
+    }
+    const auto update = make_quarantine_update(report.service, *found);
+    log(events::quarantine_decided,
+        {{"request", report.id.value()},
+         {"service", report.service.value()},
+         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
+         {"cleared", report.shared_parts.size() - update.parts.size()},
+         {"crashes", update.crashes},
+         {"repetitions", update.repetitions},
+         {"last_engine", report.engine.value()},
+         {"remaining_ms", update.remaining_ms}});
+    if (on_quarantine_) {
+        on_quarantine_(update);
+    }
+    decide(report.service);
+}
+
 void placement_server::on_leadership_gained()
 {
     caches_awaited_until_ = loop_.now() + max_cache_wait;
@@ -163,7 +221,8 @@
         .resuming = request.resuming,
         .arrived = now,
         .latest_start =
-            now + std::chrono::milliseconds(request.start_within_ms)};
+            now + std::chrono::milliseconds(request.start_within_ms),
+        .shared_parts = request.shared_parts};
     pending_[request.id] = {request.service, peer.node, std::move(reply)};
     owners_[request.id] = {peer.node, request.service};
     schedulers_[request.service].submit(std::move(demand));
@@ -201,11 +260,13 @@
                               update.account,
                               {.engine = update.engine,
                                .copy_holder = named_holder(update.copy_holder)},
-                              update.unread_tokens, loop_.now());
+                              update.unread_tokens, loop_.now(),
+                              update.shared_parts);
         owners_[update.id] = {peer.node, update.service};
         return;
     case run_update::change::started:
-        scheduler.note_started(update.id);
+        quarantines_[update.service].note_started(
+            scheduler.note_started(update.id));
         break;
     case run_update::change::ended:
         scheduler.end(update.id);
@@ -251,8 +312,10 @@
     }
     stream_scheduler& scheduler = schedulers_[service];
     refresh(service, scheduler);
-    for (const auto& decision : scheduler.decide(loop_.now())) {
+    const auto decisions = scheduler.decide(loop_.now(), quarantines_[service]);
+    for (const auto& decision : decisions) {
         place_reply reply;
+        reply.quarantined = decision.quarantined;
         if (decision.target) {
             reply.engine = decision.target->engine;
             reply.copy_holder =
@@ -276,6 +339,7 @@
               scheduler.planner().resident_tokens(reply.engine)},
              {"waiting", scheduler.waiting()},
              {"running", scheduler.running()},
+             {"quarantined", reply.quarantined},
              {"retry_after_ms", reply.retry_after_ms}});
         send_reply(decision.id, reply);
     }
@@ -293,6 +357,9 @@
         decide(service);
     }
     const time_point now = loop_.now();
+    for (auto& [service, quarantine] : quarantines_) {
+        quarantine.expire(now);
+    }
     std::erase_if(suspected_at_, [&](const auto& each) {
         return now - each.second >= suspension;
     });
--- /dev/null
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -0,0 +1,192 @@
+#include <bamboogate/relay/prompt_quarantine.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace bamboogate::relay {
+
+namespace {
+
+bool contains_all(std::span<const std::string> parts,
+                  const std::vector<std::string>& wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&](const auto& each) {
+        return std::find(parts.begin(), parts.end(), each) != parts.end();
+    });
+}
+
+} // namespace
+
+void prompt_quarantine::remember_start(const std::string& part)
+{
+    const auto known = started_index_.find(part);
+    if (known != started_index_.end()) {
+        started_.splice(started_.begin(), started_, known->second);
+        return;
+    }
+    started_.push_front(part);
+    started_index_[part] = started_.begin();
+    if (started_.size() > settings_.max_started_parts) {
+        started_index_.erase(started_.back());
+        started_.pop_back();
+    }
+}
+
+void prompt_quarantine::note_started(std::span<const std::string> parts)
+{
+    for (const auto& part : parts) {
+        suspicions_.erase(part);
+        remember_start(part);
+    }
+}
+
+prompt_quarantine::suspicion&
+prompt_quarantine::suspicion_of(const std::string& part)
+{
+    const auto known = suspicions_.find(part);
+    if (known != suspicions_.end()) {
+        return known->second;
+    }
+    if (suspicions_.size() >= settings_.max_suspects) {
+        suspicions_.erase(std::min_element(
+            suspicions_.begin(), suspicions_.end(),
+            [](const auto& a, const auto& b) {
+                return std::tuple(a.second.crashes, a.second.last_crash) <
+                       std::tuple(b.second.crashes, b.second.last_crash);
+            }));
+    }
+    return suspicions_[part];
+}
+
+std::optional<quarantined_parts>
+prompt_quarantine::note_crash(std::span<const std::string> parts,
+                              const std::string& engine, time_point now)
+{
+    // A crash under quarantined parts is explained by them.
+    if (parts.empty() || quarantine_of(parts, now)) {
+        return std::nullopt;
+    }
+    std::map<std::string, suspicion> evidence;
+    unsigned most = 0;
+    for (const auto& part : parts) {
+        suspicion& entry = suspicion_of(part);
+        const bool separate =
+            entry.crashes == 0 ||
+            (engine != entry.last_engine &&
+             now - entry.last_crash >= settings_.crash_separation);
+        if (separate) {
+            ++entry.crashes;
+            entry.last_crash = now;
+            entry.last_engine = engine;
+        }
+        evidence[part] = entry;
+        most = std::max(most, entry.crashes);
+    }
+    if (most < settings_.max_crashes) {
+        return std::nullopt;
+    }
+    quarantined_parts out{.crashes = most};
+    for (const auto& [part, entry] : evidence) {
+        if (entry.crashes == most) {
+            out.parts.push_back(part);
+            out.repetitions = std::max(out.repetitions, entry.repetitions);
+        }
+    }
+    constexpr unsigned max_doublings = 16;
+    out.remaining =
+        std::min<duration>(settings_.first_quarantine *
+                               (1 << std::min(out.repetitions, max_doublings)),
+                           settings_.max_quarantine);
+    add(out, now);
+    return out;
+}
+
+std::vector<std::string>
+prompt_quarantine::suspects(std::span<const std::string> parts) const
+{
+    std::vector<std::string> out;
+    for (const auto& part : parts) {
+        const auto known = suspicions_.find(part);
+        const bool suspect =
+            known != suspicions_.end() &&
+            (known->second.crashes > 1 || !started_index_.contains(part));
+        if (suspect) {
+            out.push_back(part);
+        }
+    }
+    return out;
+}
+
+std::optional<duration>
+prompt_quarantine::quarantine_of(std::span<const std::string> parts,
+                                 time_point now) const
+{
+    for (const auto& [wanted, entry] : quarantined_) {
+        if (now < entry.until && contains_all(parts, wanted)) {
+            return entry.until - now;
+        }
+    }
+    return std::nullopt;
+}
+
+bool prompt_quarantine::add(quarantined_parts added, time_point now)
+{
+    if (added.parts.empty()) {
+        return false;
+    }
+    const time_point until = now + added.remaining;
+    const auto known = quarantined_.find(added.parts);
+    if (known != quarantined_.end() &&
+        known->second.repetitions >= added.repetitions) {
+        return false;
+    }
+    if (known == quarantined_.end() &&
+        quarantined_.size() >= settings_.max_quarantined) {
+        quarantined_.erase(
+            std::min_element(quarantined_.begin(), quarantined_.end(),
+                             [](const auto& a, const auto& b) {
+                                 return a.second.until < b.second.until;
+                             }));
+    }
+    quarantined_[std::move(added.parts)] = {added.crashes, added.repetitions,
+                                            until};
+    return true;
+}
+
+void prompt_quarantine::expire(time_point now)
+{
+    for (auto each = quarantined_.begin(); each != quarantined_.end();) {
+        const auto next = std::next(each);
+        if (each->second.until <= now) {
+            for (const auto& part : each->first) {
+                suspicion& entry = suspicion_of(part);
+                entry.crashes = settings_.max_crashes - 1;
+                entry.repetitions = each->second.repetitions + 1;
+                entry.last_crash = now;
+            }
+            quarantined_.erase(each);
+        }
+        each = next;
+    }
+    std::erase_if(suspicions_, [&](const auto& each) {
+        return now - each.second.last_crash > settings_.suspicion_retention;
+    });
+}
+
+std::vector<quarantined_parts>
+prompt_quarantine::quarantined(time_point now) const
+{
+    std::vector<quarantined_parts> out;
+    for (const auto& [parts, entry] : quarantined_) {
+        if (now < entry.until) {
+            out.push_back({.parts = parts,
+                           .crashes = entry.crashes,
+                           .repetitions = entry.repetitions,
+                           .remaining = entry.until - now});
+        }
+    }
+    return out;
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -1,6 +1,9 @@
 #include <bamboogate/relay/log_events.hpp>
 #include <bamboogate/relay/relay_gate.hpp>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 
 namespace bamboogate::relay {
@@ -54,6 +57,10 @@
                    on_departure(announced);
                },
            .on_suspicion = [this](const upstream_id& id) { on_suspicion(id); },
+           .on_quarantine =
+               [this](const quarantine_update& update) {
+                   on_quarantine(update);
+               },
            .on_new_leader = [this] { on_new_leader(); }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
       prober_(loop, {}, [this](const upstream_id& id) { on_probe_failed(id); }),
@@ -186,6 +193,16 @@
         .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
                               matched->rank),
         .description = std::move(description)};
+    if (const auto rest = quarantine_of(accepted)) {
+        metrics_.quarantined.add();
+        log(events::request_refused,
+            {{"request", accepted.description.attempt.value()},
+             {"route", accepted.matched_route->name},
+             {"cause", "quarantined"},
+             {"retry_after_ms", to_milliseconds(*rest)}});
+        accepted.responder->respond(503, protocol_.retry_after(*rest), {});
+        return;
+    }
     const std::uint64_t number = next_exchange_++;
     const auto created =
         make_exchange(context_, std::move(accepted), [this, number] {
@@ -196,6 +213,31 @@
     created->start();
 }
 
+std::optional<duration>
+relay_gate::quarantine_of(const accepted_request& accepted) const
+{
+    const auto found = quarantines_.find(accepted.service);
+    return found == quarantines_.end()
+               ? std::nullopt
+               : found->second.quarantine_of(accepted.description.shared_parts,
+                                             loop_.now());
+}
+
+void relay_gate::on_quarantine(const quarantine_update& update)
+{
+    prompt_quarantine& quarantine = quarantines_[update.service];
+    if (!quarantine.add(to_quarantine(update), loop_.now())) {
+        return;
+    }
+    log(events::quarantine_added,
+        {{"service", update.service.value()},
+         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
+         {"remaining_ms", update.remaining_ms}});
+    for (const auto& each : exchanges()) {
+        each->on_quarantine(update.service, quarantine);
+    }
+}
+
 bool relay_gate::refuses_while_stopping(const route& candidate) const
 {
     return stopping_ &&
@@ -364,6 +406,9 @@
         log(events::upstream_changed,
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
+    for (auto& [service, quarantine] : quarantines_) {
+        quarantine.expire(loop_.now());
+    }
     retries_.set_gates(feed_.gates());
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -357,11 +357,57 @@
     const bool engine_may_be_gone = failure.code != errc::malformed_input &&
                                     failure.code != errc::limit_exceeded;
     if (engine_may_be_gone) {
+        if (failure.request_sent) {
+            report_crash();
+        }
         context_.report_suspicion(engine_);
     }
     on_attempt_lost(name_of(failure.code), failure.request_sent);
 }
 
+void stream_exchange::report_crash()
+{
+    const auto& parts = accepted_.description.shared_parts;
+    if (event_seen_ || parts.empty()) {
+        return;
+    }
+    ++crashes_before_start_;
+    const instance* engine = context_.directory.find(engine_);
+    context_.placer.report_crash(
+        {.service = accepted_.service,
+         .id = accepted_.description.attempt,
+         .engine = engine_,
+         .engine_started_at =
+             engine != nullptr ? engine->announced.started_at : 0,
+         .shared_parts = parts});
+}
+
+void stream_exchange::end_quarantined(duration retry_after)
+{
+    context_.metrics.quarantined.add();
+    if (runs_ == 0 && !head_sent_) {
+        refuse("quarantined", retry_after);
+    } else {
+        respond_failure(502, "quarantined");
+    }
+}
+
+void stream_exchange::on_quarantine(const service_id& service,
+                                    const prompt_quarantine& quarantine)
+{
+    if (ended_ || service != accepted_.service || (attempt_ && event_seen_)) {
+        return;
+    }
+    const auto rest = quarantine.quarantine_of(
+        accepted_.description.shared_parts, context_.loop.now());
+    if (!rest) {
+        return;
+    }
+    runs_ += attempt_ && attempt_->request_sent() ? 1 : 0;
+    cancel_attempts();
+    end_quarantined(*rest);
+}
+
 void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run)
 {
     log_failure(engine_, cause);
@@ -453,6 +499,9 @@
     }
     const bool sent = attempt_->request_sent();
     attempt_.reset();
+    if (sent) {
+        report_crash();
+    }
     on_attempt_lost("upstream_lost", sent);
 }
 
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -23,6 +23,8 @@
     void on_upstream_lost(const upstream_id& id) override;
     void on_upstream_restarted(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
+    void on_quarantine(const service_id& service,
+                       const prompt_quarantine& quarantine) override;
     void report_placement() override;
     [[nodiscard]] bool uses_upstream(const upstream_id& id) const override;
 
@@ -54,6 +56,11 @@
     void on_complete();
     void on_failure(const net::http1_failure& failure);
     void on_silence();
+    /// The connection of an attempt broke before its first event: reports that
+    /// the engine may have crashed because of this stream.
+    void report_crash();
+    /// Ends the stream, because it would crash its engine.
+    void end_quarantined(duration retry_after);
     /// Resumes the stream elsewhere after a lost attempt, or ends the request.
     void on_attempt_lost(std::string_view cause, bool may_have_run);
     void forward(const stream_event& event);
@@ -87,6 +94,7 @@
     bool resuming_ = false;
     unsigned silent_losses_ = 0; ///< attempts lost to silence between events
     unsigned unusable_placements_ = 0;
+    unsigned crashes_before_start_ = 0; ///< reported by `report_crash`
     duration first_event_after_{};
     duration longest_pause_{};
     upstream_id longest_pause_engine_; ///< engine that ended the longest pause
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -17,6 +17,9 @@
 /// Placements on unknown or leaving engines after which the gate chooses an
 /// engine itself.
 constexpr unsigned max_unusable_placements = 3;
+/// Engines that may crash under a stream that no leader places: the gate alone
+/// cannot know whether other gates see the same.
+constexpr unsigned max_crashes_without_leader = 2;
 
 } // namespace
 
@@ -62,7 +65,8 @@
         .resuming = resuming,
         .start_within_ms =
             std::chrono::duration_cast<std::chrono::milliseconds>(start_within)
-                .count()};
+                .count(),
+        .shared_parts = accepted_.description.shared_parts};
     awaiting_placement_ = true;
     reported_to_leader_ = true;
     context_.placer.request_placement(
@@ -88,7 +92,9 @@
     const place_reply& decision = reply.value();
     if (decision.engine.empty()) {
         reported_to_leader_ = false;
-        if (runs_ == 0 && !head_sent_) {
+        if (decision.quarantined) {
+            end_quarantined(std::chrono::milliseconds(decision.retry_after_ms));
+        } else if (runs_ == 0 && !head_sent_) {
             refuse("engines_full",
                    std::chrono::milliseconds(decision.retry_after_ms));
         } else {
@@ -116,6 +122,10 @@
 
 void stream_exchange::place_locally()
 {
+    if (crashes_before_start_ >= max_crashes_without_leader) {
+        respond_failure(502, "engines_crash");
+        return;
+    }
     context_.refresh_planner(accepted_.service);
     auto target = planner().choose(run(), excluded_, context_.loop.now());
     if (!target && !excluded_.empty()) {
@@ -162,7 +172,10 @@
          .prompt = planned.prompt,
          .unread_tokens = event_seen_ || from_copy_ ? 0 : planned.prompt_tokens,
          .engine = engine_,
-         .copy_holder = copy_.holder()});
+         .copy_holder = copy_.holder(),
+         .shared_parts = kind == run_update::change::placed && !event_seen_
+                             ? accepted_.description.shared_parts
+                             : std::vector<std::string>()});
     reported_to_leader_ = kind != run_update::change::ended;
 }
 
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -120,8 +120,10 @@
     }
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
-    // Engines with capacity first, then by ascending cost.
-    std::tuple<bool, double, std::uint64_t> best_key;
+    // Engines with capacity first. Runs that may crash an engine go apart from
+    // all others that have not begun, where the fewest streams can be lost.
+    // Then by ascending cost.
+    std::tuple<bool, bool, std::size_t, double, std::uint64_t> best_key;
     for (const auto& [id, engine] : engines_) {
         if (!engine.usable || excluded.contains(id) ||
             tokens > engine.kv_capacity_tokens) {
@@ -131,8 +133,10 @@
         if (full && needed == capacity_policy::required) {
             continue;
         }
-        const std::tuple key{full, cost(engine, run.prompt_tokens, now),
-                             tie_break(run.id, id)};
+        const load& current = load_of(id);
+        const std::tuple key{
+            full, current.suspects > 0, run.suspect ? current.runs : 0,
+            cost(engine, run.prompt_tokens, now), tie_break(run.id, id)};
         if (best == nullptr || key < best_key) {
             best = &engine;
             best_key = key;
@@ -253,7 +257,8 @@
                        .tokens = run.prompt_tokens + run.output_tokens,
                        .pending_prefill = prefill_tokens,
                        .urgent = run.urgent,
-                       .prompt = run.prompt};
+                       .prompt = run.prompt,
+                       .suspect = run.suspect};
     load& engine = loads_[target.engine];
     while (!engine.recent_prefills.empty() &&
            now - engine.recent_prefills.front().first >
@@ -265,6 +270,7 @@
     }
     engine.pending_prefill += entry.pending_prefill;
     engine.resident_tokens += entry.tokens;
+    engine.suspects += entry.suspect ? 1 : 0;
     ++engine.runs;
     if (target.copy_holder) {
         loads_[*target.copy_holder].resident_tokens += entry.tokens;
@@ -278,9 +284,11 @@
     if (found == runs_.end()) {
         return;
     }
-    loads_[found->second.engine].pending_prefill -=
-        found->second.pending_prefill;
+    load& engine = loads_[found->second.engine];
+    engine.pending_prefill -= found->second.pending_prefill;
+    engine.suspects -= found->second.suspect ? 1 : 0;
     found->second.pending_prefill = 0;
+    found->second.suspect = false;
     const auto prompt = prompts_.find(found->second.prompt);
     if (prompt != prompts_.end() &&
         prompt->second.engine == found->second.engine) {
@@ -297,6 +305,7 @@
     load& engine = loads_[found->second.engine];
     engine.pending_prefill -= found->second.pending_prefill;
     engine.resident_tokens -= found->second.tokens;
+    engine.suspects -= found->second.suspect ? 1 : 0;
     --engine.runs;
     if (found->second.copy_holder) {
         const auto holder = loads_.find(*found->second.copy_holder);
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -14,13 +14,51 @@
 void stream_scheduler::add_running(const planned_run& run,
                                    const client_account_id& account,
                                    const placement& target,
-                                   std::uint64_t prefill_tokens, time_point now)
+                                   std::uint64_t prefill_tokens, time_point now,
+                                   std::vector<std::string> shared_parts)
 {
     end(run.id);
     planner_.assign(run, target, prefill_tokens, now);
-    const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
-    running_[run.id] = {account, tokens};
+    add_running_stream(run.id, account, run.prompt_tokens + run.output_tokens,
+                       std::move(shared_parts));
+}
+
+void stream_scheduler::add_running_stream(const request_id& id,
+                                          const client_account_id& account,
+                                          std::uint64_t tokens,
+                                          std::vector<std::string> shared_parts)
+{
     tokens_by_account_[account] += tokens;
+    unstarted_parts_.insert(shared_parts.begin(), shared_parts.end());
+    running_[id] = {account, tokens, std::move(shared_parts)};
+}
+
+void stream_scheduler::remove_unstarted_parts(running_stream& stream)
+{
+    for (const auto& part : stream.unstarted_parts) {
+        unstarted_parts_.erase(unstarted_parts_.find(part));
+    }
+    stream.unstarted_parts.clear();
+}
+
+std::vector<std::string> stream_scheduler::note_started(const request_id& id)
+{
+    planner_.note_started(id);
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return {};
+    }
+    auto parts = found->second.unstarted_parts;
+    remove_unstarted_parts(found->second);
+    return parts;
+}
+
+bool stream_scheduler::any_unstarted(
+    const std::vector<std::string>& parts) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
+        return unstarted_parts_.contains(part);
+    });
 }
 
 void stream_scheduler::end(const request_id& id)
@@ -37,6 +75,7 @@
     if (total->second == 0) {
         tokens_by_account_.erase(total);
     }
+    remove_unstarted_parts(found->second);
     running_.erase(found);
 }
 
@@ -83,17 +122,34 @@
                                                     now) == target.engine;
     planner_.assign(demand.run, target, cached ? 0 : demand.run.prompt_tokens,
                     now);
-    running_[demand.run.id] = {demand.account, tokens};
-    tokens_by_account_[demand.account] += tokens;
+    add_running_stream(demand.run.id, demand.account, tokens,
+                       demand.shared_parts);
     return cached;
 }
 
-std::vector<stream_decision> stream_scheduler::decide(time_point now)
+std::vector<stream_decision>
+stream_scheduler::decide(time_point now, const prompt_quarantine& quarantine)
 {
     std::vector<stream_decision> out;
     demand_list blocked;
     while (!waiting_.empty()) {
         const auto next = next_demand();
+        if (const auto rest =
+                quarantine.quarantine_of(next->shared_parts, now)) {
+            out.push_back({.id = next->run.id,
+                           .target = std::nullopt,
+                           .retry_after = *rest,
+                           .quarantined = true,
+                           .prompt = next->run.prompt});
+            waiting_.erase(next);
+            continue;
+        }
+        const auto suspects = quarantine.suspects(next->shared_parts);
+        if (any_unstarted(suspects)) {
+            blocked.splice(blocked.end(), waiting_, next);
+            continue;
+        }
+        next->run.suspect = !suspects.empty();
         auto target =
             planner_.choose(next->run, next->excluded, now,
                             stream_planner::capacity_policy::required);
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -102,6 +102,7 @@
                         departed.push_back(announced.id.value());
                     },
                 .on_suspicion = [](const upstream_id&) {},
+                .on_quarantine = [](const relay::quarantine_update&) {},
                 .on_new_leader = [] {}});
     }
     /// Waits until the gate has closed the link that it doesn't need.
--- /dev/null
+++ b/tests/platform/poison_request_test.cpp
@@ -0,0 +1,139 @@
+// Requests whose prompt crashes every engine that begins to generate on it.
+#include "platform/support/relay_fixture.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+
+namespace {
+
+struct poison_request_fixture : relay_fixture
+{
+    int announced = 1;
+    std::vector<std::unique_ptr<caller>> callers;
+
+    caller& send_with_parts(const char* attempt, const char* parts)
+    {
+        callers.push_back(call(gate->bound_address(), "POST", "/gen/x",
+                               {{"Host", "h.example"},
+                                {"X-Attempt-Id", attempt},
+                                {"X-Deadline-Ms", "20000"},
+                                {"X-Token-Count", "800,100"},
+                                {"X-Prefix-Hash", parts},
+                                {"Authorization", "Bearer k1"}},
+                               "prompt"));
+        return *callers.back();
+    }
+    [[nodiscard]] std::size_t received() const
+    {
+        return engine1.received.size() + engine2.received.size();
+    }
+    /// Waits until one of the engines has the request and crashes it: its
+    /// connections break, and it announces itself again.
+    void crash_next(std::size_t already_received)
+    {
+        REQUIRE(wait([&] { return received() == already_received + 1; }));
+        run_until(
+            loop, [] { return false; }, 600ms);
+        fake_upstream& engine =
+            !engine1.received.empty() &&
+                    engine1.received.back().responder != last_crashed_
+                ? engine1
+                : engine2;
+        last_crashed_ = engine.received.back().responder;
+        last_crashed_->abort();
+        run_until(
+            loop, [] { return false; }, 20ms);
+        ++announced;
+        announce(engine1, "gen", "d1", announced, "ready", announced * 1000);
+        announce(engine2, "gen", "d2", announced, "ready", announced * 1000);
+    }
+    /// Three engines crash under a request with the given parts.
+    void crash_three_times(const char* attempt, const char* parts)
+    {
+        const caller& request = send_with_parts(attempt, parts);
+        for (std::size_t crashes = 0; crashes < 3; ++crashes) {
+            crash_next(crashes);
+        }
+        REQUIRE(wait([&] { return request.ended(); }));
+        // Engines have begun to work on it.
+        CHECK(request.status() == 502);
+    }
+    void check_refused(const char* attempt, const char* parts)
+    {
+        const std::size_t before = received();
+        const caller& request = send_with_parts(attempt, parts);
+        REQUIRE(wait([&] { return request.ended(); }));
+        CHECK(request.status() == 503);
+        const auto delay = request.head->headers.find("Retry-After");
+        REQUIRE(delay);
+        CHECK(std::stod(std::string(*delay)) > 500.0);
+        CHECK(received() == before);
+    }
+
+private:
+    net::http1_responder_ptr last_crashed_;
+};
+
+} // namespace
+
+// Guards against a part of a prompt that crashes one engine after the other.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "poison_request_is_refused_after_three_crashes")
+{
+    start_system();
+    crash_three_times("g1", "f1:200,bad:100,o1:500");
+    check_refused("g2", "f1:200,bad:100,o2:500");
+    // Another request with the part shows that it is the cause.
+    const caller& other = send_with_parts("g3", "f2:200,bad:100,o3:500");
+    crash_next(3);
+    REQUIRE(wait([&] { return other.ended(); }));
+    CHECK(other.status() == 502);
+    check_refused("g4", "f3:200,bad:100,o4:500");
+    // Sound requests share the other parts.
+    send_with_parts("g5", "f1:200,good:100,o5:500");
+    send_with_parts("g6", "f2:200,o6:500");
+    CHECK(wait([&] { return received() == 6; }));
+}
+
+// Guards against another series of crashes after a change of the leader or at a
+// gate that has just started.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "quarantine_outlives_the_leader_and_the_gate")
+{
+    start_system();
+    crash_three_times("g1", "f1:200,bad:100,o1:500");
+    gate.reset();
+    const auto leader =
+        std::find_if(nodes.begin(), nodes.end(),
+                     [](const auto& node) { return node->is_leader(); });
+    leader->reset();
+    nodes.erase(leader);
+    wait_for_leader();
+    start_gate();
+    REQUIRE(run_until(loop, [&] { return gate->ready(); }));
+    run_until(
+        loop, [] { return false; }, 200ms);
+    check_refused("g2", "f1:200,bad:100,o2:500");
+}
+
+// Guards against engines lost to each request while no leader counts them.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "request_that_crashed_two_engines_ends_without_a_leader")
+{
+    start_system();
+    nodes.clear();
+    run_until(
+        loop, [] { return false; }, 100ms);
+    const caller& request = send_with_parts("g1", "f1:200,bad:100,o1:500");
+    for (std::size_t sent = 1; sent <= 2; ++sent) {
+        REQUIRE(wait([&] { return received() == sent; }));
+        for (auto* engine : {&engine1, &engine2}) {
+            if (!engine->received.empty()) {
+                engine->received.back().responder->abort();
+            }
+        }
+    }
+    REQUIRE(wait([&] { return request.ended(); }));
+    CHECK(request.status() == 502);
+    CHECK(received() == 2);
+}
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -71,6 +71,7 @@
                 .on_refresh = [](const relay::upstream_refresh&) {},
                 .on_departure = [](const relay::announcement&) {},
                 .on_suspicion = [](const upstream_id&) {},
+                .on_quarantine = [](const relay::quarantine_update&) {},
                 .on_new_leader = [] {}});
     }
     void run_for(duration time)
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -164,21 +164,25 @@
         for (std::size_t i = 0; i < seeds.size(); ++i) {
             add_node(i, true);
         }
+        start_gate();
+    }
+    ~relay_fixture() { std::filesystem::remove_all(folder); }
+
+    void start_gate()
+    {
         gate = std::make_unique<relay::relay_gate>(
             loop, relay::make_relay_protocol<platform::wire>(),
             relay::relay_gate::options{
                 .caller_address = {"127.0.0.1", 0},
                 .control = {.self = node_id("gate"),
                             .failure_domain = failure_domain_id("d1"),
-                            .incarnation = {1},
+                            .incarnation = {++incarnation_},
                             .shared_secret = secret("s"),
                             .seeds = seeds},
                 .accept_after_stop = 100ms,
                 .stop_limit = 2s});
         REQUIRE(gate->start());
     }
-    ~relay_fixture() { std::filesystem::remove_all(folder); }
-
     void add_node(std::size_t i, bool first_start)
     {
         auto node = std::make_unique<relay::control_node>(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -44,6 +44,30 @@
 
 } // namespace
 
+// Guards against a poison request that is not recognised by its parts.
+TEST_CASE("wire_prompt_parts_before_the_last_are_shared")
+{
+    auto request = sample_request();
+    request.headers.set("X-Prefix-Hash",
+                        "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    const auto described = platform::wire::describe_request(request);
+    REQUIRE(described);
+    CHECK(described.value().shared_parts ==
+          std::vector<std::string>{"5c1e07a2", "91bd3f06"});
+    CHECK(described.value().prompt == "e4402b7d");
+    request.headers.set("X-Prefix-Hash", "e4402b7d:250");
+    CHECK(
+        platform::wire::describe_request(request).value().shared_parts.empty());
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+        many += "a:1,";
+    }
+    request.headers.set("X-Prefix-Hash", many);
+    CHECK(
+        platform::wire::describe_request(request).value().shared_parts.size() ==
+        128);
+}
+
 // Guards against a new leader that treats an evicted prompt as cached, or that
 // fails on an unreadable response.
 TEST_CASE("wire_cache_events_name_cached_and_evicted_prompts")
--- a/tests/relay/event_stream_and_configuration_store_test.cpp
+++ b/tests/relay/event_stream_and_configuration_store_test.cpp
@@ -22,11 +22,13 @@
                              .prompt = "p",
                              .excluded = {upstream_id("e")},
                              .resuming = true,
-                             .start_within_ms = 70};
+                             .start_within_ms = 70,
+                             .shared_parts = {"f", "g"}};
     const json document = sent;
     const auto parsed = document.get<place_request>();
-    CHECK(document.size() == 11);
+    CHECK(document.size() == 12);
     CHECK(parsed.prompt == "p");
+    CHECK(parsed.shared_parts == sent.shared_parts);
     CHECK(parsed.urgent);
     CHECK(json(parsed) == document);
 }
--- /dev/null
+++ b/tests/relay/prompt_quarantine_test.cpp
@@ -0,0 +1,174 @@
+#include <bamboogate/relay/prompt_quarantine.hpp>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+using namespace bamboogate;
+using namespace bamboogate::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+using part_list = std::vector<std::string>;
+
+struct prompt_quarantine_fixture
+{
+    prompt_quarantine quarantine;
+    time_point now{1h};
+    int engines = 0;
+
+    /// Another engine crashes a second after the previous one.
+    std::optional<quarantined_parts> crash(const part_list& parts,
+                                           duration after = 1s)
+    {
+        now += after;
+        return quarantine.note_crash(parts, fmt::format("e{}", ++engines), now);
+    }
+    [[nodiscard]] bool refused(const part_list& parts) const
+    {
+        return quarantine.quarantine_of(parts, now).has_value();
+    }
+};
+
+} // namespace
+
+// Guards against a request that crashes one engine after the other.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "part_in_three_crashes_without_a_start_is_quarantined")
+{
+    CHECK_FALSE(crash({"f1", "bad"}));
+    CHECK_FALSE(crash({"f2", "bad"}));
+    const auto found = crash({"f3", "bad"});
+    REQUIRE(found);
+    CHECK(found->parts == part_list{"bad"});
+    CHECK(found->crashes == 3);
+    CHECK(refused({"f4", "x", "bad"}));
+    CHECK_FALSE(refused({"f1", "f2", "f3"}));
+}
+
+// Guards against sound requests that are refused because they share a part with
+// a poison request.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "parts_with_equal_evidence_are_refused_only_together")
+{
+    crash({"f1", "bad"});
+    crash({"f1", "bad"});
+    const auto both = crash({"f1", "bad"});
+    REQUIRE(both);
+    CHECK(both->parts == part_list{"bad", "f1"});
+    CHECK_FALSE(refused({"f1", "good"}));
+    const auto one = crash({"f2", "bad"});
+    REQUIRE(one);
+    CHECK(one->parts == part_list{"bad"});
+    CHECK_FALSE(refused({"f1", "good"}));
+    CHECK(refused({"f3", "bad"}));
+}
+
+// Guards against a quarantine of parts that all requests share.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "part_that_begins_between_crashes_is_not_quarantined")
+{
+    for (int i = 0; i < 20; ++i) {
+        const auto found = crash({"shared", fmt::format("f{}", i)});
+        CHECK_FALSE(found);
+        quarantine.note_started(part_list{"shared"});
+    }
+    CHECK_FALSE(refused({"shared"}));
+}
+
+// Guards against a quarantine because a failure domain failed: its engines
+// crash together, under many streams with the same parts.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "crashes_of_a_failure_domain_count_once")
+{
+    for (int i = 0; i < 30; ++i) {
+        CHECK_FALSE(crash({"shared"}, 10ms));
+    }
+    CHECK_FALSE(refused({"shared"}));
+}
+
+// Guards against counting one crash for each stream that it breaks.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "crash_reported_by_many_streams_counts_once")
+{
+    for (int i = 0; i < 12; ++i) {
+        now += 600ms;
+        CHECK_FALSE(quarantine.note_crash(part_list{"bad"}, "host", now));
+    }
+    CHECK_FALSE(crash({"bad"}));
+    CHECK(crash({"bad"}));
+}
+
+// Guards against more engines lost to a part that began before it turned bad.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "part_that_turns_bad_is_quarantined_after_three_crashes")
+{
+    quarantine.note_started(part_list{"part"});
+    crash({"part"});
+    CHECK(quarantine.suspects(part_list{"part"}).empty());
+    crash({"part"});
+    CHECK(quarantine.suspects(part_list{"part"}) == part_list{"part"});
+    CHECK(crash({"part"}));
+}
+
+// Guards against a second series of crashes when a quarantine ends, and against
+// one that never ends.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "quarantine_that_ends_is_repeated_by_one_crash_for_longer")
+{
+    crash({"bad"});
+    crash({"bad"});
+    const auto first = crash({"bad"});
+    REQUIRE(first);
+    CHECK(first->remaining == 10min);
+    now += 10min;
+    quarantine.expire(now);
+    CHECK_FALSE(refused({"bad"}));
+    CHECK(quarantine.suspects(part_list{"bad"}) == part_list{"bad"});
+    const auto second = crash({"bad"});
+    REQUIRE(second);
+    CHECK(second->remaining == 20min);
+    now += 20min;
+    quarantine.expire(now);
+    quarantine.note_started(part_list{"bad"});
+    CHECK(quarantine.suspects(part_list{"bad"}).empty());
+    CHECK_FALSE(crash({"bad"}));
+}
+
+// Guards against memory that grows with callers who send new parts without end.
+TEST_CASE("quarantine_of_endless_new_parts_stays_bounded")
+{
+    prompt_quarantine quarantine(
+        {.max_started_parts = 10, .max_suspects = 10, .max_quarantined = 10});
+    time_point now{1h};
+    const auto crash_repeatedly = [&](const std::string& part) {
+        for (int i = 0; i < 3; ++i) {
+            now += 1s;
+            static_cast<void>(quarantine.note_crash(
+                part_list{part}, fmt::format("{}-{}", part, i), now));
+        }
+    };
+    for (int i = 0; i < 100; ++i) {
+        quarantine.note_started(part_list{fmt::format("s{}", i)});
+        crash_repeatedly(fmt::format("p{}", i));
+    }
+    CHECK(quarantine.quarantined(now).size() == 10);
+    CHECK(quarantine.quarantine_of(part_list{"p99"}, now));
+    CHECK_FALSE(quarantine.quarantine_of(part_list{"p0"}, now));
+}
+
+// Guards against a quarantine that is passed on in circles.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "quarantine_of_another_process_is_added_once")
+{
+    const quarantined_parts received{
+        .parts = {"bad"}, .crashes = 3, .remaining = 10min};
+    CHECK(quarantine.add(received, now));
+    CHECK_FALSE(quarantine.add(received, now));
+    CHECK(refused({"f", "bad"}));
+    REQUIRE(quarantine.quarantined(now).size() == 1);
+    CHECK(quarantine.quarantined(now)[0].crashes == 3);
+}
--- a/tests/relay/stream_scheduler_test.cpp
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -299,3 +299,76 @@
     REQUIRE(decisions.size() == 1);
     CHECK(decisions[0].target->engine == upstream_id("e0-0"));
 }
+
+// Guards against one engine lost for each request that waits with the same
+// part: only one of them is placed until it begins.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "streams_with_a_suspect_part_are_placed_one_at_a_time")
+{
+    add_engines(2);
+    prompt_quarantine quarantine;
+    quarantine.note_crash(std::vector<std::string>{"p"}, "e0", now);
+    const auto submit_with_part = [&](const char* id, const char* part) {
+        scheduler.submit({.run = make_run(id),
+                          .account = client_account_id("x"),
+                          .arrived = now,
+                          .latest_start = now + 5s,
+                          .shared_parts = {part}});
+    };
+    submit_with_part("a", "p");
+    submit_with_part("b", "p");
+    submit_with_part("c", "q");
+    auto decisions = scheduler.decide(now, quarantine);
+    REQUIRE(decisions.size() == 2);
+    CHECK(decisions[0].id == request_id("a"));
+    CHECK(decisions[1].id == request_id("c"));
+    // The stream that does not share the part stays away from its engine.
+    CHECK(decisions[0].target->engine != decisions[1].target->engine);
+    quarantine.note_started(scheduler.note_started(request_id("a")));
+    decisions = scheduler.decide(now, quarantine);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].id == request_id("b"));
+}
+
+// Guards against a suspect request on the engine with the most streams to lose.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "suspect_stream_goes_to_the_engine_with_the_fewest_streams")
+{
+    add_engines(1, 2);
+    for (int i = 0; i < 3; ++i) {
+        const auto id = fmt::format("r{}", i);
+        scheduler.add_running(make_run(id, 1, 100), client_account_id("x"),
+                              {.engine = upstream_id("e0-0")}, 0, now);
+    }
+    scheduler.add_running(make_run("large", 1, 20000), client_account_id("x"),
+                          {.engine = upstream_id("e1-0")}, 20000, now);
+    prompt_quarantine quarantine;
+    quarantine.note_crash(std::vector<std::string>{"p"}, "e9", now);
+    scheduler.submit({.run = make_run("a"),
+                      .account = client_account_id("x"),
+                      .arrived = now,
+                      .latest_start = now + 5s,
+                      .shared_parts = {"p"}});
+    const auto decisions = scheduler.decide(now, quarantine);
+    REQUIRE(decisions.size() == 1);
+    REQUIRE(decisions[0].target);
+    CHECK(decisions[0].target->engine == upstream_id("e1-0"));
+}
+
+// Guards against a quarantined stream that waits until its deadline.
+TEST_CASE_FIXTURE(scheduler_fixture, "quarantined_stream_is_refused_at_once")
+{
+    add_engines(1);
+    prompt_quarantine quarantine;
+    quarantine.add({.parts = {"p"}, .crashes = 3, .remaining = 5min}, now);
+    scheduler.submit({.run = make_run("a"),
+                      .account = client_account_id("x"),
+                      .arrived = now,
+                      .latest_start = now + 5s,
+                      .shared_parts = {"f", "p"}});
+    const auto decisions = scheduler.decide(now, quarantine);
+    REQUIRE(decisions.size() == 1);
+    CHECK_FALSE(decisions[0].target);
+    CHECK(decisions[0].quarantined);
+    CHECK(decisions[0].retry_after == 5min);
+}
