Count a crash only when the engine refuses connections

Sound requests could be refused for ten minutes: engines also reset single connections, for example those beyond maxConns, and each counted as a crash.

Cause: the report was sent when a connection broke before the first event, whatever became of the engine.

Change: a broken connection makes the parts suspect at once, and counts when the probe of the engine fails. The stream is placed again after that, so the leader knows the evidence when it chooses. A stream without a length that ends inside its first event is treated the same way. While no leader can be told, the gate counts its own observations. A quarantine brings its evidence to the other replicas, so that a new leader needs one more crash and not three. Parts that have all begun before are quarantined for 30 s, because a part that all requests share meets several crashes without a start when failure domains fail one after the other.

poison_request_test crashes its engines by closing their sockets now; before it reset single connections, which is no crash any more.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -7,6 +7,7 @@
 #include <bamboogate/relay/buffer_budget.hpp>
 #include <bamboogate/relay/configuration.hpp>
 #include <bamboogate/relay/gate_metrics.hpp>
+#include <bamboogate/relay/gate_quarantine.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/retry_limiter.hpp>
 #include <bamboogate/relay/stream_placer.hpp>
@@ -38,6 +39,7 @@
     upstream_directory& directory;
     retry_limiter& retries;
     stream_placer& placer;
+    gate_quarantine& quarantine;
     gate_metrics& metrics;
     buffer_budget& response_buffers;
     /// Reports that a connection to the upstream broke or stalled, so that
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -245,8 +245,9 @@
                                                 copy_holder, shared_parts)
 };
 
-/// Gate to leader: the connection of a stream that had not begun broke, so its
-/// engine may have crashed because of it.
+/// Gate to leader: the connection of a stream that had not begun broke. If the
+/// engine doesn't accept connections either, the report is repeated as
+/// confirmed.
 struct crash_report
 {
     static constexpr std::string_view type = "relay_crash_report";
@@ -255,8 +256,12 @@
     upstream_id engine;
     std::uint64_t engine_started_at = 0;
     std::vector<std::string> shared_parts;
+    bool confirmed = false; ///< the engine is gone
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(crash_report, service, id, engine,
-                                   engine_started_at, shared_parts)
+                                   engine_started_at, shared_parts, confirmed)
+
+    /// @return identifies the start of the engine that crashed
+    [[nodiscard]] std::string engine_start() const;
 };
 
 /// Leader to replicas, and replicas to gates: requests of the service that
--- a/lib/include/bamboogate/relay/prompt_quarantine.hpp
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -47,6 +47,10 @@
         /// The first quarantine; doubled with each repetition. Then the parts
         /// are suspected, and the next crash repeats the quarantine.
         duration first_quarantine = std::chrono::minutes(10);
+        /// The first quarantine of parts that have all begun before. It is
+        /// short because a part that all requests share meets several crashes
+        /// without a start when failure domains fail one after the other.
+        duration first_quarantine_of_started = std::chrono::seconds(30);
         duration max_quarantine = std::chrono::hours(24);
         /// A part without a further crash for this long is no longer suspected.
         duration suspicion_retention = std::chrono::minutes(10);
@@ -62,6 +66,10 @@
     /// @brief Records the first event of a stream, which clears its parts.
     void note_started(std::span<const std::string> parts);
 
+    /// @brief Records that the connection of a stream that had not begun broke,
+    ///     which may be a crash. Its parts are suspects until they begin.
+    void note_broken(std::span<const std::string> parts, time_point now);
+
     /// @brief Records that an engine crashed under a stream that had not begun.
     /// @param engine identifies the start of the engine; a crash is counted
     ///     once per part
@@ -70,8 +78,9 @@
     note_crash(std::span<const std::string> parts, const std::string& engine,
                time_point now);
 
-    /// @return the parts of a prompt that crashed engines and did not begin
-    ///     since; one crash doesn't make a part suspect that has begun before
+    /// @return the parts of a prompt that may have crashed engines and did not
+    ///     begin since; a part that has begun before is suspect only after two
+    ///     crashes
     [[nodiscard]] std::vector<std::string>
     suspects(std::span<const std::string> parts) const;
 
@@ -79,9 +88,10 @@
     [[nodiscard]] std::optional<duration>
     quarantine_of(std::span<const std::string> parts, time_point now) const;
 
-    /// @brief Adds a quarantine that another process decided.
+    /// @brief Adds a quarantine that another process decided, with its evidence
+    ///     against each part, so that a new leader need not find them again.
     /// @return false if it is known already
-    bool add(quarantined_parts added, time_point now);
+    bool add(const quarantined_parts& added, time_point now);
 
     /// @brief Ends expired quarantines, whose parts become suspects, and old
     ///     suspicions.
@@ -96,6 +106,7 @@
     {
         unsigned crashes = 0;
         unsigned repetitions = 0;
+        time_point last_break; ///< of a connection, also by a crash
         time_point last_crash;
         std::string last_engine;
     };
@@ -106,6 +117,8 @@
         time_point until;
     };
 
+    /// @return false if it is known already
+    bool insert(const quarantined_parts& added, time_point now);
     void remember_start(const std::string& part);
     suspicion& suspicion_of(const std::string& part);
 
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -14,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -91,13 +90,9 @@
     void on_suspicion(const upstream_id& id);
     void check_upstream(const instance& upstream);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> exchanges() const;
-    void on_probe_failed(const upstream_id& id);
+    void on_probe_finished(const upstream_id& id, bool alive);
     void fail_attempts_on(const upstream_id& id);
     void refresh_planner(const service_id& service);
-    void on_quarantine(const quarantine_update& update);
-    /// @return the rest of the quarantine that the request falls under
-    [[nodiscard]] std::optional<duration>
-    quarantine_of(const accepted_request& accepted) const;
     void on_new_leader();
     void tick();
     [[nodiscard]] bool refuses_while_stopping(const route& candidate) const;
@@ -112,12 +107,11 @@
     net::http1_client client_;
     upstream_directory directory_;
     std::map<service_id, stream_planner> planners_;
-    /// As decided by the leaders.
-    std::map<service_id, prompt_quarantine> quarantines_;
     retry_limiter retries_;
     control_feed feed_;
     stream_placer placer_;
     upstream_prober prober_;
+    gate_quarantine quarantine_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
     /// Observes connections of the server, so it has to outlive the server.
--- a/lib/include/bamboogate/relay/stream_placer.hpp
+++ b/lib/include/bamboogate/relay/stream_placer.hpp
@@ -41,8 +41,9 @@
     ///     compensated when the leader changes or the run ends.
     void send_update(const run_update& update);
 
-    /// @brief Reports a possible crash to the leader. Dropped without one.
-    void report_crash(const crash_report& report);
+    /// @brief Reports a crash or a broken connection to the leader.
+    /// @return false if there is no leader
+    [[nodiscard]] bool report_crash(const crash_report& report);
 
 private:
     net::link_hub& hub_;
--- a/lib/include/bamboogate/relay/upstream_prober.hpp
+++ b/lib/include/bamboogate/relay/upstream_prober.hpp
@@ -26,9 +26,13 @@
         duration deadline = std::chrono::milliseconds(70);
     };
 
-    /// @param on_failed called on the loop's thread for each failed probe
+    /// Receives the upstream and whether it accepted the connection.
+    using finished_callback = std::function<void(const upstream_id&, bool)>;
+
+    /// @param on_finished called on the loop's thread for each probe; during
+    ///     `probe` if it fails at once
     upstream_prober(net::event_loop& loop, options settings,
-                    std::function<void(const upstream_id&)> on_failed);
+                    finished_callback on_finished);
 
     /// @brief Starts a probe unless one of this upstream is in progress.
     void probe(const upstream_id& id, const net::address& address);
@@ -44,7 +48,7 @@
 
     net::event_loop& loop_;
     options settings_;
-    std::function<void(const upstream_id&)> on_failed_;
+    finished_callback on_finished_;
     std::map<upstream_id, check> checks_;
 };
 
--- a/lib/source/relay/messages.cpp
+++ b/lib/source/relay/messages.cpp
@@ -1,5 +1,7 @@
 #include <bamboogate/relay/messages.hpp>
 
+#include <fmt/format.h>
+
 namespace bamboogate::relay {
 
 // Encoded as an array without keys, because announcements are most of the
@@ -43,6 +45,11 @@
     document.at(2).get_to(value.sequence);
 }
 
+std::string crash_report::engine_start() const
+{
+    return fmt::format("{}@{}", engine.value(), engine_started_at);
+}
+
 quarantine_update make_quarantine_update(const service_id& service,
                                          const quarantined_parts& quarantine)
 {
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -102,10 +102,13 @@
     if (!is_leader_()) {
         return;
     }
-    const auto found = quarantines_[report.service].note_crash(
-        report.shared_parts,
-        fmt::format("{}@{}", report.engine.value(), report.engine_started_at),
-        loop_.now());
+    prompt_quarantine& quarantine = quarantines_[report.service];
+    if (!report.confirmed) {
+        quarantine.note_broken(report.shared_parts, loop_.now());
+        return;
+    }
+    const auto found = quarantine.note_crash(
+        report.shared_parts, report.engine_start(), loop_.now());
     if (!found) {
         return;
     }
--- a/lib/source/relay/prompt_quarantine.cpp
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -52,13 +52,24 @@
         suspicions_.erase(std::min_element(
             suspicions_.begin(), suspicions_.end(),
             [](const auto& a, const auto& b) {
-                return std::tuple(a.second.crashes, a.second.last_crash) <
-                       std::tuple(b.second.crashes, b.second.last_crash);
+                return std::tuple(a.second.crashes, a.second.last_break) <
+                       std::tuple(b.second.crashes, b.second.last_break);
             }));
     }
     return suspicions_[part];
 }
 
+void prompt_quarantine::note_broken(std::span<const std::string> parts,
+                                    time_point now)
+{
+    if (quarantine_of(parts, now)) {
+        return;
+    }
+    for (const auto& part : parts) {
+        suspicion_of(part).last_break = now;
+    }
+}
+
 std::optional<quarantined_parts>
 prompt_quarantine::note_crash(std::span<const std::string> parts,
                               const std::string& engine, time_point now)
@@ -80,6 +91,7 @@
             entry.last_crash = now;
             entry.last_engine = engine;
         }
+        entry.last_break = now;
         evidence[part] = entry;
         most = std::max(most, entry.crashes);
     }
@@ -93,12 +105,18 @@
             out.repetitions = std::max(out.repetitions, entry.repetitions);
         }
     }
+    const bool started_before =
+        std::all_of(out.parts.begin(), out.parts.end(), [&](const auto& part) {
+            return started_index_.contains(part);
+        });
+    const duration first = started_before
+                               ? settings_.first_quarantine_of_started
+                               : settings_.first_quarantine;
     constexpr unsigned max_doublings = 16;
-    out.remaining =
-        std::min<duration>(settings_.first_quarantine *
-                               (1 << std::min(out.repetitions, max_doublings)),
-                           settings_.max_quarantine);
-    add(out, now);
+    out.remaining = std::min<duration>(
+        first * (1 << std::min(out.repetitions, max_doublings)),
+        settings_.max_quarantine);
+    insert(out, now);
     return out;
 }
 
@@ -130,7 +148,21 @@
     return std::nullopt;
 }
 
-bool prompt_quarantine::add(quarantined_parts added, time_point now)
+bool prompt_quarantine::add(const quarantined_parts& added, time_point now)
+{
+    if (!insert(added, now)) {
+        return false;
+    }
+    for (const auto& part : added.parts) {
+        suspicion& entry = suspicion_of(part);
+        entry.crashes = std::max(entry.crashes, added.crashes);
+        entry.repetitions = std::max(entry.repetitions, added.repetitions);
+        entry.last_break = now;
+    }
+    return true;
+}
+
+bool prompt_quarantine::insert(const quarantined_parts& added, time_point now)
 {
     if (added.parts.empty()) {
         return false;
@@ -149,8 +181,7 @@
                                  return a.second.until < b.second.until;
                              }));
     }
-    quarantined_[std::move(added.parts)] = {added.crashes, added.repetitions,
-                                            until};
+    quarantined_[added.parts] = {added.crashes, added.repetitions, until};
     return true;
 }
 
@@ -163,14 +194,14 @@
                 suspicion& entry = suspicion_of(part);
                 entry.crashes = settings_.max_crashes - 1;
                 entry.repetitions = each->second.repetitions + 1;
-                entry.last_crash = now;
+                entry.last_break = now;
             }
             quarantined_.erase(each);
         }
         each = next;
     }
     std::erase_if(suspicions_, [&](const auto& each) {
-        return now - each.second.last_crash > settings_.suspicion_retention;
+        return now - each.second.last_break > settings_.suspicion_retention;
     });
 }
 
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -1,9 +1,6 @@
 #include <bamboogate/relay/log_events.hpp>
 #include <bamboogate/relay/relay_gate.hpp>
 
-#include <fmt/format.h>
-#include <fmt/ranges.h>
-
 #include <algorithm>
 
 namespace bamboogate::relay {
@@ -59,11 +56,33 @@
            .on_suspicion = [this](const upstream_id& id) { on_suspicion(id); },
            .on_quarantine =
                [this](const quarantine_update& update) {
-                   on_quarantine(update);
+                   quarantine_.add(update, loop_.now());
                },
            .on_new_leader = [this] { on_new_leader(); }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
-      prober_(loop, {}, [this](const upstream_id& id) { on_probe_failed(id); }),
+      prober_(loop, {},
+              [this](const upstream_id& id, bool alive) {
+                  on_probe_finished(id, alive);
+              }),
+      quarantine_({.report =
+                       [this](const crash_report& report) {
+                           return placer_.report_crash(report);
+                       },
+                   .check_engine =
+                       [this](const upstream_id& id) {
+                           if (const auto* engine = directory_.find(id)) {
+                               prober_.probe(id, engine->announced.address);
+                           } else {
+                               quarantine_.dismiss(id);
+                           }
+                       },
+                   .on_added =
+                       [this](const service_id& service,
+                              const prompt_quarantine& quarantine) {
+                           for (const auto& each : exchanges()) {
+                               each->on_quarantine(service, quarantine);
+                           }
+                       }}),
       context_{
           .loop = loop,
           .upstream_client = client_,
@@ -71,6 +90,7 @@
           .directory = directory_,
           .retries = retries_,
           .placer = placer_,
+          .quarantine = quarantine_,
           .metrics = metrics_,
           .response_buffers = response_buffers_,
           .report_suspicion =
@@ -193,7 +213,8 @@
         .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
                               matched->rank),
         .description = std::move(description)};
-    if (const auto rest = quarantine_of(accepted)) {
+    if (const auto rest = quarantine_.quarantine_of(
+            accepted.service, accepted.description.shared_parts, loop_.now())) {
         metrics_.quarantined.add();
         log(events::request_refused,
             {{"request", accepted.description.attempt.value()},
@@ -213,31 +234,6 @@
     created->start();
 }
 
-std::optional<duration>
-relay_gate::quarantine_of(const accepted_request& accepted) const
-{
-    const auto found = quarantines_.find(accepted.service);
-    return found == quarantines_.end()
-               ? std::nullopt
-               : found->second.quarantine_of(accepted.description.shared_parts,
-                                             loop_.now());
-}
-
-void relay_gate::on_quarantine(const quarantine_update& update)
-{
-    prompt_quarantine& quarantine = quarantines_[update.service];
-    if (!quarantine.add(to_quarantine(update), loop_.now())) {
-        return;
-    }
-    log(events::quarantine_added,
-        {{"service", update.service.value()},
-         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
-         {"remaining_ms", update.remaining_ms}});
-    for (const auto& each : exchanges()) {
-        each->on_quarantine(update.service, quarantine);
-    }
-}
-
 bool relay_gate::refuses_while_stopping(const route& candidate) const
 {
     return stopping_ &&
@@ -351,8 +347,13 @@
     }
 }
 
-void relay_gate::on_probe_failed(const upstream_id& id)
+void relay_gate::on_probe_finished(const upstream_id& id, bool alive)
 {
+    if (alive) {
+        quarantine_.dismiss(id);
+        return;
+    }
+    quarantine_.confirm(id, loop_.now());
     directory_.health(id).note_failure(loop_.now());
     log(events::upstream_suspended,
         {{"upstream", id.value()},
@@ -406,9 +407,7 @@
         log(events::upstream_changed,
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
-    for (auto& [service, quarantine] : quarantines_) {
-        quarantine.expire(loop_.now());
-    }
+    quarantine_.expire(loop_.now());
     retries_.set_gates(feed_.gates());
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -228,6 +228,8 @@
         event_seen_ = true;
         planner().note_started(accepted_.description.attempt);
         report_run(run_update::change::started);
+        context_.quarantine.note_started(accepted_.service,
+                                         accepted_.description.shared_parts);
         copy_.note_started();
         context_.directory.health(engine_).note_success(now - attempt_started_);
     }
@@ -295,7 +297,7 @@
     }
     if (head_.status == 200 && answer_.sealed) {
         if (splitter_.inside_event()) {
-            on_attempt_lost("cut_inside_event", true);
+            on_connection_broken("cut_inside_event");
             return;
         }
         health.request_ended();
@@ -356,30 +358,50 @@
     context_.directory.health(engine_).note_failure(context_.loop.now());
     const bool engine_may_be_gone = failure.code != errc::malformed_input &&
                                     failure.code != errc::limit_exceeded;
-    if (engine_may_be_gone) {
-        if (failure.request_sent) {
-            report_crash();
+    if (!engine_may_be_gone || !failure.request_sent) {
+        if (engine_may_be_gone) {
+            context_.report_suspicion(engine_);
         }
-        context_.report_suspicion(engine_);
+        on_attempt_lost(name_of(failure.code), failure.request_sent);
+        return;
     }
-    on_attempt_lost(name_of(failure.code), failure.request_sent);
+    context_.report_suspicion(engine_);
+    on_connection_broken(name_of(failure.code));
 }
 
-void stream_exchange::report_crash()
+std::optional<crash_report> stream_exchange::possible_crash()
 {
-    const auto& parts = accepted_.description.shared_parts;
-    if (event_seen_ || parts.empty()) {
-        return;
+    if (event_seen_ || accepted_.description.shared_parts.empty()) {
+        return std::nullopt;
     }
-    ++crashes_before_start_;
+    ++breaks_before_start_;
     const instance* engine = context_.directory.find(engine_);
-    context_.placer.report_crash(
-        {.service = accepted_.service,
-         .id = accepted_.description.attempt,
-         .engine = engine_,
-         .engine_started_at =
-             engine != nullptr ? engine->announced.started_at : 0,
-         .shared_parts = parts});
+    return crash_report{.service = accepted_.service,
+                        .id = accepted_.description.attempt,
+                        .engine = engine_,
+                        .engine_started_at = engine != nullptr
+                                                 ? engine->announced.started_at
+                                                 : 0,
+                        .shared_parts = accepted_.description.shared_parts};
+}
+
+void stream_exchange::on_connection_broken(std::string_view cause)
+{
+    auto report = possible_crash();
+    if (!report) {
+        on_attempt_lost(cause, true);
+        return;
+    }
+    silence_timer_.stop();
+    checking_engine_ = true;
+    context_.quarantine.note_broken(
+        std::move(*report),
+        [weak = weak_from_this(), cause = std::string(cause), this] {
+            const auto self = weak.lock();
+            if (self && std::exchange(checking_engine_, false)) {
+                on_attempt_lost(cause, true);
+            }
+        });
 }
 
 void stream_exchange::end_quarantined(duration retry_after)
@@ -403,7 +425,9 @@
     if (!rest) {
         return;
     }
-    runs_ += attempt_ && attempt_->request_sent() ? 1 : 0;
+    const bool may_run =
+        checking_engine_ || (attempt_ && attempt_->request_sent());
+    runs_ += may_run ? 1 : 0;
     cancel_attempts();
     end_quarantined(*rest);
 }
@@ -447,8 +471,9 @@
 {
     silence_timer_.stop();
     static_cast<void>(copy_.end());
-    if (attempt_) {
+    if (attempt_ || checking_engine_) {
         attempt_.reset();
+        checking_engine_ = false;
         context_.directory.health(engine_).request_ended();
     }
     if (attempt_ || awaiting_placement_ || reported_to_leader_) {
@@ -460,7 +485,7 @@
 void stream_exchange::on_deadline()
 {
     const bool may_have_run =
-        (attempt_ && attempt_->request_sent()) || runs_ > 0;
+        (attempt_ && attempt_->request_sent()) || checking_engine_ || runs_ > 0;
     cancel_attempts();
     if (may_have_run || head_sent_) {
         respond_failure(504, "deadline");
@@ -500,7 +525,10 @@
     const bool sent = attempt_->request_sent();
     attempt_.reset();
     if (sent) {
-        report_crash();
+        if (auto report = possible_crash()) {
+            context_.quarantine.note_crash(std::move(*report),
+                                           context_.loop.now());
+        }
     }
     on_attempt_lost("upstream_lost", sent);
 }
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -56,9 +56,13 @@
     void on_complete();
     void on_failure(const net::http1_failure& failure);
     void on_silence();
-    /// The connection of an attempt broke before its first event: reports that
-    /// the engine may have crashed because of this stream.
-    void report_crash();
+    /// @return a report that the engine of a lost attempt may have crashed
+    ///     because of this stream; none if the attempt had begun
+    [[nodiscard]] std::optional<crash_report> possible_crash();
+    /// The connection of an attempt broke after the request was sent: before
+    /// its first event, the engine is checked before the stream is placed
+    /// again.
+    void on_connection_broken(std::string_view cause);
     /// Ends the stream, because it would crash its engine.
     void end_quarantined(duration retry_after);
     /// Resumes the stream elsewhere after a lost attempt, or ends the request.
@@ -94,7 +98,8 @@
     bool resuming_ = false;
     unsigned silent_losses_ = 0; ///< attempts lost to silence between events
     unsigned unusable_placements_ = 0;
-    unsigned crashes_before_start_ = 0; ///< reported by `report_crash`
+    bool checking_engine_ = false;     ///< of a lost attempt
+    unsigned breaks_before_start_ = 0; ///< attempts lost with their connection
     duration first_event_after_{};
     duration longest_pause_{};
     upstream_id longest_pause_engine_; ///< engine that ended the longest pause
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -122,7 +122,7 @@
 
 void stream_exchange::place_locally()
 {
-    if (crashes_before_start_ >= max_crashes_without_leader) {
+    if (breaks_before_start_ >= max_crashes_without_leader) {
         respond_failure(502, "engines_crash");
         return;
     }
--- a/lib/source/relay/stream_placer.cpp
+++ b/lib/source/relay/stream_placer.cpp
@@ -34,9 +34,9 @@
     hub_.send(leader_(), update);
 }
 
-void stream_placer::report_crash(const crash_report& report)
+bool stream_placer::report_crash(const crash_report& report)
 {
-    hub_.send(leader_(), report);
+    return hub_.send(leader_(), report);
 }
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/upstream_prober.cpp
+++ b/lib/source/relay/upstream_prober.cpp
@@ -2,10 +2,9 @@
 
 namespace bamboogate::relay {
 
-upstream_prober::upstream_prober(
-    net::event_loop& loop, options settings,
-    std::function<void(const upstream_id&)> on_failed)
-    : loop_(loop), settings_(settings), on_failed_(std::move(on_failed))
+upstream_prober::upstream_prober(net::event_loop& loop, options settings,
+                                 finished_callback on_finished)
+    : loop_(loop), settings_(settings), on_finished_(std::move(on_finished))
 {}
 
 void upstream_prober::probe(const upstream_id& id, const net::address& address)
@@ -15,7 +14,7 @@
     }
     const auto descriptor = net::start_connect(address);
     if (!descriptor) {
-        on_failed_(id);
+        on_finished_(id, false);
         return;
     }
     check& added = checks_[id];
@@ -43,9 +42,7 @@
     checks_.erase(found);
     ended->deadline->stop();
     loop_.post([ended] {});
-    if (!alive) {
-        on_failed_(id);
-    }
+    on_finished_(id, alive);
 }
 
 } // namespace bamboogate::relay
--- a/tests/platform/poison_request_test.cpp
+++ b/tests/platform/poison_request_test.cpp
@@ -27,22 +27,30 @@
     {
         return engine1.received.size() + engine2.received.size();
     }
-    /// Waits until one of the engines has the request and crashes it: its
-    /// connections break, and it announces itself again.
-    void crash_next(std::size_t already_received)
+    /// Waits until one of the engines has received the next request.
+    fake_upstream& next_engine(std::size_t already_received)
     {
         REQUIRE(wait([&] { return received() == already_received + 1; }));
         run_until(
             loop, [] { return false; }, 600ms);
         fake_upstream& engine =
-            !engine1.received.empty() &&
-                    engine1.received.back().responder != last_crashed_
-                ? engine1
-                : engine2;
-        last_crashed_ = engine.received.back().responder;
-        last_crashed_->abort();
+            engine1.received.size() > seen1_ ? engine1 : engine2;
+        seen1_ = engine1.received.size();
+        return engine;
+    }
+    /// Waits until one of the engines has the request and crashes it: its
+    /// connections break, and it starts again.
+    void crash_next(std::size_t already_received)
+    {
+        fake_upstream& engine = next_engine(already_received);
+        engine.crash();
         run_until(
             loop, [] { return false; }, 20ms);
+        engine.restart();
+        announce_engines();
+    }
+    void announce_engines()
+    {
         ++announced;
         announce(engine1, "gen", "d1", announced, "ready", announced * 1000);
         announce(engine2, "gen", "d2", announced, "ready", announced * 1000);
@@ -71,7 +79,7 @@
     }
 
 private:
-    net::http1_responder_ptr last_crashed_;
+    std::size_t seen1_ = 0; ///< requests received by the first engine
 };
 
 } // namespace
@@ -125,15 +133,52 @@
     run_until(
         loop, [] { return false; }, 100ms);
     const caller& request = send_with_parts("g1", "f1:200,bad:100,o1:500");
-    for (std::size_t sent = 1; sent <= 2; ++sent) {
-        REQUIRE(wait([&] { return received() == sent; }));
-        for (auto* engine : {&engine1, &engine2}) {
-            if (!engine->received.empty()) {
-                engine->received.back().responder->abort();
-            }
-        }
-    }
+    next_engine(0).crash();
+    next_engine(1).crash();
     REQUIRE(wait([&] { return request.ended(); }));
     CHECK(request.status() == 502);
     CHECK(received() == 2);
 }
+
+// Guards against a quarantine of sound requests whose connections engines
+// reset, for example because they have too many.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "connections_that_live_engines_reset_are_no_crashes")
+{
+    start_system();
+    const caller& request = send_with_parts("g1", "f1:200,p1:100,o1:500");
+    for (std::size_t sent = 0; sent < 3; ++sent) {
+        next_engine(sent).received.back().responder->abort();
+        run_until(
+            loop, [] { return false; }, 20ms);
+        announce_engines();
+    }
+    REQUIRE(wait([&] { return request.ended(); }));
+    CHECK(request.status() == 502);
+    send_with_parts("g2", "f1:200,p1:100,o2:500");
+    CHECK(wait([&] { return received() == 4; }));
+}
+
+// Guards against engines lost to many requests while no leader counts them.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "poison_request_without_a_leader_is_refused_by_its_gate")
+{
+    start_system();
+    nodes.clear();
+    run_until(
+        loop, [] { return false; }, 2s);
+    send_with_parts("g1", "f1:200,bad:100,o1:500");
+    for (std::size_t crashes = 0; crashes < 3; ++crashes) {
+        fake_upstream& engine = next_engine(crashes);
+        engine.crash();
+        run_until(
+            loop, [] { return false; }, 20ms);
+        engine.restart();
+        if (crashes == 1) {
+            REQUIRE(wait([&] { return callers[0]->ended(); }));
+            send_with_parts("g2", "f1:200,bad:100,o2:500");
+        }
+    }
+    REQUIRE(wait([&] { return callers[1]->ended(); }));
+    check_refused("g3", "f1:200,bad:100,o3:500");
+}
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -62,13 +62,26 @@
     int dropped_copy_calls = 0;
     int disconnected_callers = 0;
     std::unique_ptr<net::http1_server> server;
+    net::address address; ///< while it is crashed
 
     fake_upstream(net::event_loop& l, std::string name)
         : loop(l), id(std::move(name))
+    {
+        listen({"127.0.0.1", 0});
+    }
+    /// Breaks all connections and refuses new ones until `restart`.
+    void crash()
+    {
+        address = server->bound_address();
+        server.reset();
+    }
+    /// @pre `crash` was called
+    void restart() { listen(address); }
+    void listen(const net::address& listen_address)
     {
         server =
             net::http1_server::start(
-                loop, {.listen_address = {"127.0.0.1", 0}},
+                loop, {.listen_address = listen_address},
                 [this](net::http1_request request,
                        const net::http1_responder_ptr& responder) {
                     if (request.path() == "/kv-events") {
--- a/tests/relay/prompt_quarantine_test.cpp
+++ b/tests/relay/prompt_quarantine_test.cpp
@@ -114,6 +114,23 @@
     CHECK(crash({"part"}));
 }
 
+// Guards against ten minutes without service after failure domains fail one
+// after the other under streams that share a part.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "part_that_began_before_is_quarantined_for_a_short_time")
+{
+    quarantine.note_started(part_list{"shared"});
+    crash({"shared", "new"});
+    crash({"shared"});
+    const auto found = crash({"shared"});
+    REQUIRE(found);
+    CHECK(found->parts == part_list{"shared"});
+    CHECK(found->remaining == 30s);
+    now += 30s;
+    quarantine.expire(now);
+    CHECK_FALSE(refused({"shared"}));
+}
+
 // Guards against a second series of crashes when a quarantine ends, and against
 // one that never ends.
 TEST_CASE_FIXTURE(prompt_quarantine_fixture,
@@ -172,3 +189,35 @@
     REQUIRE(quarantine.quarantined(now).size() == 1);
     CHECK(quarantine.quarantined(now)[0].crashes == 3);
 }
+
+// Guards against a new leader that loses as many engines again, because it
+// knows the quarantine but not the evidence against each part.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "quarantine_of_another_process_brings_its_evidence")
+{
+    REQUIRE(quarantine.add(
+        {.parts = {"bad", "f1"}, .crashes = 3, .remaining = 10min}, now));
+    CHECK_FALSE(refused({"bad", "f2"}));
+    const auto found = crash({"bad", "f2"});
+    REQUIRE(found);
+    CHECK(found->parts == part_list{"bad"});
+    CHECK(refused({"bad", "f3"}));
+    quarantine.note_started(part_list{"f1"});
+    CHECK(quarantine.suspects(part_list{"f1"}).empty());
+}
+
+// Guards against a quarantine because of connections that break at live
+// engines, and against a suspect that is placed beside others.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "broken_connection_makes_a_part_suspect_until_it_begins")
+{
+    quarantine.note_started(part_list{"shared"});
+    for (int i = 0; i < 5; ++i) {
+        now += 1s;
+        quarantine.note_broken(part_list{"shared", "new"}, now);
+    }
+    CHECK(quarantine.suspects(part_list{"shared", "new"}) == part_list{"new"});
+    CHECK_FALSE(refused({"shared", "new"}));
+    quarantine.note_started(part_list{"new"});
+    CHECK(quarantine.suspects(part_list{"new"}).empty());
+}
