Send nothing to an upstream that has stated that it leaves

Callers' requests could reach an upstream after it had stated its leave in a response (Server-Leaving), because nothing read that field and its announcements may say that it is ready, or not come.

Change: each response is read for the statement: of plain requests, streams, copy calls and the replicas' watch. The process that sees it records the departure of this start at once and tells the leader, or its home replica without one, which records it with the other replicas and informs the gates as for any departure. A placement, copy holder or answer of another upstream (421) that comes from an older picture is not followed.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -70,6 +70,10 @@
     ///     inform the other gates. Dropped while no link is up.
     void report_suspicion(const upstream_id& id);
 
+    /// @brief Reports to the control replicas that an upstream stated that it
+    ///     leaves. Dropped while no link is up.
+    void report_leaving(const announcement& announced);
+
     /// @brief Number of control replicas whose link is up.
     [[nodiscard]] std::size_t links_up() const;
     /// @brief Version of the configuration in use; 0 if none was received.
@@ -91,6 +95,8 @@
     void fetch();
     /// The replica to request the configuration from; empty if it is better to
     /// wait.
+    template <typename Message>
+    void send_to_leader_or_home(const Message& message);
     [[nodiscard]] node_id fetch_source() const;
     void on_document(const node_id& from, result<configuration_document> reply);
 
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -150,6 +150,10 @@
     /// Sends the unchanged announcements since the last call to the replicas
     /// and, at `refresh_interval`, to the gates.
     void send_refreshes();
+    /// A watched engine responded to this replica.
+    void on_response(const upstream_id& id, const response_description& answer);
+    /// An upstream stated to a gate, or to this replica, that it leaves.
+    void on_leaving_statement(const announcement& announced);
     void on_suspicion(const node_id& from, const upstream_suspicion& suspicion);
     void watch_engines();
     void on_configuration(
--- a/lib/include/bamboogate/relay/engine_watcher.hpp
+++ b/lib/include/bamboogate/relay/engine_watcher.hpp
@@ -34,6 +34,9 @@
     {
         /// An engine did not answer in time.
         std::function<void(const upstream_id&)> on_unresponsive;
+        /// An engine responded.
+        std::function<void(const upstream_id&, const response_description&)>
+            on_response;
         /// Changes of an engine's cache, oldest first.
         std::function<void(const upstream_id&, std::vector<cached_prompt>)>
             on_cache;
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -45,6 +45,9 @@
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
+    /// Evaluates what an upstream states about itself in a response.
+    std::function<void(const upstream_id&, const response_description&)>
+        on_statement;
     /// Returns the planner of a service.
     std::function<stream_planner&(const service_id&)> planner;
     /// Returns the engine profile of a service; null for plain services.
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -140,6 +140,14 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(leaving_recorded, upstream)
 };
 
+/// Gate to replica: an upstream stated in a response that it leaves.
+struct leaving_statement
+{
+    static constexpr std::string_view type = "relay_leaving_statement";
+    announcement announced;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(leaving_statement, announced)
+};
+
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
 /// stalled.
 struct upstream_suspicion
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -72,6 +72,9 @@
     request_id attempt;   ///< empty if the response has none
     bool sealed = false;  ///< carries the engine's signature
     bool not_run = false; ///< the upstream states that it executed nothing
+    bool leaving = false; ///< the upstream states that it leaves
+    /// False if the response comes from another upstream than the expected one.
+    bool expected_upstream = true;
 };
 
 /// A change of an engine's prompt cache: an added or evicted prompt.
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -84,6 +84,9 @@
     void on_configuration(configuration document);
     void on_announcement(const announcement& announced);
     void on_departure(const announcement& announced);
+    /// An upstream stated something about itself in a response to this gate.
+    void on_statement(const upstream_id& id,
+                      const response_description& answer);
     /// An exchange of this gate lost an upstream or a connection to it.
     void on_loss_observed(const upstream_id& id);
     /// Another process suspects the upstream.
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -275,11 +275,20 @@
 {
     // The leader also stops placing streams on the upstream; any other replica
     // only informs the gates.
-    const upstream_suspicion suspicion{id.value()};
-    if (hub_.send(leader_, suspicion)) {
-        return;
+    send_to_leader_or_home(upstream_suspicion{id.value()});
+}
+
+void control_feed::report_leaving(const announcement& announced)
+{
+    send_to_leader_or_home(leaving_statement{announced});
+}
+
+template <typename Message>
+void control_feed::send_to_leader_or_home(const Message& message)
+{
+    if (!hub_.send(leader_, message)) {
+        hub_.send(home_.current(), message);
     }
-    hub_.send(home_.current(), suspicion);
 }
 
 std::size_t control_feed::links_up() const
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -38,6 +38,11 @@
                     [this](const upstream_id& id) {
                         on_suspicion(self_, upstream_suspicion{id.value()});
                     },
+                .on_response =
+                    [this](const upstream_id& id,
+                           const response_description& answer) {
+                        on_response(id, answer);
+                    },
                 .on_cache =
                     [this](const upstream_id& id, const auto& changes) {
                         placements_.on_cache(id, changes);
@@ -121,6 +126,10 @@
             gates_of_replicas_[peer.node] =
                 received.forwards ? received.subscribed : received.gates;
         });
+    hub_.on<leaving_statement>(
+        [this](const net::peer_info&, const leaving_statement& statement) {
+            on_leaving_statement(statement.announced);
+        });
     hub_.on<upstream_suspicion>(
         [this](const net::peer_info& peer, upstream_suspicion suspicion) {
             on_suspicion(peer.node, suspicion);
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -172,6 +172,32 @@
     confirm_leaving({.announced = announced, .deregistered = true}, callback);
 }
 
+void control_node::on_response(const upstream_id& id,
+                               const response_description& answer)
+{
+    const instance* engine = registry_.find(id);
+    if (engine == nullptr || !answer.expected_upstream) {
+        return;
+    }
+    if (answer.leaving) {
+        const announcement announced = engine->announced;
+        on_leaving_statement(announced);
+    }
+}
+
+void control_node::on_leaving_statement(const announcement& announced)
+{
+    const instance* known = registry_.find(announced.id);
+    const bool recorded = known != nullptr &&
+                          known->state != instance_state::ready &&
+                          known->announced.started_at >= announced.started_at;
+    // Every gate that uses the upstream may report it, and each departure is
+    // sent to all gates.
+    if (!recorded) {
+        on_departure(announced, [](const result<void>&) {});
+    }
+}
+
 void control_node::on_announcement_update(const announcement_update& update)
 {
     const time_point now = loop_.now();
--- a/lib/source/relay/engine_watcher.cpp
+++ b/lib/source/relay/engine_watcher.cpp
@@ -51,7 +51,11 @@
         current.address,
         current.cache_known ? protocol_.liveness_call(settings_.poll_wait)
                             : protocol_.cache_call(settings_.poll_wait),
-        {.on_head = [](const net::http1_response_head&) { return true; },
+        {.on_head =
+             [this, id](const net::http1_response_head& head) {
+                 observers_.on_response(id, protocol_.describe_response(head));
+                 return true;
+             },
          .on_body =
              [this, id](std::string_view part) {
                  call& reading = calls_.at(id);
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -87,6 +87,7 @@
 bool plain_exchange::on_head(const net::http1_response_head& head)
 {
     answer_ = context_.protocol.describe_response(head);
+    context_.on_statement(upstream_, answer_);
     const bool foreign = !answer_.attempt.empty() &&
                          answer_.attempt != accepted_.description.attempt;
     if (foreign) {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -95,6 +95,11 @@
           .response_buffers = response_buffers_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
+          .on_statement =
+              [this](const upstream_id& id,
+                     const response_description& answer) {
+                  on_statement(id, answer);
+              },
           .planner = [this](const service_id& service) -> stream_planner& {
               return planners_[service];
           },
@@ -295,6 +300,23 @@
     }
 }
 
+void relay_gate::on_statement(const upstream_id& id,
+                              const response_description& answer)
+{
+    const instance* upstream = directory_.find(id);
+    if (upstream == nullptr || !answer.expected_upstream) {
+        return;
+    }
+    if (answer.leaving && upstream->state == instance_state::ready) {
+        const announcement announced = upstream->announced;
+        static_cast<void>(directory_.record_departure(announced, loop_.now()));
+        log(events::upstream_changed, {{"upstream", id.value()},
+                                       {"state", "leaving"},
+                                       {"cause", "stated"}});
+        feed_.report_leaving(announced);
+    }
+}
+
 std::vector<std::shared_ptr<exchange>> relay_gate::exchanges() const
 {
     std::vector<std::shared_ptr<exchange>> out;
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -41,7 +41,8 @@
     started_ = false;
     holder_requested_ = false;
     const instance* known = holder ? context_.directory.find(*holder) : nullptr;
-    if (known != nullptr) {
+    // The leader may not know yet that the holder leaves.
+    if (known != nullptr && known->state == instance_state::ready) {
         copy_ = held_copy{
             .holder = *holder,
             .source = {known->announced.address, settings_.run.value()},
@@ -145,6 +146,11 @@
         return;
     }
     target_holder_ = reply.value().holder;
+    const instance* holder = context_.directory.find(target_holder_);
+    if (holder != nullptr && holder->state != instance_state::ready) {
+        on_copy_refused("leaving");
+        return;
+    }
     call_copy();
 }
 
@@ -171,6 +177,8 @@
          .max_body_bytes = max_answer_bytes},
         {.on_head =
              [this](const net::http1_response_head& head) {
+                 context_.on_statement(
+                     engine_, context_.protocol.describe_response(head));
                  response_status_ = head.status;
                  return true;
              },
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -150,6 +150,7 @@
 bool stream_exchange::on_head(const net::http1_response_head& head)
 {
     const auto answer = context_.protocol.describe_response(head);
+    context_.on_statement(engine_, answer);
     if (!answer.attempt.empty() &&
         answer.attempt != accepted_.description.attempt) {
         return false;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -176,6 +176,22 @@
     CHECK_FALSE(wire::read_copy_handle(200, "{}"));
 }
 
+// Guards against an upstream that receives requests after it stated that it
+// leaves.
+TEST_CASE("wire_response_states_whether_the_upstream_leaves")
+{
+    const auto describe = [](unsigned status, net::header_list headers) {
+        return wire::describe_response(
+            {.status = status, .headers = std::move(headers)});
+    };
+    CHECK(describe(200, {{"server-leaving", "1"}}).leaving);
+    CHECK(describe(503, {{"Server-Leaving", "1"}}).leaving);
+    CHECK_FALSE(describe(200, {}).leaving);
+    CHECK_FALSE(describe(200, {{"Server-Leaving", "0"}}).leaving);
+    CHECK(describe(200, {}).expected_upstream);
+    CHECK_FALSE(describe(421, {{"Server-Leaving", "1"}}).expected_upstream);
+}
+
 // Guards against repeating a request that may have been executed.
 TEST_CASE("wire_response_states_whether_the_request_was_executed")
 {
