Keep requests away from an upstream that has asked for a pause

An upstream that refused with 503 and Retry-After got the next requests after 50 or 300 ms, also when it was the last of its service, and all of them.

Cause: Retry-After of upstreams was not read; a refusal suspended the upstream for a fixed time, which ends with the next answered request and does not hold when there is no other upstream.

Change: the stated time, cut to an hour, holds for plain requests, streams, resumed streams, copy calls and the replicas' watch, for this start of the upstream. The leader learns it and places no streams there. After it one request a gate, and one stream a fleet, is sent until one is answered. If all upstreams of a service have asked for a pause, callers are refused at once until its end, spread over a quarter of it. Times that are negative or unreadable are logged and have no effect.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -74,6 +74,10 @@
     ///     leaves. Dropped while no link is up.
     void report_leaving(const announcement& announced);
 
+    /// @brief Reports to the leader that an engine asked for a pause. Dropped
+    ///     without a leader.
+    void report_pause(const pause_statement& statement);
+
     /// @brief Number of control replicas whose link is up.
     [[nodiscard]] std::size_t links_up() const;
     /// @brief Version of the configuration in use; 0 if none was received.
--- a/lib/include/bamboogate/relay/engine_watcher.hpp
+++ b/lib/include/bamboogate/relay/engine_watcher.hpp
@@ -28,6 +28,8 @@
         duration poll_wait = std::chrono::milliseconds(205);
         /// An answer counts as missing if it exceeds the wait by this much.
         duration margin = std::chrono::milliseconds(75);
+        /// Longest pause that an engine can ask for.
+        duration max_pause = std::chrono::hours(1);
     };
 
     struct observers
@@ -63,6 +65,7 @@
         std::unique_ptr<net::timer> deadline;
         std::unique_ptr<net::timer> pause; ///< until the next call
         time_point started;
+        time_point paused_until; ///< the engine asked for no calls
         bool cache_known = false;
         std::string body; ///< of the response to the cache call
     };
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -119,6 +119,9 @@
     [[nodiscard]] net::http1_client::request
     upstream_request(const attempt_options& options) const;
 
+    /// @brief Responds that no upstream can take the request. If all have asked
+    ///     for a pause, the retry delay is its rest, spread over callers.
+    void refuse_without_upstream(std::string_view cause, duration retry_after);
     /// @brief Responds that the request was not executed, with a retry delay.
     void refuse(std::string_view cause, duration retry_after);
     /// @brief Responds that the outcome is unknown (502) or late (504).
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -16,6 +16,9 @@
           quarantined(registry.add_counter(
               "bamboogate_relay_quarantined_total",
               "Requests refused because they would crash their engines.")),
+          pauses(registry.add_counter(
+              "bamboogate_relay_upstream_pauses_total",
+              "Refusals of upstreams that asked for a pause.")),
           failed(registry.add_counter(
               "bamboogate_relay_failed_total",
               "Requests that ended without an upstream's answer.")),
@@ -38,6 +41,7 @@
     observability::counter& requests;
     observability::counter& refused;
     observability::counter& quarantined;
+    observability::counter& pauses;
     observability::counter& failed;
     observability::counter& attempts;
     observability::counter& resumed;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -93,6 +93,10 @@
     1029, severity::warning, "relay_upstream_leaving_unconfirmed",
     "An upstream that leaves got no acknowledgement, because too few other "
     "replicas recorded it; it has to tell another replica."};
+inline constexpr log_event upstream_paused{
+    1039, severity::info, "relay_upstream_paused",
+    "An upstream refused a request and asked for no requests for the stated "
+    "time; kept_ms is 0 if the time was not positive or could not be read."};
 inline constexpr log_event quarantine_decided{
     1037, severity::warning, "relay_quarantine_decided",
     "The leader found parts of prompts under which engines crash; requests "
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -148,6 +148,17 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(leaving_statement, announced)
 };
 
+/// Gate to leader: an engine refused a request and asked for a pause.
+struct pause_statement
+{
+    static constexpr std::string_view type = "relay_pause_statement";
+    upstream_id upstream;
+    std::uint64_t started_at = 0;
+    std::int64_t pause_ms = 0;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(pause_statement, upstream, started_at,
+                                   pause_ms)
+};
+
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
 /// stalled.
 struct upstream_suspicion
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 
@@ -35,6 +36,10 @@
     ///     time.
     void on_suspicion(const upstream_id& id);
 
+    /// @brief Stops placing streams on an engine that asked for a pause. After
+    ///     the pause they are placed one at a time until one begins.
+    void on_pause(const pause_statement& statement);
+
     /// @brief Refuses the requests of a quarantine that another process
     /// decided.
     /// @return false if it is known already
@@ -92,6 +97,11 @@
     void on_update(const net::peer_info& peer, const run_update& update);
     void on_crash(const crash_report& report);
     void refresh(const service_id& service, stream_scheduler& scheduler);
+    /// @return streams that may be placed on the engine in addition to those
+    ///     there, if a pause limits them
+    [[nodiscard]] std::optional<std::size_t>
+    allowed_by_pause(const upstream_id& id, const instance& engine,
+                     const stream_planner& planner) const;
     void decide(const service_id& service);
     void decide_all();
     void send_reply(const request_id& id, result<place_reply> reply);
@@ -105,6 +115,13 @@
     std::map<service_id, prompt_quarantine> quarantines_;
     std::function<void(const quarantine_update&)> on_quarantine_;
     std::map<upstream_id, time_point> suspected_at_;
+    struct pause
+    {
+        std::uint64_t started_at = 0; ///< of the engine that asked for it
+        time_point until;
+    };
+    /// Until a stream begins on the engine after its pause.
+    std::map<upstream_id, pause> pauses_;
     std::map<request_id, pending> pending_;
     std::map<request_id, std::pair<node_id, service_id>> owners_;
     time_point caches_awaited_until_{};
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -73,6 +73,9 @@
     bool sealed = false;  ///< carries the engine's signature
     bool not_run = false; ///< the upstream states that it executed nothing
     bool leaving = false; ///< the upstream states that it leaves
+    /// With a refusal, how long the upstream wants no requests; zero if the
+    /// stated time is negative or unreadable.
+    std::optional<duration> pause = {};
     /// False if the response comes from another upstream than the expected one.
     bool expected_upstream = true;
 };
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -85,6 +85,11 @@
     /// @return the shared parts of its prompt, at the first call for this run
     std::vector<std::string> note_started(const request_id& id);
 
+    /// @brief Sets how long no engine takes streams, because all of them have
+    ///     asked for a pause. Demands that can't wait so long are refused at
+    ///     once, until then.
+    void engines_paused_for(duration pause) { pause_ = pause; }
+
     /// @brief Removes a run that has ended or a demand that is withdrawn.
     void end(const request_id& id);
 
@@ -126,6 +131,7 @@
 
     options settings_;
     stream_planner planner_;
+    duration pause_{};
     demand_list waiting_;
     std::map<request_id, running_stream> running_;
     std::map<client_account_id, std::uint64_t> tokens_by_account_;
--- a/lib/include/bamboogate/relay/upstream_directory.hpp
+++ b/lib/include/bamboogate/relay/upstream_directory.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/relay/upstream_health.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -29,10 +30,7 @@
     explicit upstream_directory(options settings);
 
     instance_registry::change record_announcement(const announcement& received,
-                                                  time_point now)
-    {
-        return registry_.record_announcement(received, now);
-    }
+                                                  time_point now);
     instance_registry::change record_departure(const announcement& received,
                                                time_point now)
     {
@@ -65,12 +63,18 @@
     }
 
     /// @brief Chooses the upstream of a plain service with the lowest expected
-    ///     latency. Suspended ones are used only if no other is left.
-    /// @return null if every upstream is excluded or none is ready
+    ///     latency. Suspended ones are used only if no other is left, paused
+    ///     ones never.
+    /// @return null if every upstream is excluded or paused, or none is ready
     [[nodiscard]] const instance* choose(const service_id& service,
                                          const std::set<upstream_id>& excluded,
                                          time_point now) const;
 
+    /// @return the time until an upstream of the service may receive requests
+    ///     again, if all that are ready have asked for a pause
+    [[nodiscard]] std::optional<duration> pause_left(const service_id& service,
+                                                     time_point now) const;
+
     /// @brief True if an upstream may receive new work.
     [[nodiscard]] bool usable(const instance& candidate, time_point now) const;
 
--- a/lib/include/bamboogate/relay/upstream_health.hpp
+++ b/lib/include/bamboogate/relay/upstream_health.hpp
@@ -9,7 +9,11 @@
 namespace bamboogate::relay {
 
 /// The health of one upstream as observed by this gate: failures, which suspend
-/// it temporarily, and response latency. Performs no I/O. Not thread safe.
+/// it temporarily, pauses that the upstream has asked for, and response
+/// latency. A suspended upstream may still be used if there is no other, a
+/// paused one may not. After a pause single requests are sent until one is
+/// answered, so that the upstream is not overloaded again. Performs no I/O. Not
+/// thread safe.
 class upstream_health
 {
 public:
@@ -18,6 +22,11 @@
         /// Suspension after the first failure; doubles with each further one.
         duration first_suspension = std::chrono::milliseconds(300);
         duration max_suspension = std::chrono::seconds(2);
+        /// Longest pause that an upstream can ask for; a longer one is cut.
+        duration max_pause = std::chrono::hours(1);
+        /// A request after a pause that is not answered for this long is
+        /// followed by another one.
+        duration trial_interval = std::chrono::seconds(1);
         /// Weight of a new sample in the moving average of the latency.
         double latency_weight = 0.2;
     };
@@ -25,7 +34,13 @@
     upstream_health() : upstream_health(options{}) {}
     explicit upstream_health(options settings) : settings_(settings) {}
 
-    void request_started() { ++in_flight_; }
+    void request_started(time_point now)
+    {
+        ++in_flight_;
+        if (on_trial_ && now >= paused_until_) {
+            trial_until_ = now + settings_.trial_interval;
+        }
+    }
     void request_ended() { in_flight_ -= in_flight_ > 0 ? 1 : 0; }
 
     /// @brief Records an answered request.
@@ -33,6 +48,9 @@
     {
         failures_ = 0;
         suspended_until_ = {};
+        if (trial_until_ != time_point{}) {
+            end_pause();
+        }
         const double sample = to_milliseconds(latency);
         latency_ms_ = latency_ms_ == 0.0
                           ? sample
@@ -57,6 +75,40 @@
         suspended_until_ = std::max(suspended_until_, now + backoff);
     }
 
+    /// @brief Records that the upstream asked for no requests for some time.
+    /// @return the pause that is kept; zero for a time that is not positive
+    duration note_pause(time_point now, duration stated)
+    {
+        const duration pause = std::min(stated, settings_.max_pause);
+        if (pause <= duration::zero()) {
+            return duration::zero();
+        }
+        paused_until_ = std::max(paused_until_, now + pause);
+        trial_until_ = {};
+        on_trial_ = true;
+        return pause;
+    }
+
+    /// @brief Forgets a pause, for example of an earlier start.
+    void end_pause()
+    {
+        on_trial_ = false;
+        paused_until_ = {};
+        trial_until_ = {};
+    }
+
+    /// @brief True if no request may be sent because of a pause.
+    [[nodiscard]] bool paused(time_point now) const
+    {
+        return pause_left(now) > duration::zero();
+    }
+    /// @brief Time until a request may be sent.
+    [[nodiscard]] duration pause_left(time_point now) const
+    {
+        return std::max<duration>(std::max(paused_until_, trial_until_) - now,
+                                  duration::zero());
+    }
+
     [[nodiscard]] bool suspended(time_point now) const
     {
         return now < suspended_until_;
@@ -71,6 +123,9 @@
     unsigned in_flight_ = 0;
     unsigned failures_ = 0;
     time_point suspended_until_{};
+    time_point paused_until_{};
+    bool on_trial_ = false;    ///< no answer since the last pause
+    time_point trial_until_{}; ///< no further request while one is on trial
     double latency_ms_ = 0.0;
 };
 
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -283,6 +283,11 @@
     send_to_leader_or_home(leaving_statement{announced});
 }
 
+void control_feed::report_pause(const pause_statement& statement)
+{
+    hub_.send(leader_, statement);
+}
+
 template <typename Message>
 void control_feed::send_to_leader_or_home(const Message& message)
 {
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -130,6 +130,10 @@
         [this](const net::peer_info&, const leaving_statement& statement) {
             on_leaving_statement(statement.announced);
         });
+    hub_.on<pause_statement>(
+        [this](const net::peer_info&, const pause_statement& statement) {
+            placements_.on_pause(statement);
+        });
     hub_.on<upstream_suspicion>(
         [this](const net::peer_info& peer, upstream_suspicion suspicion) {
             on_suspicion(peer.node, suspicion);
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -183,6 +183,14 @@
         const announcement announced = engine->announced;
         on_leaving_statement(announced);
     }
+    if (answer.pause && *answer.pause > duration::zero()) {
+        placements_.on_pause(
+            {.upstream = id,
+             .started_at = engine->announced.started_at,
+             .pause_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             *answer.pause)
+                             .count()});
+    }
 }
 
 void control_node::on_leaving_statement(const announcement& announced)
--- a/lib/source/relay/engine_watcher.cpp
+++ b/lib/source/relay/engine_watcher.cpp
@@ -53,7 +53,13 @@
                             : protocol_.cache_call(settings_.poll_wait),
         {.on_head =
              [this, id](const net::http1_response_head& head) {
-                 observers_.on_response(id, protocol_.describe_response(head));
+                 const auto answer = protocol_.describe_response(head);
+                 if (answer.pause) {
+                     calls_.at(id).paused_until =
+                         loop_.now() +
+                         std::min(*answer.pause, settings_.max_pause);
+                 }
+                 observers_.on_response(id, answer);
                  return true;
              },
          .on_body =
@@ -120,7 +126,8 @@
     // refused connection.
     const duration since = loop_.now() - again->second.started;
     again->second.pause->start_once(
-        std::max<duration>(settings_.poll_wait - since, min_pause));
+        std::max<duration>({settings_.poll_wait - since, min_pause,
+                            again->second.paused_until - loop_.now()}));
 }
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/retry_delay.hpp>
 
 #include "plain_exchange.hpp"
 #include "stream_exchange.hpp"
@@ -64,6 +65,19 @@
     return out;
 }
 
+void exchange::refuse_without_upstream(std::string_view cause,
+                                       duration retry_after)
+{
+    const auto pause =
+        context_.directory.pause_left(accepted_.service, context_.loop.now());
+    if (!pause) {
+        refuse(cause, retry_after);
+        return;
+    }
+    refuse("upstreams_paused",
+           spread_retry_delay(*pause, accepted_.description.attempt));
+}
+
 void exchange::refuse(std::string_view cause, duration retry_after)
 {
     if (ended_) {
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,8 @@
 
 namespace {
 
+/// Longest pause that an engine can ask for.
+constexpr duration max_pause = std::chrono::hours(1);
 /// Interval at which waiting demands are re-evaluated, to refuse those that can
 /// no longer start in time.
 constexpr duration decide_interval = std::chrono::milliseconds(100);
@@ -74,6 +77,36 @@
     suspected_at_[id] = loop_.now();
 }
 
+void placement_server::on_pause(const pause_statement& statement)
+{
+    pause& kept = pauses_[statement.upstream];
+    if (statement.started_at < kept.started_at) {
+        return;
+    }
+    const time_point until =
+        loop_.now() +
+        std::clamp<duration>(std::chrono::milliseconds(statement.pause_ms),
+                             duration::zero(), max_pause);
+    kept = {statement.started_at, statement.started_at == kept.started_at
+                                      ? std::max(kept.until, until)
+                                      : until};
+}
+
+std::optional<std::size_t>
+placement_server::allowed_by_pause(const upstream_id& id,
+                                   const instance& engine,
+                                   const stream_planner& planner) const
+{
+    const auto found = pauses_.find(id);
+    if (found == pauses_.end() ||
+        found->second.started_at != engine.announced.started_at) {
+        return std::nullopt;
+    }
+    const bool on_trial = loop_.now() >= found->second.until &&
+                          planner.pending_prefill_tokens(id) == 0;
+    return on_trial ? 1 : 0;
+}
+
 bool placement_server::add_quarantine(const quarantine_update& update)
 {
     if (!quarantines_[update.service].add(to_quarantine(update), loop_.now())) {
@@ -270,6 +303,10 @@
     case run_update::change::started:
         quarantines_[update.service].note_started(
             scheduler.note_started(update.id));
+        if (const auto paused = pauses_.find(update.engine);
+            paused != pauses_.end() && loop_.now() >= paused->second.until) {
+            pauses_.erase(paused);
+        }
         break;
     case run_update::change::ended:
         scheduler.end(update.id);
@@ -288,6 +325,7 @@
     const time_point now = loop_.now();
     const auto profile = profiles_.find(service);
     scheduler.planner().suspend_all();
+    std::optional<duration> shortest_pause;
     for (const auto& [id, each] : registry_.instances()) {
         if (each.announced.service != service) {
             continue;
@@ -296,16 +334,28 @@
         const bool suspended = suspected != suspected_at_.end() &&
                                each.last_seen <= suspected->second &&
                                now - suspected->second < suspension;
-        const bool usable = each.state == instance_state::ready && !suspended;
+        const auto allowed = allowed_by_pause(id, each, scheduler.planner());
+        const bool usable =
+            each.state == instance_state::ready && !suspended && allowed != 0;
+        const std::size_t slots = allowed
+                                      ? scheduler.planner().runs(id) + *allowed
+                                      : each.announced.slots;
+        if (each.state == instance_state::ready) {
+            const duration left =
+                allowed == 0 ? pauses_.at(id).until - now : duration::zero();
+            shortest_pause = std::min(shortest_pause.value_or(left), left);
+        }
         scheduler.planner().update_engine(
             {.id = id,
              .domain = each.announced.domain,
              .kv_capacity_tokens = profile != profiles_.end()
                                        ? profile->second.kv_capacity_tokens
                                        : default_kv_capacity_tokens,
-             .slots = each.announced.slots,
+             .slots = static_cast<unsigned>(slots),
              .usable = usable});
     }
+    scheduler.engines_paused_for(
+        std::max(shortest_pause.value_or(duration::zero()), duration::zero()));
 }
 
 void placement_server::decide(const service_id& service)
@@ -363,6 +413,9 @@
     for (auto& [service, quarantine] : quarantines_) {
         quarantine.expire(now);
     }
+    std::erase_if(pauses_, [&](const auto& each) {
+        return registry_.find(each.first) == nullptr;
+    });
     std::erase_if(suspected_at_, [&](const auto& each) {
         return now - each.second >= suspension;
     });
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -55,7 +55,7 @@
     body_.clear();
     buffered_.release();
     ++attempts_;
-    context_.directory.health(upstream_).request_started();
+    context_.directory.health(upstream_).request_started(now);
     log_attempt("plain", *chosen, attempts_);
     auto message = upstream_request({.time_left = time_left(),
                                      .expected_upstream = upstream_,
@@ -207,7 +207,7 @@
         return;
     }
     if (runs_ == 0) {
-        refuse(cause, refusal_retry_after);
+        refuse_without_upstream(cause, refusal_retry_after);
         return;
     }
     respond_failure(502, cause);
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -315,6 +315,23 @@
                                        {"cause", "stated"}});
         feed_.report_leaving(announced);
     }
+    if (answer.pause) {
+        metrics_.pauses.add();
+        const duration kept =
+            directory_.health(id).note_pause(loop_.now(), *answer.pause);
+        log(events::upstream_paused,
+            {{"upstream", id.value()},
+             {"stated_ms", to_milliseconds(*answer.pause)},
+             {"kept_ms", to_milliseconds(kept)}});
+        if (kept > duration::zero()) {
+            feed_.report_pause(
+                {.upstream = id,
+                 .started_at = upstream->announced.started_at,
+                 .pause_ms =
+                     std::chrono::duration_cast<std::chrono::milliseconds>(kept)
+                         .count()});
+        }
+    }
 }
 
 std::vector<std::shared_ptr<exchange>> relay_gate::exchanges() const
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -83,9 +83,10 @@
         return false;
     }
     const instance* known = context_.directory.find(copy_->holder);
+    const upstream_health& health = context_.directory.health(copy_->holder);
+    const time_point now = context_.loop.now();
     return known != nullptr && known->state != instance_state::lost &&
-           !context_.directory.health(copy_->holder)
-                .suspended(context_.loop.now());
+           !health.suspended(now) && !health.paused(now);
 }
 
 upstream_id stream_copy::holder() const
@@ -159,7 +160,9 @@
     const upstream_id target = copy_ ? copy_->holder : target_holder_;
     const instance* holder = context_.directory.find(target);
     const instance* engine = context_.directory.find(engine_);
-    if (holder == nullptr || engine == nullptr) {
+    const bool paused =
+        context_.directory.health(engine_).paused(context_.loop.now());
+    if (holder == nullptr || engine == nullptr || paused) {
         schedule_retry();
         return;
     }
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -84,8 +84,11 @@
 {
     const instance* engine = context_.directory.find(target.engine);
     // The leader may not know yet that the engine leaves, for example after a
-    // restart. A leaving engine still resumes from the copy that it holds.
-    if (engine == nullptr ||
+    // restart, or that it has asked for a pause. A leaving engine still resumes
+    // from the copy that it holds.
+    const bool paused =
+        context_.directory.health(target.engine).paused(context_.loop.now());
+    if (engine == nullptr || paused ||
         (!source && engine->state != instance_state::ready)) {
         place_elsewhere(target.engine);
         return;
@@ -119,7 +122,7 @@
     ++attempts_;
     attempt_started_ = context_.loop.now();
     log_attempt(from_copy_ ? "stream_from_copy" : "stream", *engine, attempts_);
-    context_.directory.health(target.engine).request_started();
+    context_.directory.health(target.engine).request_started(attempt_started_);
     detector_ = streaming::silence_detector(silence_options(
         accepted_.table->find_service(accepted_.service), silent_losses_));
     detector_.start(attempt_started_, expected_first_event(target));
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -134,7 +134,7 @@
     }
     if (!target) {
         if (runs_ == 0 && !head_sent_) {
-            refuse("no_engine", refusal_retry_after);
+            refuse_without_upstream("no_engine", refusal_retry_after);
         } else {
             respond_failure(502, "no_engine");
         }
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -1,3 +1,4 @@
+#include <bamboogate/relay/retry_delay.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
 
 #include <algorithm>
@@ -172,7 +173,7 @@
     waiting_ = std::move(blocked);
     // Refuses demands that can no longer start in time.
     for (auto each = waiting_.begin(); each != waiting_.end();) {
-        const duration wait = expected_wait(*each);
+        const duration wait = std::max(expected_wait(*each), pause_);
         if (now + wait <= each->latest_start) {
             ++each;
             continue;
@@ -180,8 +181,9 @@
         out.push_back(
             {.id = each->run.id,
              .target = std::nullopt,
-             .retry_after = std::clamp(wait, settings_.min_retry_after,
-                                       settings_.max_retry_after),
+             .retry_after = std::max(std::clamp(wait, settings_.min_retry_after,
+                                                settings_.max_retry_after),
+                                     spread_retry_delay(pause_, each->run.id)),
              .prompt = each->run.prompt});
         each = waiting_.erase(each);
     }
--- a/lib/source/relay/upstream_directory.cpp
+++ b/lib/source/relay/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/upstream_directory.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace bamboogate::relay {
@@ -8,6 +9,43 @@
     : settings_(std::move(settings)), registry_(settings_.registry)
 {}
 
+instance_registry::change
+upstream_directory::record_announcement(const announcement& received,
+                                        time_point now)
+{
+    const instance* before = registry_.find(received.id);
+    const auto known_start =
+        before != nullptr ? before->announced.started_at : 0;
+    const auto change = registry_.record_announcement(received, now);
+    const bool new_start = before != nullptr &&
+                           change == instance_registry::change::updated &&
+                           known_start < received.started_at;
+    if (new_start) {
+        health_[received.id].end_pause();
+    }
+    return change;
+}
+
+std::optional<duration>
+upstream_directory::pause_left(const service_id& service, time_point now) const
+{
+    std::optional<duration> shortest;
+    for (const auto& [id, each] : registry_.instances()) {
+        if (each.announced.service != service ||
+            each.state != instance_state::ready) {
+            continue;
+        }
+        const upstream_health* observed = find_health(id);
+        const duration left =
+            observed != nullptr ? observed->pause_left(now) : duration::zero();
+        if (left == duration::zero()) {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 std::vector<upstream_id> upstream_directory::expire(time_point now)
 {
     auto expired = registry_.expire(now);
@@ -30,7 +68,8 @@
         return false;
     }
     const upstream_health* observed = find_health(candidate.announced.id);
-    return observed == nullptr || !observed->suspended(now);
+    return observed == nullptr ||
+           (!observed->suspended(now) && !observed->paused(now));
 }
 
 const instance*
@@ -50,6 +89,9 @@
         unsigned in_flight = 0;
         bool suspended = false;
         if (observed != nullptr) {
+            if (observed->paused(now)) {
+                continue;
+            }
             latency =
                 observed->latency_ms() > 0 ? observed->latency_ms() : latency;
             in_flight = observed->in_flight();
--- a/tests/platform/upstream_statement_test.cpp
+++ b/tests/platform/upstream_statement_test.cpp
@@ -181,3 +181,117 @@
     CHECK(request.head->headers.find("Retry-After"));
     CHECK(service.received.size() == 1);
 }
+
+// Guards against requests to an upstream that has asked for a pause, and
+// against all of them at once at its end.
+TEST_CASE_FIXTURE(upstream_statement_fixture,
+                  "paused_service_gets_no_request_and_then_one_at_a_time")
+{
+    start_system();
+    const caller& first = send("/book/x", "first");
+    REQUIRE(wait([&] { return service.received.size() == 1; }));
+    service.received[0].responder->respond(503,
+                                           {{"X-Not-Executed", "1"},
+                                            {"X-Attempt-Id", "first"},
+                                            {"Retry-After", "1.5"}},
+                                           {});
+    REQUIRE(wait([&] { return first.ended(); }));
+    CHECK(first.status() == 503);
+    const time_point refused_at = loop.now();
+    for (int i = 0; i < 10; ++i) {
+        const caller& request = send("/book/x", fmt::format("p{}", i));
+        REQUIRE(run_until(
+            loop, [&] { return request.ended(); }, 100ms));
+        CHECK(request.status() == 503);
+        const auto delay = request.head->headers.find("Retry-After");
+        REQUIRE(delay);
+        const double expected = to_seconds(refused_at + 1500ms - loop.now());
+        CHECK(std::stod(std::string(*delay)) > expected - 0.1);
+        CHECK(std::stod(std::string(*delay)) < expected * 1.25 + 0.1);
+    }
+    CHECK(service.received.size() == 1);
+    run_until(
+        loop, [] { return false; }, 1600ms);
+    for (int i = 0; i < 5; ++i) {
+        send("/book/x", fmt::format("q{}", i));
+    }
+    REQUIRE(wait([&] { return service.received.size() == 2; }));
+    run_until(
+        loop, [] { return false; }, 200ms);
+    CHECK(service.received.size() == 2);
+    answer_pending(service, {});
+    run_until(
+        loop, [] { return false; }, 50ms);
+    for (int i = 0; i < 5; ++i) {
+        send("/book/x", fmt::format("s{}", i));
+    }
+    CHECK(wait([&] { return service.received.size() == 7; }));
+}
+
+// Guards against streams that the leader places on an engine that has asked
+// another gate for a pause.
+TEST_CASE_FIXTURE(upstream_statement_fixture,
+                  "paused_engine_gets_no_stream_from_any_gate")
+{
+    start_system();
+    send("/gen/x", "first");
+    REQUIRE(wait([&] {
+        return engine1.received.size() + engine2.received.size() == 1;
+    }));
+    fake_upstream& full = engine1.received.empty() ? engine2 : engine1;
+    full.received[0].responder->respond(503,
+                                        {{"X-Not-Executed", "1"},
+                                         {"X-Attempt-Id", "first"},
+                                         {"Retry-After", "2"}},
+                                        {});
+    const time_point paused_until = loop.now() + 2s;
+    send_streams(4);
+    CHECK(full.received.size() == 1);
+    gate.reset();
+    start_gate();
+    REQUIRE(run_until(loop, [&] { return gate->ready(); }));
+    run_until(
+        loop, [] { return false; }, 100ms);
+    REQUIRE(loop.now() < paused_until);
+    send_streams(4);
+    REQUIRE(loop.now() < paused_until);
+    CHECK(full.received.size() == 1);
+    run_until(
+        loop, [] { return false; }, paused_until - loop.now() + 200ms);
+    send_streams(12);
+    CHECK(full.received.size() > 1);
+}
+
+// Guards against streams that wait until their deadline for engines that have
+// all asked for a pause.
+TEST_CASE_FIXTURE(upstream_statement_fixture,
+                  "streams_are_refused_at_once_while_all_engines_are_paused")
+{
+    start_system();
+    const caller& first = send("/gen/x", "first");
+    REQUIRE(wait([&] {
+        for (auto* engine : {&engine1, &engine2}) {
+            for (const auto& each : engine->received) {
+                if (!each.responder->ended()) {
+                    each.responder->respond(503,
+                                            {{"X-Not-Executed", "1"},
+                                             {"X-Attempt-Id", "first"},
+                                             {"Retry-After", "20"}},
+                                            {});
+                }
+            }
+        }
+        return first.ended();
+    }));
+    CHECK(first.status() == 503);
+    CHECK(engine1.received.size() == 1);
+    CHECK(engine2.received.size() == 1);
+    const caller& second = send("/gen/x", "second");
+    REQUIRE(run_until(
+        loop, [&] { return second.ended(); }, 300ms));
+    CHECK(second.status() == 503);
+    const auto delay = second.head->headers.find("Retry-After");
+    REQUIRE(delay);
+    CHECK(std::stod(std::string(*delay)) > 15.0);
+    CHECK(engine1.received.size() + engine2.received.size() == 2);
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -192,6 +192,25 @@
     CHECK_FALSE(describe(421, {{"Server-Leaving", "1"}}).expected_upstream);
 }
 
+// Guards against a pause that is not recognised, or that is taken from a
+// response that is no refusal.
+TEST_CASE("wire_refusal_states_how_long_the_upstream_wants_no_requests")
+{
+    const auto pause = [](unsigned status, const char* text) {
+        return wire::describe_response(
+                   {.status = status, .headers = {{"Retry-After", text}}})
+            .pause;
+    };
+    CHECK(pause(503, "2.5") == 2500ms);
+    CHECK(pause(503, "7") == 7s);
+    CHECK(pause(503, "-3") == 0s);
+    CHECK(pause(503, "soon") == 0s);
+    CHECK(pause(503, "nan") == 0s);
+    CHECK(pause(503, "1e300") > 1h);
+    CHECK_FALSE(pause(200, "2.5"));
+    CHECK_FALSE(wire::describe_response({.status = 503}).pause);
+}
+
 // Guards against repeating a request that may have been executed.
 TEST_CASE("wire_response_states_whether_the_request_was_executed")
 {
--- a/tests/relay/instance_registry_test.cpp
+++ b/tests/relay/instance_registry_test.cpp
@@ -154,7 +154,7 @@
     remote.domain = failure_domain_id("d2");
     directory.record_announcement(remote, now);
     CHECK(directory.choose(service, {}, now)->announced.id.value() == "near");
-    directory.health(upstream_id("near")).request_started();
+    directory.health(upstream_id("near")).request_started(now);
     CHECK(directory.choose(service, {}, now)->announced.id.value() == "far");
     directory.health(upstream_id("near")).request_ended();
     directory.health(upstream_id("near")).note_failure(now);
--- a/tests/relay/stream_scheduler_test.cpp
+++ b/tests/relay/stream_scheduler_test.cpp
@@ -372,3 +372,26 @@
     CHECK(decisions[0].quarantined);
     CHECK(decisions[0].retry_after == 5min);
 }
+
+// Guards against streams that wait for their deadline while all engines have
+// asked for a pause.
+TEST_CASE_FIXTURE(
+    scheduler_fixture,
+    "stream_that_cannot_wait_for_a_pause_is_refused_until_its_end")
+{
+    scheduler.engines_paused_for(8s);
+    scheduler.submit({.run = make_run("a"),
+                      .account = client_account_id("x"),
+                      .arrived = now,
+                      .latest_start = now + 2s});
+    scheduler.submit({.run = make_run("b"),
+                      .account = client_account_id("x"),
+                      .arrived = now,
+                      .latest_start = now + 9s});
+    const auto decisions = scheduler.decide(now);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].id == request_id("a"));
+    CHECK_FALSE(decisions[0].target);
+    CHECK(decisions[0].retry_after >= 8s);
+    CHECK(decisions[0].retry_after <= 10s);
+}
