List and lift quarantines on the metrics address of a replica

Cause: operators saw quarantines in the logs only and could end a wrong one only by restarting all processes. Change: GET /quarantines and DELETE /quarantines/SERVICE/PARTS on the metrics address of any replica; a lifted quarantine ends on all replicas and gates, and its parts are cleared.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -115,6 +115,17 @@
         return hub_.totals();
     }
 
+    /// @brief Quarantined parts of prompts, with their services.
+    [[nodiscard]] std::vector<quarantine_update> quarantines() const
+    {
+        return placements_.quarantines();
+    }
+    /// @brief Lifts a quarantine on all replicas and gates.
+    /// @param parts as listed by `quarantines`
+    /// @return false if there is none of these parts
+    bool lift_quarantine(const service_id& service,
+                         std::vector<std::string> parts);
+
 private:
     struct pending_store;
 
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -104,7 +104,7 @@
 inline constexpr log_event quarantine_added{
     1038, severity::info, "relay_quarantine_added",
     "A process refuses requests with the recorded parts of a prompt, as the "
-    "leader has decided."};
+    "leader has decided; remaining_ms is 0 if an operator lifted it."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -292,7 +292,7 @@
     std::vector<std::string> parts;
     unsigned crashes = 0;
     unsigned repetitions = 0;
-    std::int64_t remaining_ms = 0;
+    std::int64_t remaining_ms = 0; ///< 0: lifted by an operator
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(quarantine_update, service, parts, crashes,
                                    repetitions, remaining_ms)
 };
--- a/lib/include/bamboogate/relay/prompt_quarantine.hpp
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -90,7 +90,8 @@
 
     /// @brief Adds a quarantine that another process decided, with its evidence
     ///     against each part, so that a new leader need not find them again.
-    /// @return false if it is known already
+    ///     Without remaining time, it is lifted and its parts are cleared.
+    /// @return false if this changes nothing
     bool add(const quarantined_parts& added, time_point now);
 
     /// @brief Ends expired quarantines, whose parts become suspects, and old
@@ -117,6 +118,7 @@
         time_point until;
     };
 
+    bool lift(const std::vector<std::string>& parts);
     /// @return false if it is known already
     bool insert(const quarantined_parts& added, time_point now);
     void remember_start(const std::string& part);
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -253,6 +253,21 @@
     }
 }
 
+bool control_node::lift_quarantine(const service_id& service,
+                                   std::vector<std::string> parts)
+{
+    const quarantine_update lifted{.service = service,
+                                   .parts = std::move(parts)};
+    if (!placements_.add_quarantine(lifted)) {
+        return false;
+    }
+    for (const auto& node : known_replicas_) {
+        hub_.send(node_id(node), lifted);
+    }
+    send_quarantine_to_gates(lifted);
+    return true;
+}
+
 void control_node::send_quarantine_to_gates(const quarantine_update& update)
 {
     for (const auto& [gate, reads_refreshes] : gates_) {
--- a/lib/source/relay/prompt_quarantine.cpp
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -150,6 +150,9 @@
 
 bool prompt_quarantine::add(const quarantined_parts& added, time_point now)
 {
+    if (added.remaining <= duration::zero()) {
+        return lift(added.parts);
+    }
     if (!insert(added, now)) {
         return false;
     }
@@ -162,6 +165,17 @@
     return true;
 }
 
+bool prompt_quarantine::lift(const std::vector<std::string>& parts)
+{
+    if (quarantined_.erase(parts) == 0) {
+        return false;
+    }
+    for (const auto& part : parts) {
+        suspicions_.erase(part);
+    }
+    return true;
+}
+
 bool prompt_quarantine::insert(const quarantined_parts& added, time_point now)
 {
     if (added.parts.empty()) {
--- a/tests/platform/poison_request_test.cpp
+++ b/tests/platform/poison_request_test.cpp
@@ -1,5 +1,6 @@
 // Requests whose prompt crashes every engine that begins to generate on it.
 #include "platform/support/relay_fixture.hpp"
+#include "quarantine_api.hpp"
 
 using namespace bamboogate;
 using namespace bamboogate::tests;
@@ -182,3 +183,53 @@
     REQUIRE(wait([&] { return callers[1]->ended(); }));
     check_refused("g3", "f1:200,bad:100,o3:500");
 }
+
+// Guards against a quarantine of sound requests that operators can neither see
+// nor end.
+TEST_CASE_FIXTURE(poison_request_fixture,
+                  "quarantine_is_listed_and_lifted_on_any_replica")
+{
+    start_system();
+    crash_three_times("g1", "f1:200,bad:100,o1:500");
+    const auto serve = [&](std::size_t node) {
+        return net::http1_server::start(
+                   loop, {.listen_address = {"127.0.0.1", 0}},
+                   [&, node](const net::http1_request& request,
+                             const net::http1_responder_ptr& responder) {
+                       if (!platform::handle_quarantine_request(
+                               *nodes[node], request, responder)) {
+                           responder->respond(404, {}, "other");
+                       }
+                   })
+            .value();
+    };
+    const auto first = serve(0);
+    const auto second = serve(1);
+    const auto operator_call = [&](const auto& server, const char* method,
+                                   const char* target) {
+        auto out =
+            call(server->bound_address(), method, target, {{"Host", "c"}});
+        REQUIRE(wait([&] { return out->ended(); }));
+        return out;
+    };
+    const auto listed = operator_call(first, "GET", "/quarantines");
+    const json entry = json::parse(listed->body).at("quarantines").at(0);
+    CHECK(entry.at("service") == "gen");
+    CHECK(entry.at("parts") == json({"bad", "f1"}));
+    CHECK(entry.at("crashes") == 3);
+    CHECK(operator_call(first, "DELETE", "/quarantines/gen/f1")->status() ==
+          404);
+    CHECK(operator_call(first, "DELETE", "/quarantines")->status() == 404);
+    CHECK(operator_call(first, "GET", "/metrics")->body == "other");
+    CHECK(
+        operator_call(second, "DELETE", "/quarantines/gen/f1,bad")->status() ==
+        200);
+    run_until(
+        loop, [] { return false; }, 100ms);
+    CHECK(json::parse(operator_call(first, "GET", "/quarantines")->body)
+              .at("quarantines")
+              .empty());
+    const std::size_t before = received();
+    send_with_parts("g2", "f1:200,bad:100,o2:500");
+    CHECK(wait([&] { return received() == before + 1; }));
+}
