Let back ends of the soak state their leave and ask for pauses

Cause: the soak did not cover what back ends state about themselves. Change: back ends state in all responses that they leave, while they announce that they are ready, and refuse requests with a pause, after which they take requests early. Each gate's requests are checked against the specified limits; restarts and freezes of the gate and disturbed connections excuse it. The statements have a random source of their own, so the other faults of each seed are as before.

--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -47,8 +47,9 @@
 }
 
 backend::backend(net::event_loop& loop, net::http1_client& client,
-                 run_ledger& ledger, options settings)
-    : loop_(loop), client_(client), ledger_(ledger),
+                 run_ledger& ledger, statement_checks& statements,
+                 options settings)
+    : loop_(loop), client_(client), ledger_(ledger), statements_(statements),
       settings_(std::move(settings)), proxy_(loop, {"127.0.0.1", 1}),
       step_timer_(loop, [this] { step(); }),
       announce_timer_(loop, [this] { announce(); }),
@@ -68,6 +69,7 @@
             .count());
     sequence_ = 0;
     draining_ = false;
+    statements_.back_end_started(id_);
     server_ = net::http1_server::start(
                   loop_, {.listen_address = {"127.0.0.1", 0}},
                   [this](const net::http1_request& request,
@@ -94,8 +96,9 @@
     server_.reset();
     proxy_.change_target({"127.0.0.1", 1});
     proxy_.reset();
-    silent = loses_answers = truncates = false;
+    silent = loses_answers = truncates = states_leave = false;
     slowdown = 1;
+    refusals_left = 0;
 }
 
 void backend::drain()
@@ -122,8 +125,19 @@
 void backend::refuse(const net::http1_responder_ptr& responder,
                      const std::string& attempt, unsigned status)
 {
-    responder->respond(
-        status, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", attempt}}, "");
+    auto fields = response_fields(attempt);
+    fields.set("X-Not-Executed", "1");
+    responder->respond(status, fields, "");
+}
+
+net::header_list backend::response_fields(const std::string& attempt) const
+{
+    net::header_list fields{{"X-Response-Seal", "seal-" + id_},
+                            {"X-Attempt-Id", attempt}};
+    if (states_leave) {
+        fields.set("Server-Leaving", "1");
+    }
+    return fields;
 }
 
 void backend::handle(const net::http1_request& request,
@@ -145,6 +159,17 @@
         refuse(responder, attempt, 421);
         return;
     }
+    statements_.arrived(attempt, id_, loop_.now());
+    if (refusals_left > 0) {
+        --refusals_left;
+        statements_.pause_stated(attempt, id_, loop_.now(), stated_pause);
+        auto fields = response_fields(attempt);
+        fields.set("X-Not-Executed", "1");
+        fields.set("Retry-After",
+                   fmt::format("{:.3f}", to_seconds(stated_pause)));
+        responder->respond(503, fields, "");
+        return;
+    }
     if (runs_.size() >= std::size_t{2} * settings_.slots) {
         refuse(responder, attempt, 503);
         return;
@@ -250,8 +275,7 @@
     if (now < each.due || silent || each.disconnected) {
         return;
     }
-    const net::header_list fields{{"X-Response-Seal", "seal-" + id_},
-                                  {"X-Attempt-Id", each.attempt}};
+    const net::header_list fields = response_fields(each.attempt);
     if (!settings_.streams) {
         if (loses_answers) {
             each.responder->abort();
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "statement_checks.hpp"
 #include "support/fault_proxy.hpp"
 #include "violations.hpp"
 
@@ -41,7 +42,7 @@
     };
 
     backend(net::event_loop& loop, net::http1_client& client,
-            run_ledger& ledger, options settings);
+            run_ledger& ledger, statement_checks& statements, options settings);
 
     /// @brief Sets all back ends, for copies from one to another.
     void set_peers(const std::vector<std::unique_ptr<backend>>& all)
@@ -65,6 +66,10 @@
     bool loses_answers = false; ///< plain: executes, drops responses
     bool truncates = false;     ///< cuts responses inside an event or body
     double slowdown = 1;        ///< factor on all times
+    bool states_leave = false;  ///< in all responses, while it announces ready
+    /// Asked for in the refusals of the next requests.
+    duration stated_pause{};
+    unsigned refusals_left = 0; ///< with the stated pause
 
 private:
     struct run
@@ -96,6 +101,9 @@
                    const net::http1_responder_ptr& responder);
     void refuse(const net::http1_responder_ptr& responder,
                 const std::string& attempt, unsigned status);
+    /// @return header fields of every response
+    [[nodiscard]] net::header_list
+    response_fields(const std::string& attempt) const;
     /// Advances all runs and ends long polls whose wait is over.
     void step();
     void step(run& each, time_point now);
@@ -109,6 +117,7 @@
     net::event_loop& loop_;
     net::http1_client& client_;
     run_ledger& ledger_;
+    statement_checks& statements_;
     options settings_;
     fault_proxy proxy_;
     const std::vector<std::unique_ptr<backend>>* peers_ = nullptr;
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -86,8 +86,11 @@
                            fmt::format("{}", received_events_));
             }
         }
+        gate_ = pool_.settings_.choose_gate();
+        pool_.statements_.sent(attempts_.back(), gate_.text(),
+                               pool_.loop_.now());
         exchange_ = pool_.client_.start(
-            pool_.settings_.choose_gate(),
+            gate_,
             {.method = "POST",
              .target = pool_.settings_.paths.at(kind_) + "x",
              .headers = std::move(fields),
@@ -147,6 +150,14 @@
 
     void check_head()
     {
+        constexpr std::string_view seal_prefix = "seal-";
+        const auto seal = head_.headers.find("X-Response-Seal").value_or("");
+        if (head_.headers.find("Server-Leaving") &&
+            seal.starts_with(seal_prefix)) {
+            pool_.statements_.leave_passed_on(
+                gate_.text(), std::string(seal.substr(seal_prefix.size())),
+                pool_.loop_.now());
+        }
         if (head_.status / 100 != 2) {
             return;
         }
@@ -278,6 +289,7 @@
     time_point end_;
     net::timer retry_timer_;
     std::vector<std::string> attempts_;
+    net::address gate_; ///< of the newest attempt
     std::unique_ptr<net::http1_client::exchange> exchange_;
     net::http1_response_head head_;
     net::http1_failure failure_;
@@ -288,9 +300,11 @@
 };
 
 caller_pool::caller_pool(net::event_loop& loop, const run_ledger& ledger,
-                         violations& problems, unsigned seed, options settings)
-    : loop_(loop), ledger_(ledger), violations_(problems), random_(seed),
-      settings_(std::move(settings)), client_(loop, {})
+                         statement_checks& statements, violations& problems,
+                         unsigned seed, options settings)
+    : loop_(loop), ledger_(ledger), statements_(statements),
+      violations_(problems), random_(seed), settings_(std::move(settings)),
+      client_(loop, {})
 {}
 
 caller_pool::~caller_pool() = default;
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "statement_checks.hpp"
 #include "violations.hpp"
 
 namespace bamboogate::tests {
@@ -48,7 +49,8 @@
     };
 
     caller_pool(net::event_loop& loop, const run_ledger& ledger,
-                violations& problems, unsigned seed, options settings);
+                statement_checks& statements, violations& problems,
+                unsigned seed, options settings);
     ~caller_pool();
     caller_pool(const caller_pool&) = delete;
     caller_pool& operator=(const caller_pool&) = delete;
@@ -77,6 +79,7 @@
 
     net::event_loop& loop_;
     const run_ledger& ledger_;
+    statement_checks& statements_;
     violations& violations_;
     std::mt19937 random_;
     options settings_;
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -45,7 +45,8 @@
 
 soak::soak(options settings)
     : settings_(std::move(settings)), random_(settings_.seed),
-      load_random_(settings_.seed + 1), client_(loop_, {})
+      statement_random_(settings_.seed + 4), load_random_(settings_.seed + 1),
+      client_(loop_, {})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -78,7 +79,7 @@
     for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
         const bool engine = i < settings_.engines;
         backends_.push_back(std::make_unique<backend>(
-            loop_, client_, ledger_,
+            loop_, client_, ledger_, statements_,
             backend::options{.service = engine ? "gen" : "book",
                              .failure_domain = domains.at(i % domains.size()),
                              .streams = engine,
@@ -89,7 +90,7 @@
         each->set_peers(backends_);
     }
     callers_ = std::make_unique<caller_pool>(
-        loop_, ledger_, violations_, settings_.seed + 2,
+        loop_, ledger_, statements_, violations_, settings_.seed + 2,
         caller_pool::options{.choose_gate = [this] { return choose_gate(); },
                              .host = "h.example",
                              .key = "k1",
@@ -225,6 +226,9 @@
     }
     for (auto& each : gates_) {
         each.program->check(now);
+        if (!each.program->up()) {
+            statements_.gate_down(each.proxy->address().text());
+        }
         peak_gate_kib_ = std::max(peak_gate_kib_, each.program->resident_kib());
     }
     if (now >= next_poll_) {
@@ -255,6 +259,11 @@
         next_fault_ = now + random_time(150ms, 900ms);
         inject();
     }
+    if (injects_faults_ && now >= next_statement_) {
+        constexpr duration statement_interval = 900ms;
+        next_statement_ = now + statement_interval;
+        inject_statement();
+    }
     callers_->step();
     operators_->step();
 }
@@ -345,6 +354,8 @@
                             name_of(kind), counts.served, counts.started,
                             counts.refused, counts.failed);
     }
+    line += fmt::format("; {} leaves passed on, {} pauses stated",
+                        statements_.leaves(), statements_.pauses());
     violations_.print("result", line);
     for (const auto& [guarantee, count] : violations_.counts()) {
         violations_.print("violated", fmt::format("{} x {}", count, guarantee));
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -14,6 +14,7 @@
 #include "callers.hpp"
 #include "fleet.hpp"
 #include "operators.hpp"
+#include "statement_checks.hpp"
 #include "violations.hpp"
 
 namespace bamboogate::tests {
@@ -74,6 +75,8 @@
     void fault_engine();
     void fault_connections();
     void kill_all();
+    /// Lets a back end state that it leaves, or ask for a pause.
+    void inject_statement();
     void end_faults();
     /// Starts a killed or stopping program again after `delay`.
     void restart(machine& program, duration delay);
@@ -87,7 +90,10 @@
     net::event_loop loop_;
     violations violations_;
     run_ledger ledger_;
+    statement_checks statements_{violations_};
     std::mt19937 random_;
+    /// Apart from `random_`, so that the other faults of a seed stay the same.
+    std::mt19937 statement_random_;
     std::mt19937 load_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
@@ -101,6 +107,7 @@
     time_point next_change_;
     time_point next_read_;
     time_point next_fault_;
+    time_point next_statement_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -193,6 +193,7 @@
     const std::string name = index < gates_.size()
                                  ? gates_[index].program->name()
                                  : backends_[index - gates_.size()]->id();
+    statements_.disturbed(name);
     const auto kind = random_() % 4;
     const auto time = random_time(100ms, 2000ms);
     const auto latency = random_time(20ms, 200ms);
@@ -214,7 +215,47 @@
         violations_.print("silence connections", name);
         proxy.hold(fault_proxy::direction::both);
     }
-    schedule(time, [&proxy] { proxy.release(); });
+    schedule(time, [this, &proxy, name] {
+        // Requests that were held arrive now.
+        statements_.disturbed(name);
+        proxy.release();
+    });
+}
+
+void soak::inject_statement()
+{
+    backend& victim = *backends_[statement_random_() % backends_.size()];
+    const bool leaves = statement_random_() % 3 == 0;
+    const duration pause =
+        std::chrono::milliseconds(700 + statement_random_() % 2500);
+    const unsigned refusals = 1 + statement_random_() % 3;
+    if (!victim.running() || victim.states_leave) {
+        return;
+    }
+    if (!leaves) {
+        // It takes requests again after some refusals, before the pause ends.
+        violations_.print("asks for a pause", victim.id());
+        victim.stated_pause = pause;
+        victim.refusals_left = refusals;
+        return;
+    }
+    const auto usable =
+        std::count_if(backends_.begin(), backends_.end(), [](const auto& each) {
+            return each->running() && !each->states_leave;
+        });
+    if (static_cast<std::size_t>(usable) + 2 < backends_.size()) {
+        return;
+    }
+    violations_.print("states its leave", victim.id());
+    victim.states_leave = true;
+    constexpr duration stays = 5s;
+    schedule(stays, [this, &victim] {
+        if (victim.running() && victim.states_leave) {
+            victim.crash();
+            violations_.print("start", victim.id());
+            victim.start(false);
+        }
+    });
 }
 
 void soak::kill_all()
@@ -259,8 +300,13 @@
             each->start(false);
         }
         each->proxy().release();
+        if (each->states_leave) {
+            each->crash();
+            each->start(false);
+        }
         each->silent = each->loses_answers = each->truncates = false;
         each->slowdown = 1;
+        each->refusals_left = 0;
     }
 }
 
