Keep a quarantine that no leader decided for 30 s only

A gate without a leader could refuse a part that all requests share for ten minutes, after engines failed one after the other.

Cause: the gate's own verdict used the leader's time, although it sees only its own streams and does not know which parts begin elsewhere. Change: 30 s there. The lines that both log are written in one place, and the longest pause of an upstream is one constant.

--- a/lib/include/bamboogate/relay/engine_watcher.hpp
+++ b/lib/include/bamboogate/relay/engine_watcher.hpp
@@ -28,8 +28,6 @@
         duration poll_wait = std::chrono::milliseconds(205);
         /// An answer counts as missing if it exceeds the wait by this much.
         duration margin = std::chrono::milliseconds(75);
-        /// Longest pause that an engine can ask for.
-        duration max_pause = std::chrono::hours(1);
     };
 
     struct observers
--- a/lib/include/bamboogate/relay/gate_quarantine.hpp
+++ b/lib/include/bamboogate/relay/gate_quarantine.hpp
@@ -13,6 +13,13 @@
 
 namespace bamboogate::relay {
 
+/// @brief Logs the evidence of a quarantine that this process decided.
+/// @param report of the crash that completed the evidence
+void log_quarantine_decided(const crash_report& report,
+                            const quarantine_update& update);
+/// @brief Logs a quarantine that another process decided or an operator lifted.
+void log_quarantine_added(const quarantine_update& update);
+
 /// A gate's part in finding poison requests: reports the crashes that its
 /// streams observe to the leader, and knows which requests to refuse. While
 /// there is no leader, it counts its own observations. Performs no I/O of its
--- a/lib/include/bamboogate/relay/upstream_health.hpp
+++ b/lib/include/bamboogate/relay/upstream_health.hpp
@@ -8,6 +8,9 @@
 
 namespace bamboogate::relay {
 
+/// Longest pause that an upstream can ask for; a longer one is cut.
+inline constexpr duration max_upstream_pause = std::chrono::hours(1);
+
 /// The health of one upstream as observed by this gate: failures, which suspend
 /// it temporarily, pauses that the upstream has asked for, and response
 /// latency. A suspended upstream may still be used if there is no other, a
@@ -22,8 +25,6 @@
         /// Suspension after the first failure; doubles with each further one.
         duration first_suspension = std::chrono::milliseconds(300);
         duration max_suspension = std::chrono::seconds(2);
-        /// Longest pause that an upstream can ask for; a longer one is cut.
-        duration max_pause = std::chrono::hours(1);
         /// A request after a pause that is not answered for this long is
         /// followed by another one.
         duration trial_interval = std::chrono::seconds(1);
@@ -79,7 +80,7 @@
     /// @return the pause that is kept; zero for a time that is not positive
     duration note_pause(time_point now, duration stated)
     {
-        const duration pause = std::min(stated, settings_.max_pause);
+        const duration pause = std::min(stated, max_upstream_pause);
         if (pause <= duration::zero()) {
             return duration::zero();
         }
--- a/lib/source/relay/engine_watcher.cpp
+++ b/lib/source/relay/engine_watcher.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/engine_watcher.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/upstream_health.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -57,7 +58,7 @@
                  if (answer.pause) {
                      calls_.at(id).paused_until =
                          loop_.now() +
-                         std::min(*answer.pause, settings_.max_pause);
+                         std::min(*answer.pause, max_upstream_pause);
                  }
                  observers_.on_response(id, answer);
                  return true;
--- a/lib/source/relay/gate_quarantine.cpp
+++ b/lib/source/relay/gate_quarantine.cpp
@@ -6,12 +6,46 @@
 
 namespace bamboogate::relay {
 
+namespace {
+
+/// A gate alone doesn't know which parts begin at other gates, so its verdict
+/// holds for a short time.
+constexpr duration quarantine_without_leader = std::chrono::seconds(30);
+
+} // namespace
+
+void log_quarantine_decided(const crash_report& report,
+                            const quarantine_update& update)
+{
+    observability::log(
+        log_events::quarantine_decided,
+        {{"request", report.id.value()},
+         {"service", report.service.value()},
+         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
+         {"cleared", report.shared_parts.size() - update.parts.size()},
+         {"crashes", update.crashes},
+         {"repetitions", update.repetitions},
+         {"last_engine", report.engine.value()},
+         {"remaining_ms", update.remaining_ms}});
+}
+
+void log_quarantine_added(const quarantine_update& update)
+{
+    observability::log(
+        log_events::quarantine_added,
+        {{"service", update.service.value()},
+         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
+         {"remaining_ms", update.remaining_ms}});
+}
+
 prompt_quarantine& gate_quarantine::of(const service_id& service)
 {
     // Only the leader's placement reads which parts have begun.
     return services_
         .try_emplace(service,
-                     prompt_quarantine::options{.max_started_parts = 0})
+                     prompt_quarantine::options{.first_quarantine =
+                                                    quarantine_without_leader,
+                                                .max_started_parts = 0})
         .first->second;
 }
 
@@ -37,16 +71,8 @@
     if (!found) {
         return;
     }
-    observability::log(
-        log_events::quarantine_decided,
-        {{"request", report.id.value()},
-         {"service", report.service.value()},
-         {"parts", fmt::format("{}", fmt::join(found->parts, " "))},
-         {"cleared", report.shared_parts.size() - found->parts.size()},
-         {"crashes", found->crashes},
-         {"repetitions", found->repetitions},
-         {"last_engine", report.engine.value()},
-         {"remaining_ms", to_milliseconds(found->remaining)}});
+    log_quarantine_decided(report,
+                           make_quarantine_update(report.service, *found));
     callbacks_.on_added(report.service, quarantine);
 }
 
@@ -90,11 +116,7 @@
     if (!quarantine.add(to_quarantine(update), now)) {
         return;
     }
-    observability::log(
-        log_events::quarantine_added,
-        {{"service", update.service.value()},
-         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
-         {"remaining_ms", update.remaining_ms}});
+    log_quarantine_added(update);
     callbacks_.on_added(update.service, quarantine);
 }
 
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -1,8 +1,7 @@
+#include <bamboogate/relay/gate_quarantine.hpp>
 #include <bamboogate/relay/log_events.hpp>
 #include <bamboogate/relay/placement_server.hpp>
-
-#include <fmt/format.h>
-#include <fmt/ranges.h>
+#include <bamboogate/relay/upstream_health.hpp>
 
 #include <algorithm>
 #include <set>
@@ -16,8 +15,6 @@
 
 namespace {
 
-/// Longest pause that an engine can ask for.
-constexpr duration max_pause = std::chrono::hours(1);
 /// Interval at which waiting demands are re-evaluated, to refuse those that can
 /// no longer start in time.
 constexpr duration decide_interval = std::chrono::milliseconds(100);
@@ -86,7 +83,7 @@
     const time_point until =
         loop_.now() +
         std::clamp<duration>(std::chrono::milliseconds(statement.pause_ms),
-                             duration::zero(), max_pause);
+                             duration::zero(), max_upstream_pause);
     kept = {statement.started_at, statement.started_at == kept.started_at
                                       ? std::max(kept.until, until)
                                       : until};
@@ -112,10 +109,7 @@
     if (!quarantines_[update.service].add(to_quarantine(update), loop_.now())) {
         return false;
     }
-    log(events::quarantine_added,
-        {{"service", update.service.value()},
-         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
-         {"remaining_ms", update.remaining_ms}});
+    log_quarantine_added(update);
     return true;
 }
 
@@ -146,15 +140,7 @@
         return;
     }
     const auto update = make_quarantine_update(report.service, *found);
-    log(events::quarantine_decided,
-        {{"request", report.id.value()},
-         {"service", report.service.value()},
-         {"parts", fmt::format("{}", fmt::join(update.parts, " "))},
-         {"cleared", report.shared_parts.size() - update.parts.size()},
-         {"crashes", update.crashes},
-         {"repetitions", update.repetitions},
-         {"last_engine", report.engine.value()},
-         {"remaining_ms", update.remaining_ms}});
+    log_quarantine_decided(report, update);
     if (on_quarantine_) {
         on_quarantine_(update);
     }
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -17,9 +17,9 @@
 /// Placements on unknown or leaving engines after which the gate chooses an
 /// engine itself.
 constexpr unsigned max_unusable_placements = 3;
-/// Engines that may crash under a stream that no leader places: the gate alone
-/// cannot know whether other gates see the same.
-constexpr unsigned max_crashes_without_leader = 2;
+/// Connections that may break under a stream that has not begun and that no
+/// leader places: the gate alone cannot know whether other gates see the same.
+constexpr unsigned max_breaks_without_leader = 2;
 
 } // namespace
 
@@ -122,7 +122,7 @@
 
 void stream_exchange::place_locally()
 {
-    if (breaks_before_start_ >= max_crashes_without_leader) {
+    if (breaks_before_start_ >= max_breaks_without_leader) {
         respond_failure(502, "engines_crash");
         return;
     }
