Apply what an upstream states to the start that stated it

A new start could be left unused for its whole life, because a response of the start before it, which left, arrived after the new start's announcement.

Cause: the statement was recorded for the start known when the response came. Found by reading while the orders of answers and announcements were tested. Change: requests and copy calls remember the start they were sent to; so do reports of crashes.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -45,8 +45,9 @@
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
-    /// Evaluates what an upstream states about itself in a response.
-    std::function<void(const upstream_id&, const response_description&)>
+    /// Evaluates what a start of an upstream states about itself in a response.
+    std::function<void(const upstream_id&, std::uint64_t started_at,
+                       const response_description&)>
         on_statement;
     /// Returns the planner of a service.
     std::function<stream_planner&(const service_id&)> planner;
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -50,6 +50,7 @@
         return;
     }
     upstream_ = chosen->announced.id;
+    upstream_started_at_ = chosen->announced.started_at;
     attempt_started_ = now;
     head_ = {};
     body_.clear();
@@ -87,7 +88,7 @@
 bool plain_exchange::on_head(const net::http1_response_head& head)
 {
     answer_ = context_.protocol.describe_response(head);
-    context_.on_statement(upstream_, answer_);
+    context_.on_statement(upstream_, upstream_started_at_, answer_);
     const bool foreign = !answer_.attempt.empty() &&
                          answer_.attempt != accepted_.description.attempt;
     if (foreign) {
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -41,6 +41,7 @@
 
     std::unique_ptr<net::http1_client::exchange> attempt_;
     upstream_id upstream_;
+    std::uint64_t upstream_started_at_ = 0;
     time_point attempt_started_;
     net::http1_response_head head_;
     response_description answer_;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -96,9 +96,9 @@
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
           .on_statement =
-              [this](const upstream_id& id,
+              [this](const upstream_id& id, std::uint64_t started_at,
                      const response_description& answer) {
-                  on_statement(id, answer);
+                  on_statement(id, started_at, answer);
               },
           .planner = [this](const service_id& service) -> stream_planner& {
               return planners_[service];
@@ -300,11 +300,12 @@
     }
 }
 
-void relay_gate::on_statement(const upstream_id& id,
+void relay_gate::on_statement(const upstream_id& id, std::uint64_t started_at,
                               const response_description& answer)
 {
     const instance* upstream = directory_.find(id);
-    if (upstream == nullptr || !answer.expected_upstream) {
+    if (upstream == nullptr || !answer.expected_upstream ||
+        upstream->announced.started_at != started_at) {
         return;
     }
     if (answer.leaving && upstream->state == instance_state::ready) {
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -179,9 +179,11 @@
          .body = request.body,
          .max_body_bytes = max_answer_bytes},
         {.on_head =
-             [this](const net::http1_response_head& head) {
+             [this, started_at = engine->announced.started_at](
+                 const net::http1_response_head& head) {
                  context_.on_statement(
-                     engine_, context_.protocol.describe_response(head));
+                     engine_, started_at,
+                     context_.protocol.describe_response(head));
                  response_status_ = head.status;
                  return true;
              },
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -87,6 +87,7 @@
     // restart, or that it has asked for a pause. A leaving engine still resumes
     // from the copy that it holds.
     const bool paused =
+        engine != nullptr &&
         context_.directory.health(target.engine).paused(context_.loop.now());
     if (engine == nullptr || paused ||
         (!source && engine->state != instance_state::ready)) {
@@ -94,6 +95,7 @@
         return;
     }
     engine_ = target.engine;
+    engine_started_at_ = engine->announced.started_at;
     from_copy_ = source.has_value();
     copy_.begin(target.engine, target.copy_holder);
     const planned_run planned = run();
@@ -153,7 +155,7 @@
 bool stream_exchange::on_head(const net::http1_response_head& head)
 {
     const auto answer = context_.protocol.describe_response(head);
-    context_.on_statement(engine_, answer);
+    context_.on_statement(engine_, engine_started_at_, answer);
     if (!answer.attempt.empty() &&
         answer.attempt != accepted_.description.attempt) {
         return false;
@@ -379,13 +381,10 @@
         return std::nullopt;
     }
     ++breaks_before_start_;
-    const instance* engine = context_.directory.find(engine_);
     return crash_report{.service = accepted_.service,
                         .id = accepted_.description.attempt,
                         .engine = engine_,
-                        .engine_started_at = engine != nullptr
-                                                 ? engine->announced.started_at
-                                                 : 0,
+                        .engine_started_at = engine_started_at_,
                         .shared_parts = accepted_.description.shared_parts};
 }
 
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -81,7 +81,9 @@
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
-    upstream_id engine_; ///< of the current attempt, or the last one
+    upstream_id engine_;
+    std::uint64_t engine_started_at_ =
+        0; ///< of the current attempt, or the last one
     stream_copy copy_;
     bool from_copy_ = false;
     bool awaiting_placement_ = false;
--- a/tests/platform/upstream_statement_test.cpp
+++ b/tests/platform/upstream_statement_test.cpp
@@ -167,6 +167,23 @@
     CHECK(service.received.size() == 2);
 }
 
+// Guards against a new start that is never used, because the response of the
+// start before it arrives after its announcement.
+TEST_CASE_FIXTURE(upstream_statement_fixture,
+                  "statement_of_an_earlier_start_does_not_bind_the_next_one")
+{
+    start_system();
+    send("/book/x", "first");
+    REQUIRE(wait([&] { return service.received.size() == 1; }));
+    announce(service, "book", "d1", 1, "ready", 2000);
+    run_until(
+        loop, [] { return false; }, 50ms);
+    answer_pending(service, {{"Server-Leaving", "1"}});
+    REQUIRE(wait([&] { return callers[0]->ended(); }));
+    send_plain(1);
+    CHECK(service.received.size() == 2);
+}
+
 // Guards against requests that wait for their deadline after the last upstream
 // of a service has stated that it leaves.
 TEST_CASE_FIXTURE(upstream_statement_fixture,
