Don't count refusals to attempts whose callers have left in the soak

The callers of three of them had left before (no response before the deadline, 7.02 to 7.19 s); the gate saw that 1 to 5 ms later (relay_caller_left) and closed their connections, as it has to. The back end's three refusals with a pause went to exactly these connections. All other requests to it were answered with 200, and the gate kept the pauses that it read from 34.758 on (relay_upstream_paused). Change: an attempt whose caller has left counts neither as refused nor as arrived; the check is as it was for all others.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -119,6 +119,7 @@
         if (now >= end_ || (kind_ == request_kind::stream &&
                             now - last_input_ > silence_limit)) {
             exchange_.reset();
+            pool_.statements_.caller_left(attempts_.back());
             end(&caller_counts::failed, "no response before the deadline");
         }
     }
--- a/tests/platform/soak/statement_checks.cpp
+++ b/tests/platform/soak/statement_checks.cpp
@@ -70,6 +70,11 @@
     }
 }
 
+void statement_checks::caller_left(const std::string& attempt)
+{
+    attempts_.erase(attempt);
+}
+
 void statement_checks::gate_down(const std::string& gate)
 {
     const auto of_gate = [&](const auto& each) {
--- a/tests/platform/soak/statement_checks.hpp
+++ b/tests/platform/soak/statement_checks.hpp
@@ -32,6 +32,10 @@
     void arrived(const std::string& attempt, const std::string& back_end,
                  time_point now);
 
+    /// @brief The caller of an attempt left. Its gate closes the connection to
+    ///     the back end and may not read what that answers.
+    void caller_left(const std::string& attempt);
+
     /// @brief The gate is not up, which ends its obligations.
     void gate_down(const std::string& gate);
     /// @brief A back end starts; statements of an earlier start are void.
