Put a comment back on the function it describes

Cause: a declaration was inserted between the comment of control_feed::fetch_source and the function; a comment of relay_gate was wrapped wrongly; wire_test used the sample prompt of the users' pages. Change: order of two declarations, wording of a comment, another sample with the same checks.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -97,10 +97,10 @@
     void close_surplus_links();
     void update_subscriptions();
     void fetch();
-    /// The replica to request the configuration from; empty if it is better to
-    /// wait.
     template <typename Message>
     void send_to_leader_or_home(const Message& message);
+    /// The replica to request the configuration from; empty if it is better to
+    /// wait.
     [[nodiscard]] node_id fetch_source() const;
     void on_document(const node_id& from, result<configuration_document> reply);
 
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -85,9 +85,8 @@
     void on_announcement(const announcement& announced);
     void on_departure(const announcement& announced);
     /// An upstream stated something about itself in a response to this gate.
-    /// @param started_at of the upstream when the request was sent; another
-    /// start
-    ///     is not bound by it
+    /// @param started_at of the upstream when the request was sent; its later
+    ///     starts are not bound by the statement
     void on_statement(const upstream_id& id, std::uint64_t started_at,
                       const response_description& answer);
     /// An exchange of this gate lost an upstream or a connection to it.
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -48,14 +48,13 @@
 TEST_CASE("wire_prompt_parts_before_the_last_are_shared")
 {
     auto request = sample_request();
-    request.headers.set("X-Prefix-Hash",
-                        "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    request.headers.set("X-Prefix-Hash", "aa01:300,bb02:20,cc03:7");
     const auto described = platform::wire::describe_request(request);
     REQUIRE(described);
     CHECK(described.value().shared_parts ==
-          std::vector<std::string>{"5c1e07a2", "91bd3f06"});
-    CHECK(described.value().prompt == "e4402b7d");
-    request.headers.set("X-Prefix-Hash", "e4402b7d:250");
+          std::vector<std::string>{"aa01", "bb02"});
+    CHECK(described.value().prompt == "cc03");
+    request.headers.set("X-Prefix-Hash", "cc03:7");
     CHECK(
         platform::wire::describe_request(request).value().shared_parts.empty());
     std::string many;
