Handle input that has arrived before time-outs that have expired

What callers saw: beside a change of the configuration, a request that a gate had read got neither an answer nor a refusal.

Cause: timers and sockets had the same libev priority, and libev invokes the watcher that became pending last first, so an expired timer came before input that had arrived. A gate that stands still, for example while it applies a configuration, then closed a connection as idle although its next request had arrived, and read and dropped the request. Class of fault: a time-out is decided before the events it waits for are read. The same order held for every other time-out of the process: silence of streams, links, elections, connection attempts, deadlines.

--- a/lib/include/bamboogate/net/event_loop.hpp
+++ b/lib/include/bamboogate/net/event_loop.hpp
@@ -52,7 +52,8 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// A timer that calls its function once or periodically.
+/// A timer that calls its function once or periodically. Input that arrived
+/// before it expired is handled first, also when the process stood still.
 /// Destruction stops it. Not thread safe.
 class timer
 {
--- a/lib/source/net/event_loop.cpp
+++ b/lib/source/net/event_loop.cpp
@@ -7,6 +7,12 @@
 
 namespace bamboogate::net {
 
+// libev invokes watchers of equal priority in the reverse order of their
+// events, so that expired timers would come before input that arrived earlier:
+// after a stall of the process, a time-out would win against the data it waits
+// for.
+constexpr int io_priority = 1;
+
 // libev's watcher macros cast between watcher types.
 #pragma GCC diagnostic ignored "-Wstrict-aliasing"
 
@@ -175,6 +181,7 @@
     impl_->descriptor = descriptor;
     impl_->function = std::move(function);
     ev_io_init(&impl_->watcher, &impl::on_ready, descriptor, 0);
+    ev_set_priority(&impl_->watcher, io_priority);
     impl_->watcher.data = impl_.get();
 }
 
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <thread>
 
 #include "support/loop_runner.hpp"
 #include "support/raw_client.hpp"
@@ -162,6 +163,24 @@
     CHECK(idle.received().empty());
 }
 
+// Guards against a request that is dropped because the process was busy until
+// the idle time-out had passed, although it had arrived before.
+TEST_CASE_FIXTURE(
+    http1_fixture,
+    "server_request_that_arrived_before_the_idle_timeout_is_answered")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->respond(200, {}, "a");
+    REQUIRE(run_until(loop, [&] { return contains(client, "\r\n\r\na"); }));
+    client.send_now("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(400ms);
+    REQUIRE(wait_for_requests(2));
+    responders[1]->respond(200, {}, "b");
+    CHECK(run_until(loop, [&] { return contains(client, "\r\n\r\nb"); }));
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
