Let a timer wait for input that arrived during a long callback

Cause: the priority orders only what one look at the sockets has found. A timer that is due in the same iteration as a long callback, for example the application of a configuration, is called without another look.

Change: a timer that is called more than 1 ms after the last look at the sockets is called in the next iteration instead, after its input.

--- a/lib/source/net/event_loop.cpp
+++ b/lib/source/net/event_loop.cpp
@@ -13,9 +13,31 @@
 // for.
 constexpr int io_priority = 1;
 
+// A timer that expires more than this after the loop looked at the sockets
+// waits until it has looked again: a callback took long, and input may have
+// arrived meanwhile.
+constexpr duration max_input_age = std::chrono::milliseconds(1);
+
 // libev's watcher macros cast between watcher types.
 #pragma GCC diagnostic ignored "-Wstrict-aliasing"
 
+namespace {
+
+/// Records when the loop last looked at its sockets. The loop's user data.
+struct poll_clock
+{
+    ev_check watcher{};
+    time_point polled_at = monotonic_clock::now();
+
+    static void on_polled(struct ::ev_loop*, ev_check* watcher, int)
+    {
+        static_cast<poll_clock*>(watcher->data)->polled_at =
+            monotonic_clock::now();
+    }
+};
+
+} // namespace
+
 struct event_loop::impl
 {
     struct signal_watcher
@@ -26,6 +48,7 @@
 
     struct ::ev_loop* loop = ev_loop_new(EVBACKEND_EPOLL);
     ev_async wake{};
+    poll_clock polls;
     std::vector<std::function<void()>> posted;
     std::vector<std::unique_ptr<signal_watcher>> signals;
 
@@ -50,6 +73,12 @@
     impl_->wake.data = impl_.get();
     ev_async_start(impl_->loop, &impl_->wake);
     ev_unref(impl_->loop);
+    ev_check_init(&impl_->polls.watcher, &poll_clock::on_polled);
+    ev_set_priority(&impl_->polls.watcher, EV_MAXPRI);
+    impl_->polls.watcher.data = &impl_->polls;
+    ev_check_start(impl_->loop, &impl_->polls.watcher);
+    ev_unref(impl_->loop);
+    ev_set_userdata(impl_->loop, &impl_->polls);
 }
 
 event_loop::~event_loop()
@@ -60,6 +89,8 @@
     }
     ev_ref(impl_->loop);
     ev_async_stop(impl_->loop, &impl_->wake);
+    ev_ref(impl_->loop);
+    ev_check_stop(impl_->loop, &impl_->polls.watcher);
     ev_loop_destroy(impl_->loop);
 }
 
@@ -104,18 +135,46 @@
 {
     struct ::ev_loop* loop;
     ev_timer watcher{};
+    ev_timer deferred{}; ///< calls the function in the next iteration
     std::function<void()> function;
 
-    static void on_timeout(struct ::ev_loop*, ev_timer* watcher, int)
+    static void on_timeout(struct ::ev_loop* loop, ev_timer* watcher, int)
+    {
+        auto* self = static_cast<impl*>(watcher->data);
+        const auto* polls = static_cast<poll_clock*>(ev_userdata(loop));
+        if (monotonic_clock::now() - polls->polled_at <= max_input_age) {
+            self->call();
+            return;
+        }
+        const bool waits =
+            ev_is_active(&self->deferred) || ev_is_pending(&self->deferred);
+        if (!waits) {
+            ev_timer_set(&self->deferred, 0., 0.);
+            ev_timer_start(loop, &self->deferred);
+        }
+    }
+
+    static void on_deferred(struct ::ev_loop*, ev_timer* watcher, int)
+    {
+        static_cast<impl*>(watcher->data)->call();
+    }
+
+    void call()
     {
         // The function may destroy the timer, so a copy of it is called.
-        auto function = static_cast<impl*>(watcher->data)->function;
-        function();
+        const auto copy = function;
+        copy();
     }
 
-    void start(duration delay, duration period)
+    void stop()
     {
         ev_timer_stop(loop, &watcher);
+        ev_timer_stop(loop, &deferred);
+    }
+
+    void start(duration delay, duration period)
+    {
+        stop();
         // libev's cached time is stale after a long callback.
         ev_now_update(loop);
         ev_timer_set(&watcher, to_seconds(delay), to_seconds(period));
@@ -130,11 +189,13 @@
     impl_->function = std::move(function);
     ev_timer_init(&impl_->watcher, &impl::on_timeout, 0., 0.);
     impl_->watcher.data = impl_.get();
+    ev_timer_init(&impl_->deferred, &impl::on_deferred, 0., 0.);
+    impl_->deferred.data = impl_.get();
 }
 
 timer::~timer()
 {
-    ev_timer_stop(impl_->loop, &impl_->watcher);
+    impl_->stop();
 }
 
 void timer::start_once(duration delay)
@@ -149,12 +210,12 @@
 
 void timer::stop()
 {
-    ev_timer_stop(impl_->loop, &impl_->watcher);
+    impl_->stop();
 }
 
 bool timer::active() const noexcept
 {
-    return ev_is_active(&impl_->watcher);
+    return ev_is_active(&impl_->watcher) || ev_is_active(&impl_->deferred);
 }
 
 struct io_watcher::impl
