Print the answer that ends the resend test

scripts/test of, beside builds: the 409 of one of 300 changes in operation_resent_after_changes_and_restart_gets_first_answer has no reason in the log. The check is unchanged.

--- a/tests/e2e/control_loss_test.cpp
+++ b/tests/e2e/control_loss_test.cpp
@@ -181,6 +181,7 @@
     for (int i = 0; i < 300; ++i) {
         const auto next = system.submit_change(
             "/v1/preset", {{"preset", i % 2 == 0 ? "maintenance" : "peak"}});
+        INFO("change " << i << ": " << next.body);
         REQUIRE(next.status == 200);
     }
     const auto before = system.status();
