Quarantine whole requests that crash the upstreams that run them

Cause: the quarantine knew only parts of prompts, and plain calls have none. Class of fault: a mechanism tied to one kind of request where the failure follows any kind.

Change: requests are also counted as a whole, by a cryptographic hash of method, target, account, prompt and body. The leader counts crashes, all gates know the fingerprint from the second crash and report an answer to it, which clears it; after three crashes all gates refuse it at once. An upstream that reacts to a probe with silence is no evidence. An idempotent call under which two upstreams crashed is not sent again.

A probe now reports after the input that has arrived: the connections of a crashed upstream break together, and the refusal of the probe hid the other requests that ran there.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -56,6 +56,8 @@
         std::function<void(const upstream_id&)> on_suspicion;
         /// Requests that would crash their engines have to be refused.
         std::function<void(const quarantine_update&)> on_quarantine;
+        /// Upstreams have crashed under a request, or it was answered since.
+        std::function<void(const suspicion_update&)> on_request_suspicion;
         /// The leader changed, or the link to it was established again.
         std::function<void()> on_new_leader;
     };
@@ -78,6 +80,10 @@
     ///     without a leader.
     void report_pause(const pause_statement& statement);
 
+    /// @brief Reports to the leader that a suspected request was answered.
+    ///     Dropped without a leader.
+    void report_answered(const suspect_answered& answered);
+
     /// @brief Number of control replicas whose link is up.
     [[nodiscard]] std::size_t links_up() const;
     /// @brief Version of the configuration in use; 0 if none was received.
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -154,10 +154,16 @@
     void confirm_leaving(const record_leaving& leaving,
                          const acknowledge_callback& callback);
     void send_to_replicas(const announcement_update& update);
-    void send_to_gates(const announcement_update& update);
-    /// Sends the quarantines in effect to a new subscriber or replica.
+    template <typename Message>
+    void send_to_gates(const Message& message)
+    {
+        for (const auto& [gate, reads_refreshes] : gates_) {
+            hub_.send(gate, message);
+        }
+    }
+    /// Sends the quarantines in effect, and the evidence for further ones, to a
+    /// new subscriber or replica.
     void send_quarantines(const node_id& peer);
-    void send_quarantine_to_gates(const quarantine_update& update);
     /// Sends the unchanged announcements since the last call to the replicas
     /// and, at `refresh_interval`, to the gates.
     void send_refreshes();
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace bamboogate::relay {
 
@@ -69,8 +70,19 @@
     time_point arrived;
     unsigned rank = 0; ///< from `combined_rank`
     request_description description;
+    std::string fingerprint = {}; ///< set by `fingerprint_of`
 };
 
+/// @brief The request's `request_fingerprint`, which is computed at the first
+///     call.
+[[nodiscard]] const std::string& fingerprint_of(accepted_request& accepted);
+
+/// @brief What a quarantine identifies a request by: the shared parts of its
+///     prompt and, if a request of the service is quarantined or suspected, its
+///     fingerprint.
+[[nodiscard]] std::vector<std::string>
+traits_of(accepted_request& accepted, const gate_quarantine& quarantine);
+
 /// Processes one request of a caller until its final response. Not thread safe.
 class exchange : public std::enable_shared_from_this<exchange>
 {
@@ -99,9 +111,9 @@
     ///     as lost.
     virtual void on_upstream_suspected(const upstream_id&) {}
 
-    /// @brief Requests that would crash their engines were quarantined. An
-    ///     exchange among them that has not begun is ended.
-    virtual void on_quarantine(const service_id&, const prompt_quarantine&) {}
+    /// @brief Requests that would crash their upstreams were quarantined. An
+    ///     exchange among them that has no event or response is ended.
+    virtual void on_quarantine(const service_id& service) = 0;
 
     /// @return whether the failure of this upstream concerns the exchange: an
     ///     attempt runs there, or the copy of its stream is there
@@ -127,6 +139,16 @@
     void refuse(std::string_view cause, duration retry_after);
     /// @brief Responds that the outcome is unknown (502) or late (504).
     void respond_failure(unsigned status, std::string_view cause);
+    /// @return the rest of a quarantine of this request
+    [[nodiscard]] std::optional<duration> quarantine_left();
+    /// @brief Reports that the upstream of a request without an event or
+    ///     response may have crashed.
+    [[nodiscard]] crash_report
+    make_crash_report(const upstream_id& upstream,
+                      std::uint64_t upstream_started_at);
+    /// @brief Clears this request of the suspicion that it crashes upstreams:
+    ///     one has answered it.
+    void clear_suspicion();
     /// @brief Counts and logs an attempt that is about to be sent.
     /// @param number of the attempt, from 1
     void log_attempt(std::string_view kind, const instance& upstream,
@@ -149,6 +171,7 @@
     bool ended_ = false;
     unsigned attempts_ = 0; ///< sent, including those that were not executed
     unsigned runs_ = 0;     ///< attempts that may have been executed
+    unsigned crashes_ = 0;  ///< upstreams that crashed under it
 
 private:
     std::function<void()> on_end_;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -99,12 +99,22 @@
     "time; kept_ms is 0 if the time was not positive or could not be read."};
 inline constexpr log_event quarantine_decided{
     1037, severity::warning, "relay_quarantine_decided",
-    "The leader found parts of prompts under which engines crash; requests "
-    "that contain all of them are refused for the recorded time."};
+    "The leader found parts of prompts, or a request as a whole, under which "
+    "upstreams crash; requests that contain all of them are refused for the "
+    "recorded time."};
 inline constexpr log_event quarantine_added{
     1038, severity::info, "relay_quarantine_added",
-    "A process refuses requests with the recorded parts of a prompt, as the "
-    "leader has decided; remaining_ms is 0 if an operator lifted it."};
+    "A process refuses requests with the recorded parts of a prompt, or the "
+    "recorded request, as the leader has decided; remaining_ms is 0 if an "
+    "operator lifted it."};
+inline constexpr log_event crash_counted{
+    1041, severity::warning, "relay_crash_counted",
+    "An upstream crashed under a request; the crashes counted against the "
+    "request as a whole since its last answer are recorded."};
+inline constexpr log_event suspicion_changed{
+    1042, severity::info, "relay_suspicion_changed",
+    "The leader told the gates to report answers to a request under which "
+    "upstreams have crashed; crashes is 0 after such an answer."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -264,9 +264,9 @@
                                                 copy_holder, shared_parts)
 };
 
-/// Gate to leader: the connection of a stream that had not begun broke. If the
-/// engine doesn't accept connections either, the report is repeated as
-/// confirmed.
+/// Gate to leader: the connection of a request broke before its first event or
+/// response. If the upstream doesn't accept connections either, the report is
+/// repeated as confirmed.
 struct crash_report
 {
     static constexpr std::string_view type = "relay_crash_report";
@@ -276,8 +276,13 @@
     std::uint64_t engine_started_at = 0;
     std::vector<std::string> shared_parts;
     bool confirmed = false; ///< the engine is gone
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(crash_report, service, id, engine,
-                                   engine_started_at, shared_parts, confirmed)
+    /// `request_fingerprint`. Earlier builds don't send this and the next one.
+    std::string request;
+    bool repeated = false; ///< sent again after an earlier crash under it
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(crash_report, service, id,
+                                                engine, engine_started_at,
+                                                shared_parts, confirmed,
+                                                request, repeated)
 
     /// @return identifies the start of the engine that crashed
     [[nodiscard]] std::string engine_start() const;
@@ -297,6 +302,26 @@
                                    repetitions, remaining_ms)
 };
 
+/// Leader to replicas, and replicas to gates: upstreams have crashed under this
+/// request, or it has been answered since.
+struct suspicion_update
+{
+    static constexpr std::string_view type = "relay_suspicion_update";
+    service_id service;
+    std::string request;  ///< `request_fingerprint`
+    unsigned crashes = 0; ///< 0: answered
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(suspicion_update, service, request, crashes)
+};
+
+/// Gate to leader: an upstream has answered a suspected request.
+struct suspect_answered
+{
+    static constexpr std::string_view type = "relay_suspect_answered";
+    service_id service;
+    std::string request; ///< `request_fingerprint`
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(suspect_answered, service, request)
+};
+
 [[nodiscard]] quarantine_update
 make_quarantine_update(const service_id& service,
                        const quarantined_parts& quarantine);
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -54,6 +54,22 @@
         on_quarantine_ = std::move(function);
     }
 
+    /// @brief Takes over the leader's evidence against a request.
+    /// @return false if it is known already
+    bool add_suspicion(const suspicion_update& update);
+
+    /// @brief The evidence that gates have to know, for processes that connect
+    ///     later.
+    [[nodiscard]] std::vector<suspicion_update> suspicions() const;
+
+    /// @param function receives each change of the evidence against a request
+    ///     that the gates have to know
+    void
+    on_suspicion_changed(std::function<void(const suspicion_update&)> function)
+    {
+        on_suspicion_changed_ = std::move(function);
+    }
+
     /// @brief This replica became the leader. Placement is delayed until the
     ///     engines' caches are known, so that a retried stream goes to the
     ///     engine that caches its prompt. The delay is bounded.
@@ -96,6 +112,11 @@
     [[nodiscard]] copy_reply on_copy_request(const copy_request& request);
     void on_update(const net::peer_info& peer, const run_update& update);
     void on_crash(const crash_report& report);
+    /// A request that is quarantined in another service is quarantined in this
+    /// one after its next crash: its route may have moved.
+    void note_quarantined_elsewhere(const crash_report& report);
+    void on_suspect_answered(const suspect_answered& answered);
+    void announce_suspicion(const suspicion_update& update);
     void refresh(const service_id& service, stream_scheduler& scheduler);
     /// @return streams that may be placed on the engine in addition to those
     ///     there, if a pause limits them
@@ -114,6 +135,7 @@
     /// Kept while this replica does not lead.
     std::map<service_id, prompt_quarantine> quarantines_;
     std::function<void(const quarantine_update&)> on_quarantine_;
+    std::function<void(const suspicion_update&)> on_suspicion_changed_;
     std::map<upstream_id, time_point> suspected_at_;
     struct pause
     {
--- a/lib/include/bamboogate/relay/prompt_quarantine.hpp
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -25,14 +25,19 @@
     duration remaining{};
 };
 
-/// Finds poison requests: those whose prompt crashes every engine that begins
-/// to generate on it. The prompts of one service consist of parts that requests
-/// share. The cause of a crash is among the parts of the streams that had not
-/// begun; a part whose streams begin is cleared. Parts that were present in
-/// several crashes without a start in between are quarantined; parts with the
-/// same evidence are quarantined together, so that a sound part is not refused
-/// for the company that it had. Bounded memory. Performs no I/O. Not thread
-/// safe.
+/// Finds poison requests: those that crash every upstream that begins to run
+/// them. Two kinds of traits identify them, and each kind is counted by itself:
+/// - The prompts of one service consist of parts that requests share. The cause
+///   of a crash is among the parts of the streams that had not begun; a part
+///   whose streams begin is cleared. Parts that were present in several crashes
+///   without a start in between are quarantined; parts with the same evidence
+///   are quarantined together, so that a sound part is not refused for the
+///   company that it had.
+/// - A request as a whole, by its fingerprint (`request_fingerprint`). An
+/// answer
+///   clears it.
+/// A fingerprint is passed where a list of parts is expected, as its only
+/// entry. Bounded memory. Performs no I/O. Not thread safe.
 class prompt_quarantine
 {
 public:
@@ -73,10 +78,29 @@
     /// @brief Records that an engine crashed under a stream that had not begun.
     /// @param engine identifies the start of the engine; a crash is counted
     ///     once per part
+    /// @param repeated the request was sent again after an earlier crash under
+    ///     it. Such crashes are not one failure of a domain, so each of them
+    ///     counts.
     /// @return the parts that are quarantined because of this crash
     std::optional<quarantined_parts>
     note_crash(std::span<const std::string> parts, const std::string& engine,
-               time_point now);
+               time_point now, bool repeated = false);
+
+    /// @brief Takes over the evidence of another process against a part or a
+    ///     fingerprint.
+    /// @param crashes 0 clears it
+    /// @return false if this changes nothing
+    bool add_suspicion(const std::string& part, unsigned crashes,
+                       time_point now);
+
+    /// @return the crashes that are counted against a part or a fingerprint
+    [[nodiscard]] unsigned crashes_of(const std::string& part) const;
+
+    /// @return the suspected requests by fingerprint, and their crashes
+    [[nodiscard]] std::map<std::string, unsigned> suspected_requests() const;
+
+    /// @return whether a request is quarantined or suspected by its fingerprint
+    [[nodiscard]] bool knows_requests() const;
 
     /// @return the parts of a prompt that may have crashed engines and did not
     ///     begin since; a part that has begun before is suspect only after two
@@ -100,7 +124,6 @@
 
     [[nodiscard]] std::vector<quarantined_parts>
     quarantined(time_point now) const;
-    [[nodiscard]] bool empty() const { return quarantined_.empty(); }
 
 private:
     struct suspicion
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -95,7 +95,7 @@
     void on_suspicion(const upstream_id& id);
     void check_upstream(const instance& upstream);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> exchanges() const;
-    void on_probe_finished(const upstream_id& id, bool alive);
+    void on_probe_finished(const upstream_id& id, probe_result outcome);
     void fail_attempts_on(const upstream_id& id);
     void refresh_planner(const service_id& service);
     void on_new_leader();
--- a/lib/include/bamboogate/relay/upstream_prober.hpp
+++ b/lib/include/bamboogate/relay/upstream_prober.hpp
@@ -7,12 +7,21 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 
 namespace bamboogate::relay {
 
+/// How an upstream reacted to a connection.
+enum class probe_result : std::uint8_t
+{
+    accepted,
+    refused, ///< its process is gone
+    silent,  ///< no reaction in time, for example without power
+};
+
 /// Checks whether a suspected upstream still accepts connections. Opens one
 /// connection: a crashed upstream refuses it, an unresponsive one doesn't
 /// accept it in time. Not thread safe.
@@ -26,11 +35,12 @@
         duration deadline = std::chrono::milliseconds(70);
     };
 
-    /// Receives the upstream and whether it accepted the connection.
-    using finished_callback = std::function<void(const upstream_id&, bool)>;
+    using finished_callback =
+        std::function<void(const upstream_id&, probe_result)>;
 
-    /// @param on_finished called on the loop's thread for each probe; during
-    ///     `probe` if it fails at once
+    /// @param on_finished called from the event loop for each probe, after
+    ///     input that has arrived by then: the connections of a crashed
+    ///     upstream break together, and their owners have to see that first
     upstream_prober(net::event_loop& loop, options settings,
                     finished_callback on_finished);
 
@@ -44,12 +54,17 @@
         std::unique_ptr<net::timer> deadline;
     };
 
-    void finish(const upstream_id& upstream, bool alive);
+    void finish(const upstream_id& upstream, probe_result outcome);
+    /// Calls `on_finished_` in the next iteration of the loop.
+    void report(const upstream_id& upstream, probe_result outcome);
 
     net::event_loop& loop_;
     options settings_;
     finished_callback on_finished_;
     std::map<upstream_id, check> checks_;
+    /// Expires with the prober, for functions that were posted to the loop.
+    std::shared_ptr<upstream_prober*> self_ =
+        std::make_shared<upstream_prober*>(this);
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -61,6 +61,10 @@
         [this](const net::peer_info&, const quarantine_update& update) {
             observers_.on_quarantine(update);
         });
+    hub_.on<suspicion_update>(
+        [this](const net::peer_info&, const suspicion_update& update) {
+            observers_.on_request_suspicion(update);
+        });
     for (const auto& seed : settings_.seeds) {
         add_replica(seed.text());
     }
@@ -288,6 +292,11 @@
     hub_.send(leader_, statement);
 }
 
+void control_feed::report_answered(const suspect_answered& answered)
+{
+    hub_.send(leader_, answered);
+}
+
 template <typename Message>
 void control_feed::send_to_leader_or_home(const Message& message)
 {
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -61,7 +61,13 @@
         for (const auto& node : known_replicas_) {
             hub_.send(node_id(node), update);
         }
-        send_quarantine_to_gates(update);
+        send_to_gates(update);
+    });
+    placements_.on_suspicion_changed([this](const suspicion_update& update) {
+        for (const auto& node : known_replicas_) {
+            hub_.send(node_id(node), update);
+        }
+        send_to_gates(update);
     });
     store_.on_change(
         [this](const std::shared_ptr<const configuration_document>& document) {
@@ -145,7 +151,13 @@
     hub_.on<quarantine_update>(
         [this](const net::peer_info&, const quarantine_update& update) {
             if (placements_.add_quarantine(update)) {
-                send_quarantine_to_gates(update);
+                send_to_gates(update);
+            }
+        });
+    hub_.on<suspicion_update>(
+        [this](const net::peer_info&, const suspicion_update& update) {
+            if (placements_.add_suspicion(update)) {
+                send_to_gates(update);
             }
         });
     hub_.serve<record_leaving, leaving_recorded>(
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -239,18 +239,14 @@
     }
 }
 
-void control_node::send_to_gates(const announcement_update& update)
-{
-    for (const auto& [gate, reads_refreshes] : gates_) {
-        hub_.send(gate, update);
-    }
-}
-
 void control_node::send_quarantines(const node_id& peer)
 {
     for (const auto& each : placements_.quarantines()) {
         hub_.send(peer, each);
     }
+    for (const auto& each : placements_.suspicions()) {
+        hub_.send(peer, each);
+    }
 }
 
 bool control_node::lift_quarantine(const service_id& service,
@@ -264,17 +260,10 @@
     for (const auto& node : known_replicas_) {
         hub_.send(node_id(node), lifted);
     }
-    send_quarantine_to_gates(lifted);
+    send_to_gates(lifted);
     return true;
 }
 
-void control_node::send_quarantine_to_gates(const quarantine_update& update)
-{
-    for (const auto& [gate, reads_refreshes] : gates_) {
-        hub_.send(gate, update);
-    }
-}
-
 void control_node::send_refreshes()
 {
     announcement_update update;
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/request_fingerprint.hpp>
 #include <bamboogate/relay/retry_delay.hpp>
 
 #include "plain_exchange.hpp"
@@ -10,6 +11,25 @@
 using observability::log;
 namespace events = log_events;
 
+const std::string& fingerprint_of(accepted_request& accepted)
+{
+    if (accepted.fingerprint.empty()) {
+        accepted.fingerprint = request_fingerprint(
+            accepted.request, accepted.description, accepted.account);
+    }
+    return accepted.fingerprint;
+}
+
+std::vector<std::string> traits_of(accepted_request& accepted,
+                                   const gate_quarantine& quarantine)
+{
+    std::vector<std::string> traits = accepted.description.shared_parts;
+    if (quarantine.needs_fingerprints(accepted.service)) {
+        traits.push_back(fingerprint_of(accepted));
+    }
+    return traits;
+}
+
 exchange::exchange(gate_context& context, accepted_request accepted,
                    std::function<void()> on_end)
     : context_(context), accepted_(std::move(accepted)),
@@ -65,6 +85,34 @@
     return out;
 }
 
+std::optional<duration> exchange::quarantine_left()
+{
+    return context_.quarantine.quarantine_of(
+        accepted_.service, traits_of(accepted_, context_.quarantine),
+        context_.loop.now());
+}
+
+crash_report exchange::make_crash_report(const upstream_id& upstream,
+                                         std::uint64_t upstream_started_at)
+{
+    return {.service = accepted_.service,
+            .id = accepted_.description.attempt,
+            .engine = upstream,
+            .engine_started_at = upstream_started_at,
+            .shared_parts = accepted_.description.shared_parts,
+            .request = fingerprint_of(accepted_),
+            .repeated = crashes_ > 0};
+}
+
+void exchange::clear_suspicion()
+{
+    if (crashes_ > 0 ||
+        context_.quarantine.needs_fingerprints(accepted_.service)) {
+        context_.quarantine.note_answered(
+            accepted_.service, fingerprint_of(accepted_), crashes_ > 0);
+    }
+}
+
 void exchange::refuse_without_upstream(std::string_view cause,
                                        duration retry_after)
 {
--- a/lib/source/relay/gate_quarantine.cpp
+++ b/lib/source/relay/gate_quarantine.cpp
@@ -12,8 +12,7 @@
 /// holds for a short time.
 constexpr duration quarantine_without_leader = std::chrono::seconds(30);
 
-} // namespace
-
+/// @param report of the crash that completed the evidence
 void log_quarantine_decided(const crash_report& report,
                             const quarantine_update& update)
 {
@@ -29,6 +28,8 @@
          {"remaining_ms", update.remaining_ms}});
 }
 
+} // namespace
+
 void log_quarantine_added(const quarantine_update& update)
 {
     observability::log(
@@ -49,11 +50,42 @@
         .first->second;
 }
 
+std::vector<quarantine_update> count_crash(prompt_quarantine& quarantine,
+                                           const crash_report& report,
+                                           time_point now)
+{
+    std::vector<quarantine_update> decided;
+    const auto add = [&](const std::optional<quarantined_parts>& found) {
+        if (found) {
+            decided.push_back(make_quarantine_update(report.service, *found));
+            log_quarantine_decided(report, decided.back());
+        }
+    };
+    add(quarantine.note_crash(report.shared_parts, report.engine_start(), now));
+    // A crash under quarantined parts is explained by them.
+    if (decided.empty() && !report.request.empty() &&
+        !quarantine.quarantine_of(report.shared_parts, now)) {
+        add(quarantine.note_crash(std::span(&report.request, 1),
+                                  report.engine_start(), now, report.repeated));
+    }
+    observability::log(log_events::crash_counted,
+                       {{"request", report.id.value()},
+                        {"service", report.service.value()},
+                        {"upstream", report.engine.value()},
+                        {"fingerprint", report.request},
+                        {"repeated", report.repeated},
+                        {"crashes", quarantine.crashes_of(report.request)}});
+    return decided;
+}
+
 void gate_quarantine::note_broken(crash_report report,
-                                  std::function<void()> on_checked)
+                                  std::function<void(bool)> on_checked)
 {
     report.confirmed = false;
-    static_cast<void>(callbacks_.report(report));
+    if (!report.shared_parts.empty()) {
+        // Makes the parts suspects while the engine is checked.
+        static_cast<void>(callbacks_.report(report));
+    }
     const upstream_id engine = report.engine;
     unconfirmed_[engine].push_back({std::move(report), std::move(on_checked)});
     callbacks_.check_engine(engine);
@@ -61,19 +93,16 @@
 
 void gate_quarantine::note_crash(crash_report report, time_point now)
 {
+    if (report.shared_parts.empty() && report.request.empty()) {
+        return;
+    }
     report.confirmed = true;
     if (callbacks_.report(report)) {
         return;
     }
-    prompt_quarantine& quarantine = of(report.service);
-    const auto found =
-        quarantine.note_crash(report.shared_parts, report.engine_start(), now);
-    if (!found) {
-        return;
+    if (!count_crash(of(report.service), report, now).empty()) {
+        callbacks_.on_added(report.service);
     }
-    log_quarantine_decided(report,
-                           make_quarantine_update(report.service, *found));
-    callbacks_.on_added(report.service, quarantine);
 }
 
 void gate_quarantine::confirm(const upstream_id& engine, time_point now)
@@ -86,7 +115,7 @@
         note_crash(each.report, now);
     }
     for (const auto& each : broken.mapped()) {
-        each.on_checked();
+        each.on_checked(true);
     }
 }
 
@@ -97,7 +126,7 @@
         return;
     }
     for (const auto& each : broken.mapped()) {
-        each.on_checked();
+        each.on_checked(false);
     }
 }
 
@@ -110,14 +139,35 @@
     }
 }
 
+void gate_quarantine::note_answered(const service_id& service,
+                                    const std::string& request, bool reported)
+{
+    const auto found = services_.find(service);
+    const bool suspected =
+        found != services_.end() && found->second.add_suspicion(request, 0, {});
+    if (suspected || reported) {
+        callbacks_.report_answered({.service = service, .request = request});
+    }
+}
+
+void gate_quarantine::add(const suspicion_update& update, time_point now)
+{
+    of(update.service).add_suspicion(update.request, update.crashes, now);
+}
+
+bool gate_quarantine::needs_fingerprints(const service_id& service) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.knows_requests();
+}
+
 void gate_quarantine::add(const quarantine_update& update, time_point now)
 {
-    prompt_quarantine& quarantine = of(update.service);
-    if (!quarantine.add(to_quarantine(update), now)) {
+    if (!of(update.service).add(to_quarantine(update), now)) {
         return;
     }
     log_quarantine_added(update);
-    callbacks_.on_added(update.service, quarantine);
+    callbacks_.on_added(update.service);
 }
 
 std::optional<duration>
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -25,6 +25,10 @@
 /// Limit of the wait for the engines' caches. Engines answer within a few
 /// milliseconds; an unresponsive one must not delay the streams for longer.
 constexpr duration max_cache_wait = std::chrono::milliseconds(120);
+/// Crashes under a request after which the gates report answers to it. A single
+/// crash makes all requests that ran there suspects, most of which never crash
+/// another one.
+constexpr unsigned announced_crashes = 2;
 /// KV cache capacity assumed for an engine whose service declares none.
 constexpr std::uint64_t default_kv_capacity_tokens = 100000;
 
@@ -56,6 +60,10 @@
         [this](const net::peer_info&, const crash_report& report) {
             on_crash(report);
         });
+    hub.on<suspect_answered>(
+        [this](const net::peer_info&, const suspect_answered& answered) {
+            on_suspect_answered(answered);
+        });
     decide_timer_.start_periodic(decide_interval);
 }
 
@@ -124,6 +132,21 @@
     return out;
 }
 
+std::vector<suspicion_update> placement_server::suspicions() const
+{
+    std::vector<suspicion_update> out;
+    for (const auto& [service, quarantine] : quarantines_) {
+        for (const auto& [request, crashes] : quarantine.suspected_requests()) {
+            if (crashes >= announced_crashes) {
+                out.push_back({.service = service,
+                               .request = request,
+                               .crashes = crashes});
+            }
+        }
+    }
+    return out;
+}
+
 void placement_server::on_crash(const crash_report& report)
 {
     if (!is_leader_()) {
@@ -134,17 +157,74 @@
         quarantine.note_broken(report.shared_parts, loop_.now());
         return;
     }
-    const auto found = quarantine.note_crash(
-        report.shared_parts, report.engine_start(), loop_.now());
-    if (!found) {
+    const unsigned before = quarantine.crashes_of(report.request);
+    note_quarantined_elsewhere(report);
+    const auto decided = count_crash(quarantine, report, loop_.now());
+    const unsigned crashes = quarantine.crashes_of(report.request);
+    if (crashes > before && crashes >= announced_crashes) {
+        announce_suspicion({.service = report.service,
+                            .request = report.request,
+                            .crashes = crashes});
+    }
+    for (const auto& update : decided) {
+        if (on_quarantine_) {
+            on_quarantine_(update);
+        }
+    }
+    if (!decided.empty()) {
+        decide(report.service);
+    }
+}
+
+void placement_server::announce_suspicion(const suspicion_update& update)
+{
+    log(events::suspicion_changed, {{"service", update.service.value()},
+                                    {"fingerprint", update.request},
+                                    {"crashes", update.crashes}});
+    if (on_suspicion_changed_) {
+        on_suspicion_changed_(update);
+    }
+}
+
+void placement_server::note_quarantined_elsewhere(const crash_report& report)
+{
+    const std::span request(&report.request, 1);
+    const time_point now = loop_.now();
+    for (const auto& [service, quarantine] : quarantines_) {
+        if (service != report.service &&
+            quarantine.quarantine_of(request, now)) {
+            const unsigned missing = prompt_quarantine::options().max_crashes;
+            quarantines_[report.service].add_suspicion(report.request,
+                                                       missing - 1, now);
+            return;
+        }
+    }
+}
+
+bool placement_server::add_suspicion(const suspicion_update& update)
+{
+    return quarantines_[update.service].add_suspicion(
+        update.request, update.crashes, loop_.now());
+}
+
+void placement_server::on_suspect_answered(const suspect_answered& answered)
+{
+    if (!is_leader_()) {
         return;
     }
-    const auto update = make_quarantine_update(report.service, *found);
-    log_quarantine_decided(report, update);
-    if (on_quarantine_) {
-        on_quarantine_(update);
+    prompt_quarantine& quarantine = quarantines_[answered.service];
+    const unsigned crashes = quarantine.crashes_of(answered.request);
+    quarantine.add_suspicion(answered.request, 0, loop_.now());
+    if (crashes >= announced_crashes) {
+        announce_suspicion(
+            {.service = answered.service, .request = answered.request});
+    }
+    // The answer to an attempt that was sent before the quarantine.
+    const quarantine_update lifted{.service = answered.service,
+                                   .parts = {answered.request}};
+    if (add_quarantine(lifted) && on_quarantine_) {
+        on_quarantine_(lifted);
     }
-    decide(report.service);
 }
 
 void placement_server::on_leadership_gained()
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -14,6 +14,9 @@
 /// An upstream that refused because it was full receives no requests for this
 /// long.
 constexpr duration full_backoff = std::chrono::milliseconds(50);
+/// Upstreams that may crash under one request before it is given up: the next
+/// crash would be the third, and a sound request hardly meets two.
+constexpr unsigned max_crashes = 2;
 /// Retry delay sent to callers when no upstream could accept the request.
 constexpr duration refusal_retry_after = std::chrono::milliseconds(150);
 
@@ -134,6 +137,7 @@
         return;
     }
     health.note_success(now - attempt_started_);
+    clear_suspicion();
     forward_response();
 }
 
@@ -161,14 +165,55 @@
         return;
     }
     ++runs_;
-    on_outcome_unknown(failure.on_reused_connection ? "kept_connection_lost"
-                                                    : name_of(failure.code));
+    const std::string_view cause = failure.on_reused_connection
+                                       ? "kept_connection_lost"
+                                       : name_of(failure.code);
+    if (failure.code == errc::connection_lost && head_.status == 0) {
+        check_crash(cause);
+        return;
+    }
+    on_outcome_unknown(cause);
+}
+
+void plain_exchange::check_crash(std::string_view cause)
+{
+    checking_upstream_ = true;
+    context_.quarantine.note_broken(
+        make_crash_report(upstream_, upstream_started_at_),
+        [weak = weak_from_this(), cause, this](bool crashed) {
+            const auto self = weak.lock();
+            if (self && std::exchange(checking_upstream_, false)) {
+                crashes_ += crashed ? 1 : 0;
+                on_outcome_unknown(cause);
+            }
+        });
+}
+
+void plain_exchange::on_quarantine(const service_id& service)
+{
+    // A response that arrives is the evidence of a sound request.
+    if (ended_ || service != accepted_.service || head_.status != 0) {
+        return;
+    }
+    const auto rest = quarantine_left();
+    if (!rest) {
+        return;
+    }
+    context_.metrics.quarantined.add();
+    runs_ += attempt_ && attempt_->request_sent() ? 1 : 0;
+    cancel_attempts();
+    if (runs_ == 0) {
+        refuse("quarantined", *rest);
+        return;
+    }
+    finish_without_response("quarantined");
 }
 
 bool plain_exchange::may_run_again() const
 {
     return accepted_.matched_route->policy == retry_policy::idempotent &&
-           runs_ < accepted_.matched_route->max_attempts;
+           runs_ < accepted_.matched_route->max_attempts &&
+           crashes_ < max_crashes;
 }
 
 bool plain_exchange::may_send_again()
@@ -216,6 +261,7 @@
 
 void plain_exchange::cancel_attempts()
 {
+    checking_upstream_ = false;
     if (attempt_) {
         attempt_.reset();
         context_.directory.health(upstream_).request_ended();
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -17,6 +17,7 @@
                    std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
+    void on_quarantine(const service_id& service) override;
     [[nodiscard]] bool uses_upstream(const upstream_id& id) const override
     {
         return attempt_ != nullptr && upstream_ == id;
@@ -32,6 +33,9 @@
     void on_body(std::string_view part);
     void on_complete();
     void on_failure(const net::http1_failure& failure);
+    /// The connection broke before a response: the upstream is checked before
+    /// the request is sent again, because the request may have crashed it.
+    void check_crash(std::string_view cause);
     void on_not_run(std::string_view cause);
     void on_outcome_unknown(std::string_view cause);
     [[nodiscard]] bool may_run_again() const;
@@ -48,6 +52,7 @@
     std::string body_;
     buffer_reservation buffered_; ///< for `body_`
     std::set<upstream_id> excluded_;
+    bool checking_upstream_ = false; ///< of a lost attempt
     /// A 5xx response of an upstream, forwarded if no other upstream gives a
     /// better one.
     struct fallback_response
--- a/lib/source/relay/prompt_quarantine.cpp
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -1,4 +1,5 @@
 #include <bamboogate/relay/prompt_quarantine.hpp>
+#include <bamboogate/relay/request_fingerprint.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -72,7 +73,8 @@
 
 std::optional<quarantined_parts>
 prompt_quarantine::note_crash(std::span<const std::string> parts,
-                              const std::string& engine, time_point now)
+                              const std::string& engine, time_point now,
+                              bool repeated)
 {
     // A crash under quarantined parts is explained by them.
     if (parts.empty() || quarantine_of(parts, now)) {
@@ -82,10 +84,10 @@
     unsigned most = 0;
     for (const auto& part : parts) {
         suspicion& entry = suspicion_of(part);
-        const bool separate =
-            entry.crashes == 0 ||
-            (engine != entry.last_engine &&
-             now - entry.last_crash >= settings_.crash_separation);
+        const bool separate = entry.crashes == 0 ||
+                              (engine != entry.last_engine &&
+                               (repeated || now - entry.last_crash >=
+                                                settings_.crash_separation));
         if (separate) {
             ++entry.crashes;
             entry.last_crash = now;
@@ -120,6 +122,52 @@
     return out;
 }
 
+bool prompt_quarantine::add_suspicion(const std::string& part, unsigned crashes,
+                                      time_point now)
+{
+    if (crashes == 0) {
+        const bool known = suspicions_.contains(part);
+        note_started(std::span(&part, 1));
+        return known;
+    }
+    suspicion& entry = suspicion_of(part);
+    entry.last_break = now;
+    if (entry.crashes >= crashes) {
+        return false;
+    }
+    entry.crashes = crashes;
+    return true;
+}
+
+std::map<std::string, unsigned> prompt_quarantine::suspected_requests() const
+{
+    std::map<std::string, unsigned> out;
+    for (const auto& [part, entry] : suspicions_) {
+        if (is_request_fingerprint(part)) {
+            out[part] = entry.crashes;
+        }
+    }
+    return out;
+}
+
+bool prompt_quarantine::knows_requests() const
+{
+    return std::any_of(suspicions_.begin(), suspicions_.end(),
+                       [](const auto& each) {
+                           return is_request_fingerprint(each.first);
+                       }) ||
+           std::any_of(quarantined_.begin(), quarantined_.end(),
+                       [](const auto& each) {
+                           return is_request_fingerprint(each.first.front());
+                       });
+}
+
+unsigned prompt_quarantine::crashes_of(const std::string& part) const
+{
+    const auto found = suspicions_.find(part);
+    return found == suspicions_.end() ? 0 : found->second.crashes;
+}
+
 std::vector<std::string>
 prompt_quarantine::suspects(std::span<const std::string> parts) const
 {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -58,16 +58,24 @@
                [this](const quarantine_update& update) {
                    quarantine_.add(update, loop_.now());
                },
+           .on_request_suspicion =
+               [this](const suspicion_update& update) {
+                   quarantine_.add(update, loop_.now());
+               },
            .on_new_leader = [this] { on_new_leader(); }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
       prober_(loop, {},
-              [this](const upstream_id& id, bool alive) {
-                  on_probe_finished(id, alive);
+              [this](const upstream_id& id, probe_result outcome) {
+                  on_probe_finished(id, outcome);
               }),
       quarantine_({.report =
                        [this](const crash_report& report) {
                            return placer_.report_crash(report);
                        },
+                   .report_answered =
+                       [this](const suspect_answered& answered) {
+                           feed_.report_answered(answered);
+                       },
                    .check_engine =
                        [this](const upstream_id& id) {
                            if (const auto* engine = directory_.find(id)) {
@@ -77,10 +85,9 @@
                            }
                        },
                    .on_added =
-                       [this](const service_id& service,
-                              const prompt_quarantine& quarantine) {
+                       [this](const service_id& service) {
                            for (const auto& each : exchanges()) {
-                               each->on_quarantine(service, quarantine);
+                               each->on_quarantine(service);
                            }
                        }}),
       context_{
@@ -219,7 +226,7 @@
                               matched->rank),
         .description = std::move(description)};
     if (const auto rest = quarantine_.quarantine_of(
-            accepted.service, accepted.description.shared_parts, loop_.now())) {
+            accepted.service, traits_of(accepted, quarantine_), loop_.now())) {
         metrics_.quarantined.add();
         log(events::request_refused,
             {{"request", accepted.description.attempt.value()},
@@ -387,13 +394,16 @@
     }
 }
 
-void relay_gate::on_probe_finished(const upstream_id& id, bool alive)
+void relay_gate::on_probe_finished(const upstream_id& id, probe_result outcome)
 {
-    if (alive) {
+    if (outcome == probe_result::refused) {
+        quarantine_.confirm(id, loop_.now());
+    } else {
         quarantine_.dismiss(id);
+    }
+    if (outcome == probe_result::accepted) {
         return;
     }
-    quarantine_.confirm(id, loop_.now());
     directory_.health(id).note_failure(loop_.now());
     log(events::upstream_suspended,
         {{"upstream", id.value()},
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -236,6 +236,7 @@
         report_run(run_update::change::started);
         context_.quarantine.note_started(accepted_.service,
                                          accepted_.description.shared_parts);
+        clear_suspicion();
         copy_.note_started();
         context_.directory.health(engine_).note_success(now - attempt_started_);
     }
@@ -377,15 +378,11 @@
 
 std::optional<crash_report> stream_exchange::possible_crash()
 {
-    if (event_seen_ || accepted_.description.shared_parts.empty()) {
+    if (event_seen_) {
         return std::nullopt;
     }
     ++breaks_before_start_;
-    return crash_report{.service = accepted_.service,
-                        .id = accepted_.description.attempt,
-                        .engine = engine_,
-                        .engine_started_at = engine_started_at_,
-                        .shared_parts = accepted_.description.shared_parts};
+    return make_crash_report(engine_, engine_started_at_);
 }
 
 void stream_exchange::on_connection_broken(std::string_view cause)
@@ -398,10 +395,11 @@
     silence_timer_.stop();
     checking_engine_ = true;
     context_.quarantine.note_broken(
-        std::move(*report),
-        [weak = weak_from_this(), cause = std::string(cause), this] {
+        std::move(*report), [weak = weak_from_this(),
+                             cause = std::string(cause), this](bool crashed) {
             const auto self = weak.lock();
             if (self && std::exchange(checking_engine_, false)) {
+                crashes_ += crashed ? 1 : 0;
                 on_attempt_lost(cause, true);
             }
         });
@@ -417,14 +415,12 @@
     }
 }
 
-void stream_exchange::on_quarantine(const service_id& service,
-                                    const prompt_quarantine& quarantine)
+void stream_exchange::on_quarantine(const service_id& service)
 {
     if (ended_ || service != accepted_.service || (attempt_ && event_seen_)) {
         return;
     }
-    const auto rest = quarantine.quarantine_of(
-        accepted_.description.shared_parts, context_.loop.now());
+    const auto rest = quarantine_left();
     if (!rest) {
         return;
     }
@@ -529,6 +525,9 @@
     attempt_.reset();
     if (sent) {
         if (auto report = possible_crash()) {
+            // The connection didn't break, so this is no evidence against
+            // the request itself: the engine may have lost its power.
+            report->request.clear();
             context_.quarantine.note_crash(std::move(*report),
                                            context_.loop.now());
         }
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -23,8 +23,7 @@
     void on_upstream_lost(const upstream_id& id) override;
     void on_upstream_restarted(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
-    void on_quarantine(const service_id& service,
-                       const prompt_quarantine& quarantine) override;
+    void on_quarantine(const service_id& service) override;
     void report_placement() override;
     [[nodiscard]] bool uses_upstream(const upstream_id& id) const override;
 
--- a/lib/source/relay/upstream_prober.cpp
+++ b/lib/source/relay/upstream_prober.cpp
@@ -14,23 +14,26 @@
     }
     const auto descriptor = net::start_connect(address);
     if (!descriptor) {
-        on_finished_(id, false);
+        report(id, probe_result::refused);
         return;
     }
     check& added = checks_[id];
     added.stream = std::make_unique<net::tcp_stream>(
         loop_, descriptor.value(), true,
         net::tcp_stream::callbacks{
-            .on_connected = [this, id] { finish(id, true); },
+            .on_connected = [this, id] { finish(id, probe_result::accepted); },
             .on_data = [](std::string_view) {},
-            .on_end = [this, id](net::stream_end) { finish(id, false); },
+            .on_end =
+                [this, id](net::stream_end) {
+                    finish(id, probe_result::refused);
+                },
             .on_drained = nullptr});
-    added.deadline =
-        std::make_unique<net::timer>(loop_, [this, id] { finish(id, false); });
+    added.deadline = std::make_unique<net::timer>(
+        loop_, [this, id] { finish(id, probe_result::silent); });
     added.deadline->start_once(settings_.deadline);
 }
 
-void upstream_prober::finish(const upstream_id& upstream, bool alive)
+void upstream_prober::finish(const upstream_id& upstream, probe_result outcome)
 {
     const upstream_id id = upstream;
     const auto found = checks_.find(id);
@@ -42,7 +45,16 @@
     checks_.erase(found);
     ended->deadline->stop();
     loop_.post([ended] {});
-    on_finished_(id, alive);
+    report(id, outcome);
+}
+
+void upstream_prober::report(const upstream_id& upstream, probe_result outcome)
+{
+    loop_.post([weak = std::weak_ptr(self_), id = upstream, outcome] {
+        if (const auto self = weak.lock()) {
+            (*self)->on_finished_(id, outcome);
+        }
+    });
 }
 
 } // namespace bamboogate::relay
--- a/tests/platform/poison_request_test.cpp
+++ b/tests/platform/poison_request_test.cpp
@@ -1,4 +1,4 @@
-// Requests whose prompt crashes every engine that begins to generate on it.
+// Requests that crash every upstream that begins to run them.
 #include "platform/support/relay_fixture.hpp"
 #include "quarantine_api.hpp"
 
@@ -234,3 +234,256 @@
     send_with_parts("g2", "f1:200,bad:100,o2:500");
     CHECK(wait([&] { return received() == before + 1; }));
 }
+
+namespace {
+
+/// Requests to plain services, which carry no parts of a prompt.
+struct poison_call_fixture : relay_fixture
+{
+    fake_upstream service2{loop, "s2"};
+    int announced = 1;
+    int attempts = 0;
+    std::vector<std::unique_ptr<caller>> callers;
+
+    caller& send(const char* target, const char* body)
+    {
+        callers.push_back(
+            call(gate->bound_address(), "POST", target,
+                 {{"Host", "h.example"},
+                  {"X-Attempt-Id", fmt::format("a{}", ++attempts)},
+                  {"X-Deadline-Ms", "2000"},
+                  {"Authorization", "Bearer k1"}},
+                 body));
+        return *callers.back();
+    }
+    [[nodiscard]] std::size_t received() const
+    {
+        return service.received.size() + service2.received.size();
+    }
+    void wait_for_received(std::size_t count)
+    {
+        REQUIRE(wait([&] { return received() == count; }));
+    }
+    void settle()
+    {
+        run_until(
+            loop, [] { return false; }, 100ms);
+    }
+    /// Starts the service again under its address, so much later that its next
+    /// crash is another failure.
+    void restart(fake_upstream& crashed, const char* name = "book")
+    {
+        crashed.restart();
+        ++announced;
+        announce(crashed, name, "d1", announced, "ready", announced * 1000);
+        run_until(
+            loop, [] { return false; }, 600ms);
+    }
+    /// Sends requests that run at the service together, and crashes it.
+    void crash_under(std::initializer_list<const char*> bodies)
+    {
+        const std::size_t before = received();
+        const std::size_t first = callers.size();
+        for (const char* body : bodies) {
+            send("/book/x", body);
+        }
+        wait_for_received(before + bodies.size());
+        service.crash();
+        REQUIRE(wait([&] {
+            return std::all_of(
+                callers.begin() + static_cast<std::ptrdiff_t>(first),
+                callers.end(), [](const auto& each) { return each->ended(); });
+        }));
+        // The service has begun to run them.
+        CHECK(callers.back()->status() == 502);
+        restart(service);
+    }
+    void check_refused(const char* body, double least_delay_s = 500.0)
+    {
+        const std::size_t before = received();
+        const caller& request = send("/book/x", body);
+        REQUIRE(wait([&] { return request.ended(); }));
+        CHECK(request.status() == 503);
+        const auto delay = request.head->headers.find("Retry-After");
+        REQUIRE(delay);
+        CHECK(std::stod(std::string(*delay)) > least_delay_s);
+        CHECK(received() == before);
+    }
+    void check_answered(const char* body)
+    {
+        const std::size_t before = service.received.size();
+        const caller& request = send("/book/x", body);
+        REQUIRE(wait([&] { return service.received.size() == before + 1; }));
+        service.answer(before, "ok");
+        REQUIRE(wait([&] { return request.ended(); }));
+        CHECK(request.status() == 200);
+    }
+};
+
+} // namespace
+
+// Guards against a call that crashes one service process after the other.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "poison_call_is_refused_after_three_crashes")
+{
+    start_system();
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        crash_under({"bad"});
+    }
+    check_refused("bad");
+    check_answered("good");
+}
+
+// Guards against refusals of sound calls that ran beside the poison one.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "calls_beside_a_poison_call_are_not_refused")
+{
+    start_system();
+    crash_under({"bad", "good1"});
+    crash_under({"good1", "bad", "good2"});
+    check_answered("good1");
+    crash_under({"good1", "good2", "bad"});
+    check_refused("bad");
+    check_answered("good1");
+    check_answered("good2");
+}
+
+// Guards against another series of crashes after a change of the leader or at a
+// gate that has just started.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "quarantine_of_a_call_outlives_the_leader_and_the_gate")
+{
+    start_system();
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        crash_under({"bad"});
+    }
+    const auto leader =
+        std::find_if(nodes.begin(), nodes.end(),
+                     [](const auto& node) { return node->is_leader(); });
+    const auto api = apis.begin() + (leader - nodes.begin());
+    apis.erase(api);
+    leader->reset();
+    nodes.erase(leader);
+    wait_for_leader();
+    settle();
+    crash_under({"bad"});
+    gate.reset();
+    start_gate();
+    REQUIRE(run_until(loop, [&] { return gate->ready(); }));
+    settle();
+    check_refused("bad");
+}
+
+// Guards against an idempotent call whose repeats crash all processes of a
+// service.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "idempotent_call_that_crashed_two_services_is_not_repeated")
+{
+    fake_upstream service3{loop, "s3"};
+    start_system();
+    announce(service2, "book", "d1");
+    announce(service3, "book", "d1");
+    settle();
+    const caller& request = send("/stock/x", "bad");
+    std::vector<fake_upstream*> services{&service, &service2, &service3};
+    const auto running_at = [&] {
+        return std::find_if(services.begin(), services.end(),
+                            [](const auto* each) {
+                                return each->server && !each->received.empty();
+                            });
+    };
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        REQUIRE(wait([&] { return running_at() != services.end(); }));
+        (*running_at())->crash();
+    }
+    REQUIRE(wait([&] { return request.ended(); }));
+    CHECK(request.status() == 502);
+    settle();
+    CHECK(std::count_if(services.begin(), services.end(), [](const auto* each) {
+              return each->received.empty();
+          }) == 1);
+}
+
+// Guards against calls that are refused because the service resets connections,
+// for example because it has too many.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "calls_whose_connections_a_live_service_resets_are_sound")
+{
+    start_system();
+    for (std::size_t sent = 0; sent < 4; ++sent) {
+        const caller& request = send("/book/x", "good");
+        REQUIRE(wait([&] { return service.received.size() == sent + 1; }));
+        service.received.back().responder->abort();
+        REQUIRE(wait([&] { return request.ended(); }));
+        CHECK(request.status() == 502);
+        settle();
+    }
+    check_answered("good");
+}
+
+// Guards against another series of crashes when the route of a poison call
+// moves to another service.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "poison_call_is_refused_by_another_service_after_one_crash")
+{
+    start_system();
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        crash_under({"bad"});
+    }
+    std::string moved = configuration(6);
+    const std::string route = R"("service":"book","maxAttempts":1)";
+    moved.replace(moved.find(route), route.size(),
+                  R"("service":"book2","maxAttempts":1)");
+    const std::string declared = R"({"name":"book"})";
+    moved.replace(moved.find(declared), declared.size(),
+                  R"({"name":"book"},{"name":"book2"})");
+    REQUIRE(control_call(1, "POST", "/Config.Replace", moved)->status() == 200);
+    announce(service2, "book2", "d1");
+    settle();
+    const std::size_t before = service2.received.size();
+    const caller& request = send("/book/x", "bad");
+    REQUIRE(wait([&] { return service2.received.size() == before + 1; }));
+    service2.crash();
+    REQUIRE(wait([&] { return request.ended(); }));
+    CHECK(request.status() == 502);
+    restart(service2, "book2");
+    check_refused("bad");
+}
+
+// Guards against processes lost to many calls while no leader counts them.
+TEST_CASE_FIXTURE(poison_call_fixture,
+                  "poison_call_without_a_leader_is_refused_by_its_gate")
+{
+    fake_upstream service3{loop, "s3"};
+    fake_upstream service4{loop, "s4"};
+    const std::vector<fake_upstream*> services{&service, &service2, &service3,
+                                               &service4};
+    start_system();
+    announce(service2, "book", "d1");
+    announce(service3, "book", "d1");
+    announce(service4, "book", "d1");
+    settle();
+    nodes.clear();
+    apis.clear();
+    run_until(
+        loop, [] { return false; }, 2s);
+    const auto running_at = [&] {
+        return std::find_if(services.begin(), services.end(),
+                            [](const auto* each) {
+                                return each->server && !each->received.empty();
+                            });
+    };
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        const caller& request = send("/book/x", "bad");
+        REQUIRE(wait([&] { return running_at() != services.end(); }));
+        (*running_at())->crash();
+        REQUIRE(wait([&] { return request.ended(); }));
+        CHECK(request.status() == 502);
+        run_until(
+            loop, [] { return false; }, 600ms);
+    }
+    check_refused("bad", 20.0);
+    CHECK(std::count_if(services.begin(), services.end(), [](const auto* each) {
+              return each->received.empty();
+          }) == 1);
+}
--- a/tests/relay/prompt_quarantine_test.cpp
+++ b/tests/relay/prompt_quarantine_test.cpp
@@ -102,6 +102,54 @@
     CHECK(crash({"bad"}));
 }
 
+// Guards against a call whose repeats crash all upstreams of a service within
+// half a second, which counts as one failure of their domain.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "crashes_under_a_repeated_request_all_count")
+{
+    const part_list request{"request:1"};
+    CHECK_FALSE(quarantine.note_crash(request, "a", now));
+    now += 50ms;
+    CHECK_FALSE(quarantine.note_crash(request, "b", now, true));
+    now += 50ms;
+    CHECK(quarantine.note_crash(request, "c", now, true));
+}
+
+// Guards against a quarantine of a request that several callers had sent when
+// the upstreams of a failure domain crashed together.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "crashes_under_one_request_of_several_callers_count_once")
+{
+    const part_list request{"request:1"};
+    for (const char* upstream : {"a", "b", "c"}) {
+        now += 5ms;
+        CHECK_FALSE(quarantine.note_crash(request, upstream, now));
+    }
+    CHECK(quarantine.crashes_of("request:1") == 1);
+}
+
+// Guards against a quarantine of a request that is answered elsewhere between
+// the crashes of its upstreams.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "request_answered_between_crashes_is_not_quarantined")
+{
+    for (int i = 0; i < 10; ++i) {
+        CHECK_FALSE(crash({"request:1"}));
+        CHECK_FALSE(crash({"request:1"}));
+        CHECK(quarantine.add_suspicion("request:1", 0, now));
+    }
+    CHECK_FALSE(quarantine.add_suspicion("request:1", 0, now));
+}
+
+// Guards against engines lost because a new leader starts to count anew.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "evidence_of_another_process_counts")
+{
+    CHECK(quarantine.add_suspicion("request:1", 2, now));
+    CHECK_FALSE(quarantine.add_suspicion("request:1", 1, now));
+    CHECK(crash({"request:1"}));
+}
+
 // Guards against more engines lost to a part that began before it turned bad.
 TEST_CASE_FIXTURE(prompt_quarantine_fixture,
                   "part_that_turns_bad_is_quarantined_after_three_crashes")
