Handle a request that arrived before its connection is closed

Callers saw a request that got neither an answer nor a refusal: a connection that was idle was closed, by its time-out or because the gate began to stop, while the request lay unread in the socket, and the input was then discarded. A request whose last bytes had arrived was refused with 408 in the same way.

Cause: the loop collects the events of a turn at once. A time-out that expired while other handlers ran, or while the process got no processor time, is handled although input has arrived since. The longer a turn, as when a configuration is applied or the process is throttled, the more connections are affected. Calling input handlers before timers, as a priority of libev allows, covers only what had arrived when the turn began.

Evidence: the three tests failed before, also with I/O watchers at a higher priority than timers.

Change: before a connection is closed as idle or a request is refused as late, what has arrived is read.

--- a/lib/include/bamboogate/net/tcp_stream.hpp
+++ b/lib/include/bamboogate/net/tcp_stream.hpp
@@ -45,6 +45,11 @@
     /// @brief Shuts the output down once the queue is empty.
     void shutdown_output();
 
+    /// @brief Handles the input that has already arrived, without waiting for
+    ///     the event loop. Does nothing while input is paused.
+    /// @return whether any input was handled
+    bool read_arrived();
+
     /// @brief Pauses or resumes reading, to apply back-pressure.
     void pause_input(bool paused);
 
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -107,7 +107,7 @@
 
 void http1_connection::on_drain()
 {
-    if (phase_ == phase::idle) {
+    if (phase_ == phase::idle && !stream_->read_arrived()) {
         linger();
     }
 }
@@ -188,15 +188,21 @@
 void http1_connection::on_timeout()
 {
     const auto self = shared_from_this();
-    if (phase_ == phase::idle) {
-        linger();
+    if (phase_ == phase::lingering) {
+        close();
         return;
     }
-    if (phase_ == phase::head || phase_ == phase::body) {
-        refuse({errc::deadline_exceeded, "request"});
+    // A time-out that expired while the process was busy must not discard
+    // input that has arrived.
+    if (stream_->read_arrived() &&
+        (phase_ == phase::handling || timer_.active())) {
         return;
     }
-    close();
+    if (phase_ == phase::idle) {
+        linger();
+    } else if (phase_ == phase::head || phase_ == phase::body) {
+        refuse({errc::deadline_exceeded, "request"});
+    }
 }
 
 void http1_connection::refuse(const error& problem)
--- a/lib/source/net/tcp_stream.cpp
+++ b/lib/source/net/tcp_stream.cpp
@@ -1,8 +1,10 @@
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -104,23 +106,46 @@
         return !closed;
     }
 
-    void read_input()
+    /// @return number of bytes handled; 0 if there were none or at the end
+    std::size_t read_input()
     {
         std::array<char, read_chunk_bytes> buffer;
         const auto count = recv(descriptor, buffer.data(), buffer.size(), 0);
         if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-            return;
+            return 0;
         }
         if (count < 0) {
             end(stream_end::reset);
-            return;
+            return 0;
         }
         if (count == 0) {
             end(stream_end::closed);
-            return;
+            return 0;
         }
+        const auto size = static_cast<std::size_t>(count);
         const auto handler = handlers.on_data;
-        handler({buffer.data(), static_cast<std::size_t>(count)});
+        handler({buffer.data(), size});
+        return size;
+    }
+
+    bool read_arrived()
+    {
+        // Bounds the loop if the peer sends faster than the input is handled.
+        int arrived = 0;
+        if (closed || connecting ||
+            ::ioctl(descriptor, FIONREAD, &arrived) != 0) {
+            return false;
+        }
+        const auto limit = static_cast<std::size_t>(std::max(arrived, 0));
+        std::size_t handled = 0;
+        while (handled < limit && !closed && !input_paused) {
+            const std::size_t count = read_input();
+            if (count == 0) {
+                break;
+            }
+            handled += count;
+        }
+        return handled > 0;
     }
 
     void flush(bool notify)
@@ -196,6 +221,12 @@
     }
 }
 
+bool tcp_stream::read_arrived()
+{
+    const auto held = impl_;
+    return held->read_arrived();
+}
+
 void tcp_stream::pause_input(bool paused)
 {
     impl_->input_paused = paused;
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <thread>
 
 #include "support/loop_runner.hpp"
 #include "support/raw_client.hpp"
@@ -162,6 +163,60 @@
     CHECK(idle.received().empty());
 }
 
+// Guards against a request that is dropped because it arrived while the loop
+// ran other handlers, just before the idle time-out was handled.
+TEST_CASE_FIXTURE(
+    http1_fixture,
+    "server_request_that_arrived_before_the_idle_close_is_answered")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    timer other_work(
+        loop, [&] { client.send_now("GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); });
+    other_work.start_once(10ms);
+    responders[0]->respond(200, {}, "a");
+    std::this_thread::sleep_for(400ms);
+    REQUIRE(wait_for_requests(2));
+    responders[1]->respond(200, {}, "b");
+    CHECK(run_until(loop, [&] { return contains(client, "\r\n\r\nb"); }));
+}
+
+// Guards against a request that is dropped because it was still unread when
+// the server began to drain.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_request_that_arrived_before_a_drain_is_answered")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->respond(200, {}, "a");
+    REQUIRE(run_until(loop, [&] { return contains(client, "\r\n\r\na"); }));
+    client.send_now("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    server->begin_drain();
+    REQUIRE(wait_for_requests(2));
+    responders[1]->respond(200, {}, "b");
+    CHECK(run_until(loop, [&] { return client.closed(); }));
+    CHECK(contains(client, "\r\n\r\nb"));
+}
+
+// Guards against a refusal of a request whose rest arrived in time, while the
+// loop ran other handlers.
+TEST_CASE_FIXTURE(
+    http1_fixture,
+    "server_request_that_was_completed_before_its_timeout_is_handled")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+    run_until(
+        loop, [] { return false; }, 20ms);
+    timer other_work(loop, [&] { client.send_now("bc"); });
+    other_work.start_once(10ms);
+    std::this_thread::sleep_for(400ms);
+    REQUIRE(wait_for_requests(1));
+    CHECK(requests[0].body == "abc");
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
--- a/tests/support/raw_client.hpp
+++ b/tests/support/raw_client.hpp
@@ -39,6 +39,14 @@
         }
     }
 
+    /// @brief Sends at once, without a turn of the event loop.
+    /// @pre connected, and nothing waits to be sent
+    void send_now(std::string_view bytes)
+    {
+        pending_.append(bytes);
+        flush();
+    }
+
     [[nodiscard]] const std::string& received() const { return received_; }
     /// @brief True after the end of the stream or an error on receive.
     [[nodiscard]] bool closed() const { return closed_; }
