Apply a longer idle time-out to connections that are idle

Callers that keep a connection as long as the configuration in force allows could send a request just as the gate closed the connection: a connection kept the time-out with which it had become idle, also after a change to a longer one was acknowledged. Such a request got no answer.

Change: a longer time-out restarts the timers of idle connections, counted from when they became idle. A shorter one leaves them, as before.

--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -90,7 +90,9 @@
     http1_server& operator=(const http1_server&) = delete;
 
     /// @brief Changes the size limits of connections that are accepted later
-    ///     and the time-outs of requests that begin later.
+    ///     and the time-outs of requests that begin later. A longer idle
+    ///     time-out also applies to connections that are idle; a shorter one
+    ///     doesn't, as their clients may still rely on the previous one.
     void change_limits(http1_limits limits, duration header_timeout,
                        duration idle_timeout);
 
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -17,6 +17,7 @@
 
     void start(int descriptor);
     void on_drain();
+    void on_limits_changed();
     [[nodiscard]] bool has_request() const { return responder_ != nullptr; }
 
     void respond(unsigned status, header_list headers, std::string_view body);
@@ -45,6 +46,7 @@
     void on_timeout();
     void refuse(const error& problem);
     void end_exchange();
+    void begin_idle();
     void linger();
     void close();
     void add_connection_field(header_list& headers);
@@ -54,6 +56,8 @@
     std::unique_ptr<tcp_stream> stream_;
     timer timer_;
     phase phase_ = phase::idle;
+    time_point idle_since_;
+    duration idle_allowed_{};
     std::string pending_; ///< input after the current request
     http1_responder_ptr responder_;
     bool keep_alive_ = true;
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -102,7 +102,26 @@
                                       }
                                   },
                               .on_drained = nullptr});
-    timer_.start_once(server_.settings.idle_timeout);
+    begin_idle();
+}
+
+void http1_connection::begin_idle()
+{
+    phase_ = phase::idle;
+    idle_since_ = server_.loop.now();
+    idle_allowed_ = server_.settings.idle_timeout;
+    timer_.start_once(idle_allowed_);
+}
+
+void http1_connection::on_limits_changed()
+{
+    if (phase_ != phase::idle ||
+        server_.settings.idle_timeout <= idle_allowed_) {
+        return;
+    }
+    idle_allowed_ = server_.settings.idle_timeout;
+    timer_.start_once(std::max(idle_since_ + idle_allowed_ - server_.loop.now(),
+                               duration::zero()));
 }
 
 void http1_connection::on_drain()
@@ -308,8 +327,7 @@
         linger();
         return;
     }
-    phase_ = phase::idle;
-    timer_.start_once(server_.settings.idle_timeout);
+    begin_idle();
     stream_->pause_input(false);
     if (server_.draining && pending_.empty()) {
         linger();
@@ -424,6 +442,9 @@
     impl_->settings.limits = limits;
     impl_->settings.header_timeout = header_timeout;
     impl_->settings.idle_timeout = idle_timeout;
+    for (const auto& each : impl_->connections) {
+        each->on_limits_changed();
+    }
 }
 
 void http1_server::begin_drain()
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -217,6 +217,25 @@
     CHECK(requests[0].body == "abc");
 }
 
+// Guards against a connection that is closed while its client may still use it
+// under the idle time-out in force.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_longer_idle_timeout_applies_to_idle_connections")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->respond(200, {}, "a");
+    REQUIRE(run_until(loop, [&] { return contains(client, "\r\n\r\na"); }));
+    const time_point idle_since = loop.now();
+    server->change_limits({}, 200ms, 900ms);
+    run_until(
+        loop, [&] { return client.closed(); }, 600ms);
+    CHECK_FALSE(client.closed());
+    REQUIRE(run_until(loop, [&] { return client.closed(); }));
+    CHECK(loop.now() - idle_since >= 890ms);
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
