Send the last response of a connection to a slow reader completely

A caller whose connection is closed after the response, as while a gate stops, got a truncated response if it took longer than the linger time-out (1 s) to read it: the time-out ran from when the response was queued, not from when its last byte was sent.

Change: while output is queued, the time-out is started again as long as some output was sent since it was started.

--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -74,7 +74,8 @@
         /// time from the end of a request head to the end of its body.
         duration idle_timeout = std::chrono::seconds(15);
         /// Time for the client to close after the last byte was sent, so that a
-        /// reset does not discard the response.
+        /// reset does not discard the response. While a response is still being
+        /// sent, the longest time without progress.
         duration linger_timeout = std::chrono::seconds(1);
         /// A client with more unsent output than this is disconnected.
         std::size_t max_queued_bytes = 4u << 20;
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -35,7 +35,7 @@
         head,      ///< receiving a request head
         body,      ///< receiving a request body
         handling,  ///< the handler has the request
-        lingering, ///< output is shut down
+        lingering, ///< output is shut down, or will be once it is sent
         closed,
     };
 
@@ -48,6 +48,7 @@
     void end_exchange();
     void begin_idle();
     void linger();
+    void on_linger_timeout();
     void close();
     void add_connection_field(header_list& headers);
 
@@ -58,6 +59,8 @@
     phase phase_ = phase::idle;
     time_point idle_since_;
     duration idle_allowed_{};
+    /// Unsent output when the linger time-out was last started.
+    std::size_t linger_queued_ = 0;
     std::string pending_; ///< input after the current request
     http1_responder_ptr responder_;
     bool keep_alive_ = true;
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -208,7 +208,7 @@
 {
     const auto self = shared_from_this();
     if (phase_ == phase::lingering) {
-        close();
+        on_linger_timeout();
         return;
     }
     // A time-out that expired while the process was busy must not discard
@@ -353,6 +353,18 @@
     pending_.clear();
     stream_->pause_input(false);
     stream_->shutdown_output();
+    linger_queued_ = stream_->queued_bytes();
+    timer_.start_once(server_.settings.linger_timeout);
+}
+
+void http1_connection::on_linger_timeout()
+{
+    const std::size_t queued = stream_->queued_bytes();
+    if (queued >= linger_queued_) {
+        close();
+        return;
+    }
+    linger_queued_ = queued;
     timer_.start_once(server_.settings.linger_timeout);
 }
 
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -236,6 +236,36 @@
     CHECK(loop.now() - idle_since >= 890ms);
 }
 
+// Guards against a response that is cut because its client reads it slowly and
+// the connection is closed after it.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_last_response_to_a_slow_reader_is_sent_completely")
+{
+    const int descriptor = start_connect(server->bound_address()).value();
+    run_until(
+        loop, [] { return false; }, 20ms);
+    constexpr std::string_view request =
+        "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    REQUIRE(::send(descriptor, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+    REQUIRE(wait_for_requests(1));
+    const std::string body(48u << 20, 'x');
+    responders[0]->respond(200, {}, body);
+    std::size_t received = 0;
+    bool ended = false;
+    std::vector<char> buffer(512u << 10);
+    timer reader(loop, [&] {
+        const auto count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+        ended = count == 0 || (count < 0 && errno != EAGAIN);
+    });
+    reader.start_periodic(5ms);
+    run_until(
+        loop, [&] { return ended; }, 10s);
+    ::close(descriptor);
+    CHECK(received > body.size());
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
