Report input that arrives after the server has closed a connection

Logs and metrics could not tell whether a request that got no answer had reached a connection that the gate was closing: such input was discarded silently. The event relay_input_discarded records why the connection was closed and how long before; bamboogate_relay_discarded_inputs_total counts the connections.

A test shows one report for each connection.

--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -58,6 +59,25 @@
 
 using http1_responder_ptr = std::shared_ptr<http1_responder>;
 
+/// Why a server closed its side of a connection.
+enum class server_close : std::uint8_t
+{
+    idle,     ///< no request within the idle time-out
+    draining, ///< idle when the server began to drain
+    refused,  ///< the input was refused
+    answered, ///< the last response announced the close
+};
+
+[[nodiscard]] std::string_view name_of(server_close cause);
+
+/// Input that was discarded because it arrived after the server had closed its
+/// side of the connection.
+struct discarded_input
+{
+    server_close cause;
+    duration after_close; ///< from the close to the first input after it
+};
+
 /// HTTP/1.1 server on sockets that it owns. Unlike `http_server`, it detects a
 /// client that disconnects while its request is pending, and its limits can be
 /// changed at run time. Not thread safe.
@@ -79,6 +99,8 @@
         duration linger_timeout = std::chrono::seconds(1);
         /// A client with more unsent output than this is disconnected.
         std::size_t max_queued_bytes = 4u << 20;
+        /// Called once for each connection with such input; may be empty.
+        std::function<void(const discarded_input&)> on_discarded_input = {};
     };
     using handler =
         std::function<void(http1_request, const http1_responder_ptr&)>;
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -30,6 +30,10 @@
           caller_left(registry.add_counter(
               "bamboogate_relay_callers_left_total",
               "Callers that left before their answer was complete.")),
+          discarded_inputs(registry.add_counter(
+              "bamboogate_relay_discarded_inputs_total",
+              "Connections on which a caller sent more after the gate had "
+              "closed them.")),
           latency(registry.add_histogram(
               "bamboogate_relay_latency_seconds",
               "From the request to the whole answer, or the first event.")),
@@ -46,6 +50,7 @@
     observability::counter& attempts;
     observability::counter& resumed;
     observability::counter& caller_left;
+    observability::counter& discarded_inputs;
     observability::log_histogram& latency;
     observability::log_histogram& pause;
 };
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -127,6 +127,10 @@
 inline constexpr log_event caller_left{
     1034, severity::info, "relay_caller_left",
     "The caller closed its connection; its request was cancelled."};
+inline constexpr log_event input_discarded{
+    1043, severity::warning, "relay_input_discarded",
+    "A caller sent more on a connection that the gate had closed; its request "
+    "was neither read nor answered."};
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -47,8 +47,9 @@
     void refuse(const error& problem);
     void end_exchange();
     void begin_idle();
-    void linger();
+    void linger(server_close cause);
     void on_linger_timeout();
+    void note_discarded_input();
     void close();
     void add_connection_field(header_list& headers);
 
@@ -61,6 +62,9 @@
     duration idle_allowed_{};
     /// Unsent output when the linger time-out was last started.
     std::size_t linger_queued_ = 0;
+    time_point lingers_since_;
+    server_close close_cause_ = server_close::idle;
+    bool input_discarded_ = false;
     std::string pending_; ///< input after the current request
     http1_responder_ptr responder_;
     bool keep_alive_ = true;
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -15,6 +15,21 @@
 
 } // namespace
 
+std::string_view name_of(server_close cause)
+{
+    switch (cause) {
+    case server_close::idle:
+        return "idle";
+    case server_close::draining:
+        return "draining";
+    case server_close::refused:
+        return "refused";
+    case server_close::answered:
+        return "answered";
+    }
+    return "";
+}
+
 void http1_responder::respond(unsigned status, header_list headers,
                               std::string_view body)
 {
@@ -127,13 +142,17 @@
 void http1_connection::on_drain()
 {
     if (phase_ == phase::idle && !stream_->read_arrived()) {
-        linger();
+        linger(server_close::draining);
     }
 }
 
 void http1_connection::on_data(std::string_view bytes)
 {
-    if (phase_ == phase::lingering || phase_ == phase::closed) {
+    if (phase_ == phase::lingering) {
+        note_discarded_input();
+        return;
+    }
+    if (phase_ == phase::closed) {
         return;
     }
     pending_.append(bytes);
@@ -218,7 +237,7 @@
         return;
     }
     if (phase_ == phase::idle) {
-        linger();
+        linger(server_close::idle);
     } else if (phase_ == phase::head || phase_ == phase::body) {
         refuse({errc::deadline_exceeded, "request"});
     }
@@ -239,7 +258,7 @@
     const std::string head =
         serialize_response_head(status, reason_of(status), headers);
     stream_->write(head);
-    linger();
+    linger(server_close::refused);
 }
 
 void http1_connection::add_connection_field(header_list& headers)
@@ -324,13 +343,13 @@
     --server_.active;
     responder_.reset();
     if (close_announced_) {
-        linger();
+        linger(server_close::answered);
         return;
     }
     begin_idle();
     stream_->pause_input(false);
     if (server_.draining && pending_.empty()) {
-        linger();
+        linger(server_close::draining);
         return;
     }
     if (pending_.empty()) {
@@ -347,9 +366,11 @@
     });
 }
 
-void http1_connection::linger()
+void http1_connection::linger(server_close cause)
 {
     phase_ = phase::lingering;
+    close_cause_ = cause;
+    lingers_since_ = server_.loop.now();
     pending_.clear();
     stream_->pause_input(false);
     stream_->shutdown_output();
@@ -368,6 +389,17 @@
     timer_.start_once(server_.settings.linger_timeout);
 }
 
+void http1_connection::note_discarded_input()
+{
+    if (std::exchange(input_discarded_, true) ||
+        !server_.settings.on_discarded_input) {
+        return;
+    }
+    server_.settings.on_discarded_input(
+        {.cause = close_cause_,
+         .after_close = server_.loop.now() - lingers_since_});
+}
+
 void http1_connection::close()
 {
     if (phase_ == phase::closed) {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -127,7 +127,12 @@
 {
     BOOST_OUTCOME_TRY(server,
                       net::http1_server::start(
-                          loop_, {.listen_address = settings_.caller_address},
+                          loop_,
+                          {.listen_address = settings_.caller_address,
+                           .on_discarded_input =
+                               [this](const net::discarded_input& input) {
+                                   on_discarded_input(input);
+                               }},
                           [this](net::http1_request request,
                                  const net::http1_responder_ptr& responder) {
                               on_request(std::move(request), responder);
@@ -185,6 +190,14 @@
                                {"control_links", feed_.links_up()}});
 }
 
+void relay_gate::on_discarded_input(const net::discarded_input& input)
+{
+    metrics_.discarded_inputs.add();
+    log(events::input_discarded,
+        {{"closed", net::name_of(input.cause)},
+         {"after_ms", to_milliseconds(input.after_close)}});
+}
+
 void relay_gate::dispatch(pending_request arrived)
 {
     auto& [request, responder, description, arrival] = arrived;
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -24,6 +24,7 @@
     std::vector<http1_request> requests;
     std::vector<http1_responder_ptr> responders;
     int disconnects = 0;
+    std::vector<discarded_input> discarded;
     std::unique_ptr<http1_server> server;
 
     http1_fixture()
@@ -35,7 +36,11 @@
                  .limits = {.header_bytes = 2048, .body_bytes = 1000},
                  .header_timeout = 200ms,
                  .idle_timeout = 300ms,
-                 .linger_timeout = 100ms},
+                 .linger_timeout = 100ms,
+                 .on_discarded_input =
+                     [this](const discarded_input& input) {
+                         discarded.push_back(input);
+                     }},
                 [this](http1_request request,
                        const http1_responder_ptr& responder) {
                     requests.push_back(std::move(request));
@@ -266,6 +271,25 @@
     CHECK(received > body.size());
 }
 
+// Guards against lost requests that neither logs nor metrics show.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_input_after_an_idle_close_is_reported_once")
+{
+    raw_client client(loop, server->bound_address());
+    REQUIRE(run_until(loop, [&] { return client.closed(); }));
+    CHECK(discarded.empty());
+    client.send_now("GET /a HTTP/1.1\r\n");
+    run_until(
+        loop, [] { return false; }, 10ms);
+    client.send_now("Host: h\r\n\r\n");
+    run_until(
+        loop, [] { return false; }, 10ms);
+    REQUIRE(discarded.size() == 1);
+    CHECK(discarded[0].cause == server_close::idle);
+    CHECK(discarded[0].after_close < 100ms);
+    CHECK(requests.empty());
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
