Place a stream that has begun again until its deadline

Callers saw streams cut in the middle although time was left: when an attempt was lost and the leader refused to place the stream again, or no engine was usable for a moment, the gate closed the caller's connection.

Cause: a refused placement ended every request. A request without an event gets a response then; a stream whose head has been sent can only be cut.

Evidence: the test failed before.

Change: a stream that has begun is placed again after the leader's delay, between 100 and 500 ms, until its deadline.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -67,6 +67,13 @@
                                  std::function<void()> on_end)
     : exchange(context, std::move(accepted), std::move(on_end)),
       silence_timer_(context.loop, [this] { on_silence(); }),
+      placement_timer_(context.loop,
+                       [this] {
+                           if (!ended_) {
+                               const auto self = shared_from_this();
+                               place();
+                           }
+                       }),
       detector_(
           silence_options(accepted_.table->find_service(accepted_.service), 0)),
       copy_(context, {.service = accepted_.service,
@@ -473,6 +480,7 @@
 void stream_exchange::cancel_attempts()
 {
     silence_timer_.stop();
+    placement_timer_.stop();
     static_cast<void>(copy_.end());
     if (attempt_ || checking_engine_) {
         attempt_.reset();
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -40,6 +40,9 @@
     void place();
     void on_placed(const result<place_reply>& reply);
     void place_locally();
+    /// Ends a stream that no engine can take. One that has begun is placed
+    /// again after the delay, until its deadline.
+    void end_unplaced(std::string_view cause, duration retry_after);
     /// Requests another placement after one on an engine that this gate cannot
     /// use.
     void place_elsewhere(const upstream_id& unusable);
@@ -78,6 +81,7 @@
     [[nodiscard]] duration expected_first_event(const placement& target) const;
 
     net::timer silence_timer_;
+    net::timer placement_timer_; ///< of a stream that waits for an engine
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -21,6 +21,10 @@
 /// leader places: the gate alone cannot know whether other gates see the same.
 constexpr unsigned max_breaks_without_leader = 2;
 
+/// Limits of the time after which a stream that has begun is placed again.
+constexpr duration min_placement_delay = std::chrono::milliseconds(100);
+constexpr duration max_placement_delay = std::chrono::milliseconds(500);
+
 } // namespace
 
 stream_planner& stream_exchange::planner() const
@@ -98,7 +102,8 @@
             refuse("engines_full",
                    std::chrono::milliseconds(decision.retry_after_ms));
         } else {
-            respond_failure(502, "engines_full");
+            end_unplaced("engines_full",
+                         std::chrono::milliseconds(decision.retry_after_ms));
         }
         return;
     }
@@ -136,13 +141,23 @@
         if (runs_ == 0 && !head_sent_) {
             refuse_without_upstream("no_engine", refusal_retry_after);
         } else {
-            respond_failure(502, "no_engine");
+            end_unplaced("no_engine", refusal_retry_after);
         }
         return;
     }
     send(*target, std::nullopt);
 }
 
+void stream_exchange::end_unplaced(std::string_view cause, duration retry_after)
+{
+    if (!head_sent_) {
+        respond_failure(502, cause);
+        return;
+    }
+    placement_timer_.start_once(
+        std::clamp(retry_after, min_placement_delay, max_placement_delay));
+}
+
 duration stream_exchange::expected_first_event(const placement& target) const
 {
     const auto prefill_tokens = planner().pending_prefill_tokens(target.engine);
--- a/tests/platform/stream_system_test.cpp
+++ b/tests/platform/stream_system_test.cpp
@@ -221,3 +221,45 @@
     CHECK(request->complete);
     CHECK(wait([&] { return stopped; }));
 }
+
+// Guards against a begun stream that is cut although its caller still waits,
+// because the leader refuses to place it again.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_that_has_begun_waits_until_an_engine_can_take_it")
+{
+    start_system();
+    request = call(gate->bound_address(), "POST", "/gen/x",
+                   {{"Host", "h.example"},
+                    {"X-Attempt-Id", "g1"},
+                    {"X-Deadline-Ms", "3000"},
+                    {"X-Token-Count", "20000,100"},
+                    {"Authorization", "Bearer k1"}},
+                   "prompt");
+    REQUIRE(wait([&] {
+        return engine1.received.size() + engine2.received.size() == 1;
+    }));
+    first = engine1.received.empty() ? &engine2 : &engine1;
+    other = engine1.received.empty() ? &engine1 : &engine2;
+    first->begin_stream(0);
+    first->event(0, 1);
+    REQUIRE(
+        wait([&] { return request->body.find("e1") != std::string::npos; }));
+    announce(engine1, "gen", "d1", 2, "draining");
+    announce(engine2, "gen", "d2", 2, "draining");
+    first->received[0].responder->abort();
+    REQUIRE(wait([&] { return !other->received.empty(); }));
+    other->received[0].responder->respond(503, {{"X-Not-Executed", "1"}}, {});
+    run_until(
+        loop, [&] { return request->ended(); }, 300ms);
+    REQUIRE_FALSE(request->ended());
+    fake_upstream engine3(loop, "e3");
+    announce(engine3, "gen", "d1");
+    REQUIRE(wait([&] { return !engine3.received.empty(); }));
+    CHECK(engine3.header(0, "Last-Event-Id") == "1");
+    engine3.begin_stream(0);
+    engine3.event(0, 2);
+    engine3.received[0].responder->finish();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+}
