Keep a silent stream at its engine while no retry is left

Callers saw streams cut in the middle because their engine was silent for a moment: the gate gave the attempt up although no further one was allowed by the retry budget or the route's maxAttempts, and closed the caller's connection.

Cause: silence ended the attempt before it was known whether another one can follow.

Evidence: the test failed before.

Change: an attempt of a stream that has begun is given up for silence or a suspicion only with a retry in hand. Otherwise it goes on, and the retry is asked for again every 250 ms.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -59,6 +59,8 @@
 /// Silence that confirms another process's suspicion. Streams of a live engine
 /// have pauses of up to 185 ms while it prefills prompts.
 constexpr duration confirming_silence = std::chrono::milliseconds(200);
+/// Interval at which a silent stream without a retry is checked again.
+constexpr duration silence_check_interval = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -285,11 +287,20 @@
         return;
     }
     const auto self = shared_from_this();
+    const bool retry_taken = head_sent_ && take_retry(runs_ + 1);
+    if (head_sent_ && !retry_taken) {
+        // Without another attempt, the stream can only go on at this engine.
+        silence_check_at_ = context_.loop.now() + silence_check_interval;
+        silence_timer_.start_once(silence_check_interval);
+        context_.report_suspicion(engine_);
+        return;
+    }
     attempt_.reset();
     context_.directory.health(engine_).note_failure(context_.loop.now());
     silent_losses_ += event_seen_ ? 1 : 0;
     context_.report_suspicion(engine_);
-    on_attempt_lost(event_seen_ ? "silent" : "silent_before_first_event", true);
+    on_attempt_lost(event_seen_ ? "silent" : "silent_before_first_event", true,
+                    retry_taken);
 }
 
 void stream_exchange::on_complete()
@@ -442,7 +453,16 @@
     end_quarantined(*rest);
 }
 
-void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run)
+bool stream_exchange::take_retry(unsigned runs)
+{
+    return attempts_ < max_sends &&
+           runs < accepted_.matched_route->max_attempts &&
+           time_left() > duration::zero() &&
+           context_.retries.try_consume(accepted_.service, context_.loop.now());
+}
+
+void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run,
+                                      bool retry_taken)
 {
     log_failure(engine_, cause);
     silence_timer_.stop();
@@ -451,12 +471,7 @@
     release();
     runs_ += may_have_run ? 1 : 0;
     excluded_.insert(engine_);
-    const bool may_retry =
-        attempts_ < max_sends &&
-        runs_ < accepted_.matched_route->max_attempts &&
-        time_left() > duration::zero() &&
-        context_.retries.try_consume(accepted_.service, context_.loop.now());
-    if (!may_retry) {
+    if (!retry_taken && !take_retry(runs_)) {
         if (runs_ == 0 && !head_sent_) {
             refuse(cause, refusal_retry_after);
         } else {
@@ -519,12 +534,21 @@
 {
     const bool silent = event_seen_ && context_.loop.now() - last_event_at_ >=
                                            confirming_silence;
-    if (copy_.usable() && silent) {
-        on_upstream_lost(id);
+    if (ended_ || !attempt_ || !copy_.usable() || !silent) {
+        return;
+    }
+    const bool retry_taken = id == engine_ && take_retry(runs_ + 1);
+    if (id != engine_ || retry_taken) {
+        lose_upstream(id, retry_taken);
     }
 }
 
 void stream_exchange::on_upstream_lost(const upstream_id& id)
+{
+    lose_upstream(id, false);
+}
+
+void stream_exchange::lose_upstream(const upstream_id& id, bool retry_taken)
 {
     if (ended_ || !attempt_) {
         return;
@@ -541,7 +565,7 @@
                                            context_.loop.now());
         }
     }
-    on_attempt_lost("upstream_lost", sent);
+    on_attempt_lost("upstream_lost", sent, retry_taken);
 }
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -68,8 +68,15 @@
     void on_connection_broken(std::string_view cause);
     /// Ends the stream, because it would crash its engine.
     void end_quarantined(duration retry_after);
-    /// Resumes the stream elsewhere after a lost attempt, or ends the request.
-    void on_attempt_lost(std::string_view cause, bool may_have_run);
+    /// @brief Consumes a retry of the budget, if another attempt is allowed.
+    /// @param runs attempts that may have been executed by then
+    [[nodiscard]] bool take_retry(unsigned runs);
+    /// @brief Resumes the stream elsewhere after a lost attempt, or ends the
+    ///     request.
+    /// @param retry_taken whether `take_retry` was called for it
+    void on_attempt_lost(std::string_view cause, bool may_have_run,
+                         bool retry_taken = false);
+    void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
     /// Updates metrics, copy and silence detection after an event.
     void note_event();
--- a/tests/platform/stream_system_test.cpp
+++ b/tests/platform/stream_system_test.cpp
@@ -263,3 +263,34 @@
     CHECK(request->complete);
     CHECK(request->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
 }
+
+// Guards against a begun stream that is cut because its engine is silent for a
+// moment and no further attempt is allowed.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_without_a_retry_left_outlasts_the_silence")
+{
+    start_system();
+    std::string document = configuration(6);
+    const std::string allowed = "\"maxAttempts\":3";
+    document.replace(document.find(allowed), allowed.size(),
+                     "\"maxAttempts\":1");
+    REQUIRE(control_call(1, "POST", "/Config.Replace", document)->status() ==
+            200);
+    run_until(
+        loop, [] { return false; }, 200ms);
+    request = send_request("/gen/x", "g1");
+    REQUIRE(wait([&] {
+        return engine1.received.size() + engine2.received.size() == 1;
+    }));
+    first = engine1.received.empty() ? &engine2 : &engine1;
+    first->begin_stream(0);
+    first->event(0, 1);
+    run_until(
+        loop, [&] { return request->ended(); }, 1200ms);
+    REQUIRE_FALSE(request->ended());
+    first->event(0, 2);
+    first->received[0].responder->finish();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+}
