Read the events that have arrived before a stream counts as silent

Callers saw streams cut in the middle after a gate had stood still or been busy for longer than the silence limit (320 ms): the gate took its streams from sound engines, all at once, so that the retry budget ran out and copies were refused.

Cause: the silence time-out expired before the events were read that had arrived meanwhile. The same holds when another process suspects an engine.

Change: the input of the attempt is read before its silence is judged.

--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -68,6 +68,10 @@
         exchange(const exchange&) = delete;
         exchange& operator=(const exchange&) = delete;
 
+        /// @brief Handles the input that has already arrived, without waiting
+        ///     for the event loop. The callbacks may destroy the exchange.
+        void read_arrived();
+
         /// @brief True once a byte of the request was passed to the socket.
         [[nodiscard]] bool request_sent() const;
 
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -317,6 +317,15 @@
     }
 }
 
+void http1_client::exchange::read_arrived()
+{
+    // The handlers may destroy this exchange.
+    const auto connection = impl_->connection;
+    if (connection && connection->stream) {
+        connection->stream->read_arrived();
+    }
+}
+
 bool http1_client::exchange::request_sent() const
 {
     return impl_->sent;
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -279,6 +279,12 @@
 
 void stream_exchange::on_silence()
 {
+    if (ended_ || !attempt_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    // Events may have arrived while this process was busy or stood still.
+    attempt_->read_arrived();
     if (ended_ || !attempt_) {
         return;
     }
@@ -286,7 +292,6 @@
         arm_silence_timer();
         return;
     }
-    const auto self = shared_from_this();
     const bool retry_taken = head_sent_ && take_retry(runs_ + 1);
     if (head_sent_ && !retry_taken) {
         // Without another attempt, the stream can only go on at this engine.
@@ -532,6 +537,11 @@
 
 void stream_exchange::on_upstream_suspected(const upstream_id& id)
 {
+    if (ended_ || !attempt_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    attempt_->read_arrived();
     const bool silent = event_seen_ && context_.loop.now() - last_event_at_ >=
                                            confirming_silence;
     if (ended_ || !attempt_ || !copy_.usable() || !silent) {
--- a/tests/platform/stream_system_test.cpp
+++ b/tests/platform/stream_system_test.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include "platform/support/relay_fixture.hpp"
 
 using namespace bamboogate;
@@ -294,3 +296,21 @@
     CHECK(request->complete);
     CHECK(request->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
 }
+
+// Guards against a stream that is taken from a sound engine because this
+// process stood still and had not read its events.
+TEST_CASE_FIXTURE(stream_fixture,
+                  "stream_whose_events_are_unread_does_not_count_as_silent")
+{
+    start_stream();
+    net::timer other_work(loop, [&] { first->event(0, 3); });
+    other_work.start_once(10ms);
+    std::this_thread::sleep_for(600ms);
+    REQUIRE(
+        wait([&] { return request->body.find("e3") != std::string::npos; }));
+    CHECK(other->received.empty());
+    CHECK(first->disconnected_callers == 0);
+    first->received[0].responder->finish();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+}
