--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -58,6 +59,25 @@
 
 using http1_responder_ptr = std::shared_ptr<http1_responder>;
 
+/// Why a server closed its side of a connection.
+enum class server_close : std::uint8_t
+{
+    idle,     ///< no request within the idle time-out
+    draining, ///< idle when the server began to drain
+    refused,  ///< the input was refused
+    answered, ///< the last response announced the close
+};
+
+[[nodiscard]] std::string_view name_of(server_close cause);
+
+/// Input that was discarded because it arrived after the server had closed its
+/// side of the connection.
+struct discarded_input
+{
+    server_close cause;
+    duration after_close; ///< from the close to the first input after it
+};
+
 /// HTTP/1.1 server on sockets that it owns. Unlike `http_server`, it detects a
 /// client that disconnects while its request is pending, and its limits can be
 /// changed at run time. Not thread safe.
@@ -74,10 +94,13 @@
         /// time from the end of a request head to the end of its body.
         duration idle_timeout = std::chrono::seconds(15);
         /// Time for the client to close after the last byte was sent, so that a
-        /// reset does not discard the response.
+        /// reset does not discard the response. While a response is still being
+        /// sent, the longest time without progress.
         duration linger_timeout = std::chrono::seconds(1);
         /// A client with more unsent output than this is disconnected.
         std::size_t max_queued_bytes = 4u << 20;
+        /// Called once for each connection with such input; may be empty.
+        std::function<void(const discarded_input&)> on_discarded_input = {};
     };
     using handler =
         std::function<void(http1_request, const http1_responder_ptr&)>;
@@ -90,7 +113,9 @@
     http1_server& operator=(const http1_server&) = delete;
 
     /// @brief Changes the size limits of connections that are accepted later
-    ///     and the time-outs of requests that begin later.
+    ///     and the time-outs of requests that begin later. A longer idle
+    ///     time-out also applies to connections that are idle; a shorter one
+    ///     doesn't, as their clients may still rely on the previous one.
     void change_limits(http1_limits limits, duration header_timeout,
                        duration idle_timeout);
 
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -17,6 +17,7 @@
 
     void start(int descriptor);
     void on_drain();
+    void on_limits_changed();
     [[nodiscard]] bool has_request() const { return responder_ != nullptr; }
 
     void respond(unsigned status, header_list headers, std::string_view body);
@@ -34,7 +35,7 @@
         head,      ///< receiving a request head
         body,      ///< receiving a request body
         handling,  ///< the handler has the request
-        lingering, ///< output is shut down
+        lingering, ///< output is shut down, or will be once it is sent
         closed,
     };
 
@@ -45,7 +46,10 @@
     void on_timeout();
     void refuse(const error& problem);
     void end_exchange();
-    void linger();
+    void begin_idle();
+    void linger(server_close cause);
+    void on_linger_timeout();
+    void note_discarded_input();
     void close();
     void add_connection_field(header_list& headers);
 
@@ -54,6 +58,13 @@
     std::unique_ptr<tcp_stream> stream_;
     timer timer_;
     phase phase_ = phase::idle;
+    time_point idle_since_;
+    duration idle_allowed_{};
+    /// Unsent output when the linger time-out was last started.
+    std::size_t linger_queued_ = 0;
+    time_point lingers_since_;
+    server_close close_cause_ = server_close::idle;
+    bool input_discarded_ = false;
     std::string pending_; ///< input after the current request
     http1_responder_ptr responder_;
     bool keep_alive_ = true;
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -15,6 +15,21 @@
 
 } // namespace
 
+std::string_view name_of(server_close cause)
+{
+    switch (cause) {
+    case server_close::idle:
+        return "idle";
+    case server_close::draining:
+        return "draining";
+    case server_close::refused:
+        return "refused";
+    case server_close::answered:
+        return "answered";
+    }
+    return "";
+}
+
 void http1_responder::respond(unsigned status, header_list headers,
                               std::string_view body)
 {
@@ -102,19 +117,42 @@
                                       }
                                   },
                               .on_drained = nullptr});
-    timer_.start_once(server_.settings.idle_timeout);
+    begin_idle();
+}
+
+void http1_connection::begin_idle()
+{
+    phase_ = phase::idle;
+    idle_since_ = server_.loop.now();
+    idle_allowed_ = server_.settings.idle_timeout;
+    timer_.start_once(idle_allowed_);
+}
+
+void http1_connection::on_limits_changed()
+{
+    if (phase_ != phase::idle ||
+        server_.settings.idle_timeout <= idle_allowed_) {
+        return;
+    }
+    idle_allowed_ = server_.settings.idle_timeout;
+    timer_.start_once(std::max(idle_since_ + idle_allowed_ - server_.loop.now(),
+                               duration::zero()));
 }
 
 void http1_connection::on_drain()
 {
-    if (phase_ == phase::idle) {
-        linger();
+    if (phase_ == phase::idle && !stream_->read_arrived()) {
+        linger(server_close::draining);
     }
 }
 
 void http1_connection::on_data(std::string_view bytes)
 {
-    if (phase_ == phase::lingering || phase_ == phase::closed) {
+    if (phase_ == phase::lingering) {
+        note_discarded_input();
+        return;
+    }
+    if (phase_ == phase::closed) {
         return;
     }
     pending_.append(bytes);
@@ -188,15 +226,21 @@
 void http1_connection::on_timeout()
 {
     const auto self = shared_from_this();
-    if (phase_ == phase::idle) {
-        linger();
+    if (phase_ == phase::lingering) {
+        on_linger_timeout();
         return;
     }
-    if (phase_ == phase::head || phase_ == phase::body) {
-        refuse({errc::deadline_exceeded, "request"});
+    // A time-out that expired while the process was busy must not discard
+    // input that has arrived.
+    if (stream_->read_arrived() &&
+        (phase_ == phase::handling || timer_.active())) {
         return;
     }
-    close();
+    if (phase_ == phase::idle) {
+        linger(server_close::idle);
+    } else if (phase_ == phase::head || phase_ == phase::body) {
+        refuse({errc::deadline_exceeded, "request"});
+    }
 }
 
 void http1_connection::refuse(const error& problem)
@@ -214,7 +258,7 @@
     const std::string head =
         serialize_response_head(status, reason_of(status), headers);
     stream_->write(head);
-    linger();
+    linger(server_close::refused);
 }
 
 void http1_connection::add_connection_field(header_list& headers)
@@ -299,14 +343,13 @@
     --server_.active;
     responder_.reset();
     if (close_announced_) {
-        linger();
+        linger(server_close::answered);
         return;
     }
-    phase_ = phase::idle;
-    timer_.start_once(server_.settings.idle_timeout);
+    begin_idle();
     stream_->pause_input(false);
     if (server_.draining && pending_.empty()) {
-        linger();
+        linger(server_close::draining);
         return;
     }
     if (pending_.empty()) {
@@ -323,15 +366,40 @@
     });
 }
 
-void http1_connection::linger()
+void http1_connection::linger(server_close cause)
 {
     phase_ = phase::lingering;
+    close_cause_ = cause;
+    lingers_since_ = server_.loop.now();
     pending_.clear();
     stream_->pause_input(false);
     stream_->shutdown_output();
+    linger_queued_ = stream_->queued_bytes();
+    timer_.start_once(server_.settings.linger_timeout);
+}
+
+void http1_connection::on_linger_timeout()
+{
+    const std::size_t queued = stream_->queued_bytes();
+    if (queued >= linger_queued_) {
+        close();
+        return;
+    }
+    linger_queued_ = queued;
     timer_.start_once(server_.settings.linger_timeout);
 }
 
+void http1_connection::note_discarded_input()
+{
+    if (std::exchange(input_discarded_, true) ||
+        !server_.settings.on_discarded_input) {
+        return;
+    }
+    server_.settings.on_discarded_input(
+        {.cause = close_cause_,
+         .after_close = server_.loop.now() - lingers_since_});
+}
+
 void http1_connection::close()
 {
     if (phase_ == phase::closed) {
@@ -418,6 +486,9 @@
     impl_->settings.limits = limits;
     impl_->settings.header_timeout = header_timeout;
     impl_->settings.idle_timeout = idle_timeout;
+    for (const auto& each : impl_->connections) {
+        each->on_limits_changed();
+    }
 }
 
 void http1_server::begin_drain()
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -39,6 +39,9 @@
     void place();
     void on_placed(const result<place_reply>& reply);
     void place_locally();
+    /// Ends a stream that no engine can take. One that has begun is placed
+    /// again after the delay, until its deadline.
+    void end_unplaced(std::string_view cause, duration retry_after);
     /// Requests another placement after one on an engine that this gate cannot
     /// use.
     void place_elsewhere(const upstream_id& unusable);
@@ -64,8 +67,15 @@
     void on_connection_broken(std::string_view cause);
     /// Ends the stream, because it would crash its engine.
     void end_quarantined(duration retry_after);
-    /// Resumes the stream elsewhere after a lost attempt, or ends the request.
-    void on_attempt_lost(std::string_view cause, bool may_have_run);
+    /// @brief Consumes a retry of the budget, if another attempt is allowed.
+    /// @param runs attempts that may have been executed by then
+    [[nodiscard]] bool take_retry(unsigned runs);
+    /// @brief Resumes the stream elsewhere after a lost attempt, or ends the
+    ///     request.
+    /// @param retry_taken whether `take_retry` was called for it
+    void on_attempt_lost(std::string_view cause, bool may_have_run,
+                         bool retry_taken = false);
+    void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
     /// Updates metrics, copy and silence detection after an event.
     void note_event();
@@ -77,6 +87,7 @@
     [[nodiscard]] duration expected_first_event(const placement& target) const;
 
     net::timer silence_timer_;
+    net::timer placement_timer_; ///< of a stream that waits for an engine
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -24,6 +24,7 @@
     std::vector<http1_request> requests;
     std::vector<http1_responder_ptr> responders;
     int disconnects = 0;
+    std::vector<discarded_input> discarded;
     std::unique_ptr<http1_server> server;
 
     http1_fixture()
@@ -35,7 +36,11 @@
                  .limits = {.header_bytes = 2048, .body_bytes = 1000},
                  .header_timeout = 200ms,
                  .idle_timeout = 300ms,
-                 .linger_timeout = 100ms},
+                 .linger_timeout = 100ms,
+                 .on_discarded_input =
+                     [this](const discarded_input& input) {
+                         discarded.push_back(input);
+                     }},
                 [this](http1_request request,
                        const http1_responder_ptr& responder) {
                     requests.push_back(std::move(request));
@@ -181,6 +186,128 @@
     CHECK(run_until(loop, [&] { return contains(client, "\r\n\r\nb"); }));
 }
 
+// Guards against a request that is dropped because it arrived while the loop
+// ran other handlers, just before the idle time-out was handled.
+TEST_CASE_FIXTURE(
+    http1_fixture,
+    "server_request_that_arrived_before_the_idle_close_is_answered")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    timer other_work(
+        loop, [&] { client.send_now("GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); });
+    other_work.start_once(10ms);
+    responders[0]->respond(200, {}, "a");
+    std::this_thread::sleep_for(400ms);
+    REQUIRE(wait_for_requests(2));
+    responders[1]->respond(200, {}, "b");
+    CHECK(run_until(loop, [&] { return contains(client, "\r\n\r\nb"); }));
+}
+
+// Guards against a request that is dropped because it was still unread when
+// the server began to drain.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_request_that_arrived_before_a_drain_is_answered")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->respond(200, {}, "a");
+    REQUIRE(run_until(loop, [&] { return contains(client, "\r\n\r\na"); }));
+    client.send_now("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    server->begin_drain();
+    REQUIRE(wait_for_requests(2));
+    responders[1]->respond(200, {}, "b");
+    CHECK(run_until(loop, [&] { return client.closed(); }));
+    CHECK(contains(client, "\r\n\r\nb"));
+}
+
+// Guards against a refusal of a request whose rest arrived in time, while the
+// loop ran other handlers.
+TEST_CASE_FIXTURE(
+    http1_fixture,
+    "server_request_that_was_completed_before_its_timeout_is_handled")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+    run_until(
+        loop, [] { return false; }, 20ms);
+    timer other_work(loop, [&] { client.send_now("bc"); });
+    other_work.start_once(10ms);
+    std::this_thread::sleep_for(400ms);
+    REQUIRE(wait_for_requests(1));
+    CHECK(requests[0].body == "abc");
+}
+
+// Guards against a connection that is closed while its client may still use it
+// under the idle time-out in force.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_longer_idle_timeout_applies_to_idle_connections")
+{
+    raw_client client(loop, server->bound_address());
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for_requests(1));
+    responders[0]->respond(200, {}, "a");
+    REQUIRE(run_until(loop, [&] { return contains(client, "\r\n\r\na"); }));
+    const time_point idle_since = loop.now();
+    server->change_limits({}, 200ms, 900ms);
+    run_until(
+        loop, [&] { return client.closed(); }, 600ms);
+    CHECK_FALSE(client.closed());
+    REQUIRE(run_until(loop, [&] { return client.closed(); }));
+    CHECK(loop.now() - idle_since >= 890ms);
+}
+
+// Guards against a response that is cut because its client reads it slowly and
+// the connection is closed after it.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_last_response_to_a_slow_reader_is_sent_completely")
+{
+    const int descriptor = start_connect(server->bound_address()).value();
+    run_until(
+        loop, [] { return false; }, 20ms);
+    constexpr std::string_view request =
+        "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    REQUIRE(::send(descriptor, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+    REQUIRE(wait_for_requests(1));
+    const std::string body(48u << 20, 'x');
+    responders[0]->respond(200, {}, body);
+    std::size_t received = 0;
+    bool ended = false;
+    std::vector<char> buffer(512u << 10);
+    timer reader(loop, [&] {
+        const auto count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+        ended = count == 0 || (count < 0 && errno != EAGAIN);
+    });
+    reader.start_periodic(5ms);
+    run_until(
+        loop, [&] { return ended; }, 10s);
+    ::close(descriptor);
+    CHECK(received > body.size());
+}
+
+// Guards against lost requests that neither logs nor metrics show.
+TEST_CASE_FIXTURE(http1_fixture,
+                  "server_input_after_an_idle_close_is_reported_once")
+{
+    raw_client client(loop, server->bound_address());
+    REQUIRE(run_until(loop, [&] { return client.closed(); }));
+    CHECK(discarded.empty());
+    client.send_now("GET /a HTTP/1.1\r\n");
+    run_until(
+        loop, [] { return false; }, 10ms);
+    client.send_now("Host: h\r\n\r\n");
+    run_until(
+        loop, [] { return false; }, 10ms);
+    REQUIRE(discarded.size() == 1);
+    CHECK(discarded[0].cause == server_close::idle);
+    CHECK(discarded[0].after_close < 100ms);
+    CHECK(requests.empty());
+}
+
 // Guards against a truncated stream that looks complete.
 TEST_CASE_FIXTURE(http1_fixture, "server_aborted_response_has_no_last_chunk")
 {
