Return an error for a CBOR container of impossible length

A process ends when a peer declares an array or map whose length exceeds the address space: nine bytes are enough. The hello frame of a link is decoded before the peer is authenticated, so any process that reaches the port can send them.

Cause: the JSON library throws out_of_range for such a length even if it is called without exceptions, and decode_cbor does not catch it.

The test failed before: "test case THREW exception: [json.exception.out_of_range.408] excessive array size:". The exception is now returned as malformed_input.

--- a/lib/source/core/json.cpp
+++ b/lib/source/core/json.cpp
@@ -128,11 +128,17 @@
             return fail(errc::malformed_input, checker.problem());
         }
     }
-    json document = json::from_cbor(bytes, true, false);
-    if (document.is_discarded()) {
-        return fail(errc::malformed_input, "not a CBOR item");
+    try {
+        json document = json::from_cbor(bytes, true, false);
+        if (document.is_discarded()) {
+            return fail(errc::malformed_input, "not a CBOR item");
+        }
+        return document;
+    } catch (const json::exception& problem) {
+        // The library throws, in spite of the last argument, for a container
+        // whose declared length exceeds the address space.
+        return fail(errc::malformed_input, problem.what());
     }
-    return document;
 }
 
 std::string encode_cbor(const json& document)
--- a/tests/core/json_test.cpp
+++ b/tests/core/json_test.cpp
@@ -41,6 +41,32 @@
     CHECK(decoded.error().code == errc::limit_exceeded);
 }
 
+// Guards against an exception for a length that no container can have.
+TEST_CASE("decode_cbor_impossible_length_reports_malformed_input")
+{
+    std::string bytes;
+    SUBCASE("array")
+    {
+        bytes = "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff";
+    }
+    SUBCASE("map")
+    {
+        bytes = "\xbb\x7f\xff\xff\xff\xff\xff\xff\xff";
+    }
+    SUBCASE("inside an array")
+    {
+        bytes = "\x81\x9b\x7f\xff\xff\xff\xff\xff\xff\xff";
+    }
+    SUBCASE("after more bytes than are read without a check of the depth")
+    {
+        bytes = "\x82\x59\x08" + std::string(1 + 2048, '\0') +
+                "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff";
+    }
+    const auto decoded = decode_cbor(bytes);
+    REQUIRE_FALSE(decoded);
+    CHECK(decoded.error().code == errc::malformed_input);
+}
+
 TEST_CASE("decode_cbor_truncated_item_reports_malformed_input")
 {
     std::string bytes = encode_cbor({{"a", "value"}});
