Encode JSON documents that quote bytes which are not UTF-8

An announcement or configuration with bytes that are not UTF-8 ends the control replica: the 400 response quotes the input, and its encoding throws out of the event handler. The same holds for a gate that makes a copy call for a caller's request whose id is not UTF-8, and for the list of quarantines.

Cause: json::dump throws type_error for invalid UTF-8 unless an error handler is named.

Both tests failed before: "THREW exception: [json.exception.type_error.316] invalid UTF-8 byte at index 148: 0xFF" in the response to a heartbeat, and the same at index 1 in copy_call. Invalid bytes are now replaced by U+FFFD. The call in quarantine_api.cpp has no test of its own.

--- /dev/null
+++ b/tests/platform/odd_announcement_test.cpp
@@ -0,0 +1,74 @@
+// Announcements by a writer that is no upstream: they name no upstream to use,
+// and neither end a process nor affect the other upstreams.
+#include "platform/support/relay_fixture.hpp"
+#include "support/raw_server.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+
+namespace {
+
+struct odd_announcement_fixture : relay_fixture
+{
+    int contacts = 0; ///< with the upstream that the odd announcements name
+    raw_server odd{loop, [this](raw_server::connection&) { ++contacts; }};
+
+    /// Returns an announcement in which one field has been replaced.
+    [[nodiscard]] std::string body(const std::string& field = {},
+                                   const std::string& value = {}) const
+    {
+        std::vector<std::pair<std::string, std::string>> fields{
+            {"service", R"("book")"},
+            {"address", fmt::format(R"("{}")", odd.bound_address().text())},
+            {"zone", R"("d1")"},
+            {"slots", "8"},
+            {"state", R"("ready")"},
+            {"coldLeftMs", "0"},
+            {"seqNo", "1"},
+            {"born", "1000"}};
+        std::string out = "{";
+        for (auto& [name, text] : fields) {
+            out += fmt::format(R"({}"{}":{})", out.size() > 1 ? "," : "", name,
+                               name == field ? value : text);
+        }
+        return out + "}";
+    }
+    void check_rejected(const std::string& announcement)
+    {
+        CAPTURE(announcement.substr(0, 300));
+        for (std::size_t node = 0; node < apis.size(); ++node) {
+            const auto reply = control_call(
+                node, "POST", "/Instances.Heartbeat/odd", announcement);
+            CHECK(reply->status() == 400);
+        }
+    }
+    /// Checks that requests reach the service and nothing else.
+    void check_service_in_use()
+    {
+        announce(service, "book", "d1", ++sequence);
+        for (int i = 0; i < 3; ++i) {
+            const std::size_t at = service.received.size();
+            const auto request =
+                send_request("/book/x", fmt::format("b{}", at).c_str());
+            REQUIRE(wait([&] { return service.received.size() == at + 1; }));
+            service.answer(at, "ok");
+            REQUIRE(wait([&] { return request->ended(); }));
+            CHECK(request->status() == 200);
+        }
+        CHECK(contacts == 0);
+    }
+    int sequence = 1;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_that_is_no_text_names_no_upstream")
+{
+    start_system();
+    check_rejected("\xff\xfe\x00\x01");
+    check_rejected("{\"service\":\"\xff\"}");
+    check_rejected(body("service", "\"b\xc3\""));
+    check_rejected(body("state", "\"\xed\xa0\x80\""));
+    check_service_in_use();
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -99,6 +99,7 @@
     CHECK(request.key == "key1");
 }
 
+// Guards against a deadline in the past that results from an overflow.
 TEST_CASE("wire_request_without_attempt_id_is_refused")
 {
     auto request = sample_request();
@@ -175,6 +176,16 @@
     CHECK_FALSE(wire::read_copy_handle(200, "{}"));
 }
 
+// Guards against an exception for the id of a caller's request.
+TEST_CASE("wire_copy_call_of_an_id_that_is_not_utf8_is_encoded")
+{
+    const auto call = wire::copy_call(request_id("a\xff"
+                                                 "b"),
+                                      {"10.0.0.1", 80});
+    CHECK(json::parse(call.body).at("id") == "a\xef\xbf\xbd"
+                                             "b");
+}
+
 // Guards against an upstream that receives requests after it stated that it
 // leaves.
 TEST_CASE("wire_response_states_whether_the_upstream_leaves")
@@ -251,6 +262,8 @@
     CHECK(validate(document).has_value());
 }
 
+// Guards against a time limit that results from an overflow.
+// Guards against an overflow of the silence limit of streams.
 // Guards against accepting a document that was cut off during its transfer.
 TEST_CASE("wire_truncated_configuration_is_malformed")
 {
