--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -60,8 +60,29 @@
     int sequence = 1;
 };
 
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 } // namespace
 
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_with_a_number_too_large_names_no_upstream")
+{
+    start_system();
+    for (const char* field : {"seqNo", "born", "slots", "coldLeftMs"}) {
+        for (const char* value :
+             {"1e400", "-1e400", "1e300", "-1e300", "18446744073709551615",
+              "18446744073709551616", "9223372036854775808", "-1"}) {
+            check_rejected(body(field, value));
+        }
+    }
+    check_rejected(body("slots", "4294967296"));
+    check_rejected(body("slots", "4294967304"));
+    check_service_in_use();
+}
+
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_that_is_no_text_names_no_upstream")
 {
@@ -72,3 +93,20 @@
     check_rejected(body("state", "\"\xed\xa0\x80\""));
     check_service_in_use();
 }
+
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "departure_that_cannot_be_read_ends_no_use_of_the_upstream")
+{
+    start_system();
+    for (const std::string& value :
+         {std::string("1e400"), std::string("1e300"), std::string("-1"),
+          std::string("18446744073709551615"),
+          std::string("18446744073709551616"), nested(1000),
+          std::string("\"\xff\"")}) {
+        CAPTURE(value.substr(0, 100));
+        const auto reply = control_call(0, "POST", "/Instances.Deregister/s1",
+                                        fmt::format(R"({{"born":{}}})", value));
+        CHECK(reply->status() == 400);
+    }
+    check_service_in_use();
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -100,6 +100,26 @@
 }
 
 // Guards against a deadline in the past that results from an overflow.
+TEST_CASE("wire_deadline_too_large_is_limited")
+{
+    for (const std::string text :
+         {"1e15", "1e300", "inf", "9223372036854775808"}) {
+        CAPTURE(text);
+        auto request = sample_request();
+        request.headers.set("X-Deadline-Ms", text);
+        const auto described = wire::describe_request(request);
+        REQUIRE(described);
+        CHECK(described.value().time_left > 1h);
+        CHECK(described.value().time_left < 10000h);
+    }
+    for (const std::string text : {"-1e300", "-inf", "nan"}) {
+        CAPTURE(text);
+        auto request = sample_request();
+        request.headers.set("X-Deadline-Ms", text);
+        CHECK(wire::describe_request(request).value().time_left == 0s);
+    }
+}
+
 TEST_CASE("wire_request_without_attempt_id_is_refused")
 {
     auto request = sample_request();
@@ -263,6 +283,23 @@
 }
 
 // Guards against a time limit that results from an overflow.
+TEST_CASE("wire_configuration_with_a_time_out_of_range_is_malformed")
+{
+    for (const std::string field : {"timeoutMs", "goalMs", "gapGoalMs",
+                                    "headerTimeoutMs", "idleTimeoutMs"}) {
+        for (const std::string value :
+             {"1e300", "1e18", "-1", "-1e300", "1e400"}) {
+            CAPTURE(field);
+            CAPTURE(value);
+            std::string text = sample_configuration;
+            const std::string name = "\"" + field + "\": ";
+            const auto at = text.find(name) + name.size();
+            text.replace(at, text.find_first_of(",}", at) - at, value);
+            CHECK_FALSE(wire::read_configuration(text));
+        }
+    }
+}
+
 // Guards against an overflow of the silence limit of streams.
 // Guards against accepting a document that was cut off during its transfer.
 TEST_CASE("wire_truncated_configuration_is_malformed")
