--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -83,6 +83,20 @@
     check_service_in_use();
 }
 
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_with_an_address_out_of_range_names_no_upstream")
+{
+    start_system();
+    for (const char* value :
+         {"127.0.0.1:65536", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1:0",
+          "127.0.0.1:99999999999999999999", "127.0.0.1:1e3",
+          "127.0.0.1:", "127.0.0.1", "[::1:80", "256.0.0.1:80"}) {
+        check_rejected(body("address", fmt::format(R"("{}")", value)));
+    }
+    check_rejected(body("address", "80"));
+    check_service_in_use();
+}
+
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_that_is_no_text_names_no_upstream")
 {
