Reject addresses with a null character

inet_pton stops at a null character, so an announced address such as "127.0.0.1\0..." was accepted with everything after it. The gate writes the address into header fields of requests to engines, so an announcement could add fields to them.

The test failed before: "CHECK( 200 == 400 )" for 127.0.0.1\u0000x:80.

--- a/lib/source/net/address.cpp
+++ b/lib/source/net/address.cpp
@@ -28,6 +28,10 @@
 
 result<socket_address> to_socket_address(const address& endpoint)
 {
+    // The conversions stop at a null character.
+    if (endpoint.host.find('\0') != std::string::npos) {
+        return fail(errc::invalid_argument, "host with a null character");
+    }
     socket_address out;
     auto* v4 = reinterpret_cast<sockaddr_in*>(&out.storage);
     if (inet_pton(AF_INET, endpoint.host.c_str(), &v4->sin_addr) == 1) {
--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -97,6 +97,17 @@
     check_service_in_use();
 }
 
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_with_a_null_in_its_address_names_no_upstream")
+{
+    start_system();
+    for (const char* value :
+         {R"(127.0.0.1\u0000x:80)", R"(127.0.0.1\u0000\r\nX-Field: x:80)"}) {
+        check_rejected(body("address", fmt::format(R"("{}")", value)));
+    }
+    check_service_in_use();
+}
+
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_that_is_no_text_names_no_upstream")
 {
