--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -301,6 +301,19 @@
 }
 
 // Guards against an overflow of the silence limit of streams.
+TEST_CASE("wire_configuration_tokens_per_event_are_limited")
+{
+    for (const char* value : {"18446744073709551615", "4611686018427387904"}) {
+        std::string text = sample_configuration;
+        const std::string name = "\"stride\": ";
+        const auto at = text.find(name) + name.size();
+        text.replace(at, 1, value);
+        const auto read = wire::read_configuration(text);
+        REQUIRE(read);
+        CHECK(read.value().services[0].engine->tokens_per_event <= 1u << 20);
+    }
+}
+
 // Guards against accepting a document that was cut off during its transfer.
 TEST_CASE("wire_truncated_configuration_is_malformed")
 {
