Test announcements with deep nesting

Deep nesting, as the whole document, in a known and in an unknown field, is rejected with 400 and logged, and the other upstreams stay in use.

--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -67,6 +67,19 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_with_deep_nesting_names_no_upstream")
+{
+    start_system();
+    check_rejected(std::string(1'000'000, '['));
+    check_rejected(nested(100'000));
+    for (const std::size_t depth : {33U, 1000U, 100'000U}) {
+        check_rejected(body("born", nested(depth)));
+        check_rejected(body("born", "1000,\"models\":" + nested(depth)));
+    }
+    check_service_in_use();
+}
+
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_with_a_number_too_large_names_no_upstream")
 {
@@ -97,6 +110,7 @@
     check_service_in_use();
 }
 
+// Guards against header fields of the announcement in requests to engines.
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_with_a_null_in_its_address_names_no_upstream")
 {
@@ -108,6 +122,8 @@
     check_service_in_use();
 }
 
+// Guards against a response to the sender that cannot be encoded because it
+// quotes the announcement.
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_that_is_no_text_names_no_upstream")
 {
