Do not keep a connection after a response without an attempt id

A faulty engine repeats an earlier refusal on a kept connection. If the refusal has no attempt id, the gate took it for the answer to the next request: it answered "not run" although the engine ran the request, or sent a request that must run once to a second engine.

A refusal with the id of the earlier request was already discarded.

A response without an id now closes its connection, so that no repetition of it can arrive on one that is in use. On a kept connection all earlier responses have an id, and a refusal without one can only be the answer to the current request; it is still retried at once. Copy calls have no attempt id; their connection is closed unless the status is 200.

--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -71,6 +71,11 @@
         /// @brief True once a byte of the request was passed to the socket.
         [[nodiscard]] bool request_sent() const;
 
+        /// @brief Closes the connection after the response instead of keeping
+        ///     it for further requests. Called from `on_head`, for a response
+        ///     whose repetition could not be told from the next response.
+        void close_after_response();
+
     private:
         std::shared_ptr<impl> impl_;
     };
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -95,6 +95,7 @@
     bool ended = false;
     bool reused = false;
     bool sent = false;
+    bool reuse_allowed = true;
     std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
     std::size_t max_discarded_bytes = 0;
     std::size_t body_bytes = 0;
@@ -198,9 +199,10 @@
     {
         const auto self = shared_from_this();
         ended = true;
-        const bool reusable =
-            clean && reader->keep_alive() && !reader->ends_with_connection() &&
-            connection->stream && connection->stream->queued_bytes() == 0;
+        const bool reusable = clean && reuse_allowed && reader->keep_alive() &&
+                              !reader->ends_with_connection() &&
+                              connection->stream &&
+                              connection->stream->queued_bytes() == 0;
         auto used = std::move(connection);
         if (const auto pool = client.lock(); pool && reusable) {
             pool->keep(std::move(used), response_headers);
@@ -322,6 +324,11 @@
     return impl_->sent;
 }
 
+void http1_client::exchange::close_after_response()
+{
+    impl_->reuse_allowed = false;
+}
+
 http1_client::http1_client(event_loop& loop, options settings)
     : impl_(std::make_shared<impl>(loop, settings))
 {}
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -94,6 +94,9 @@
     if (foreign) {
         return false;
     }
+    if (answer_.attempt.empty()) {
+        attempt_->close_after_response();
+    }
     head_ = head;
     return true;
 }
--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -185,6 +185,9 @@
                      engine_, started_at,
                      context_.protocol.describe_response(head));
                  response_status_ = head.status;
+                 if (head.status != 200) {
+                     call_->close_after_response();
+                 }
                  return true;
              },
          .on_body = [this](std::string_view part) { response_body_ += part; },
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -160,6 +160,9 @@
         answer.attempt != accepted_.description.attempt) {
         return false;
     }
+    if (answer.attempt.empty()) {
+        attempt_->close_after_response();
+    }
     answer_ = answer;
     head_ = head;
     if (head.status == 200) {
--- a/tests/platform/hostile_upstream_test.cpp
+++ b/tests/platform/hostile_upstream_test.cpp
@@ -187,6 +187,64 @@
     CHECK(second->head->headers.find("X-Attempt-Id") == "b2");
 }
 
+// Guards against a promise "not run" for a request that the upstream runs, and
+// against its second run elsewhere: the upstream repeats an earlier refusal on
+// a reused keep-alive connection.
+TEST_CASE_FIXTURE(raw_service_fixture,
+                  "repeated_refusal_is_no_answer_to_the_next_request")
+{
+    std::size_t copies = 1;
+    std::string refusal;
+    SUBCASE("with the id of the earlier request")
+    {
+        refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                  "X-Attempt-Id: b1\r\nContent-Length: 0\r\n\r\n";
+    }
+    SUBCASE("without an id")
+    {
+        refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                  "Content-Length: 4\r\n\r\nfull";
+    }
+    SUBCASE("misdirected, without an id")
+    {
+        refusal = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: e9\r\n"
+                  "Content-Length: 0\r\n\r\n";
+    }
+    SUBCASE("twice, with the id of the earlier request")
+    {
+        copies = 2;
+        refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                  "X-Attempt-Id: b1\r\nContent-Length: 0\r\n\r\n";
+    }
+    raw_server::connection* refused_on = nullptr;
+    respond = [&](raw_server::connection& to) {
+        if (refused_on == nullptr) {
+            refused_on = &to;
+            to.send(refusal);
+            return;
+        }
+        for (std::size_t i = 0; &to == refused_on && i < copies; ++i) {
+            to.send(refusal);
+        }
+        to.send(answer_head("b2", "Content-Length: 2") + "b2");
+    };
+    start();
+    const auto first = send_request("/book/x", "b1");
+    REQUIRE(wait([&] { return first->ended(); }));
+    CHECK(first->status() == 503);
+    announce(service, "book", "d1");
+    run_until(
+        loop, [] { return false; }, 100ms);
+    const auto second = send_request("/book/x", "b2");
+    REQUIRE(wait([&] { return second->ended() || !service.received.empty(); }));
+    CHECK(service.received.empty());
+    CHECK(second->status() == 200);
+    CHECK(second->body == "b2");
+    CHECK(requests == 2);
+}
+
+// Guards against the same when the repeated refusal arrives between two
+// requests.
 // Guards against truncated answers that reach the caller as complete: the
 // connection closes after every possible byte.
 TEST_CASE_FIXTURE(raw_service_fixture,
