--- a/tests/platform/hostile_upstream_test.cpp
+++ b/tests/platform/hostile_upstream_test.cpp
@@ -245,6 +245,39 @@
 
 // Guards against the same when the repeated refusal arrives between two
 // requests.
+TEST_CASE_FIXTURE(raw_service_fixture,
+                  "refusal_repeated_on_an_idle_connection_closes_it")
+{
+    std::string id_field;
+    SUBCASE("with the id of the earlier request")
+    {
+        id_field = "X-Attempt-Id: b1\r\n";
+    }
+    SUBCASE("without an id") {}
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + id_field +
+        "Content-Length: 0\r\n\r\n";
+    respond = [&](raw_server::connection& to) {
+        if (requests == 1) {
+            to.send(refusal);
+        } else {
+            to.send(answer_head("b2", "Content-Length: 2") + "b2");
+        }
+    };
+    start();
+    const auto first = send_request("/book/x", "b1");
+    REQUIRE(wait([&] { return first->ended(); }));
+    if (!upstream.connections[0]->closed()) {
+        upstream.connections[0]->send(refusal);
+    }
+    CHECK(wait([&] { return upstream.connections[0]->closed(); }));
+    const auto second = send_request("/book/x", "b2");
+    REQUIRE(wait([&] { return second->ended(); }));
+    CHECK(second->status() == 200);
+    CHECK(second->body == "b2");
+    CHECK(requests == 2);
+}
+
 // Guards against truncated answers that reach the caller as complete: the
 // connection closes after every possible byte.
 TEST_CASE_FIXTURE(raw_service_fixture,
