Send a stream again to the same engine on a new connection

After refusals by all engines a stream is sent to the same engine again, with the same attempt id. If the engine repeats its earlier refusal on the kept connection, the id does not tell the copy from the answer: the stream was counted as not run and sent elsewhere while the engine ran it.

The test failed before: "CHECK( answered == 1 )", values "3 == 1". A second send to an engine now uses a new connection.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -128,8 +128,11 @@
     detector_ = streaming::silence_detector(silence_options(
         accepted_.table->find_service(accepted_.service), silent_losses_));
     detector_.start(attempt_started_, expected_first_event(target));
+    auto message = upstream_request(options);
+    // A repeated response to the previous send has the same attempt id.
+    message.fresh_connection = !sent_to_.insert(target.engine).second;
     attempt_ = context_.upstream_client.start(
-        engine->announced.address, upstream_request(options),
+        engine->announced.address, message,
         {.on_head =
              [this](const net::http1_response_head& head) {
                  return on_head(head);
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -107,6 +107,7 @@
     upstream_id longest_pause_engine_; ///< engine that ended the longest pause
     unsigned longest_pause_attempt_ = 0;
     std::set<upstream_id> excluded_;
+    std::set<upstream_id> sent_to_;
 };
 
 } // namespace bamboogate::relay
--- /dev/null
+++ b/tests/platform/broken_stream_test.cpp
@@ -0,0 +1,138 @@
+// Streams whose engine is lost while the next engine answers with an error or
+// with bytes that are no stream.
+#include "platform/support/relay_fixture.hpp"
+#include "support/raw_server.hpp"
+
+using namespace bamboogate;
+using namespace bamboogate::tests;
+
+namespace {
+
+/// Two engines whose bytes are chosen by the test. Streams are answered by the
+/// steps in order, at whichever engine they arrive.
+struct broken_stream_fixture : relay_fixture
+{
+    using step = std::function<void(raw_server::connection&)>;
+    std::vector<step> steps;
+    std::size_t runs = 0;
+    std::vector<std::string> received; ///< requests
+    raw_server engine_a{loop, [this](auto& from) { on_input(from); }};
+    raw_server engine_b{loop, [this](auto& from) { on_input(from); }};
+    std::unique_ptr<caller> request;
+
+    void on_input(raw_server::connection& from)
+    {
+        const bool has_head =
+            from.received.find("\r\n\r\n") != std::string::npos;
+        if (has_head && from.received.starts_with("GET ")) {
+            from.received.clear();
+            from.send("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"
+                      R"({"events":[]})");
+        } else if (has_head && from.received.starts_with("POST /kv-move")) {
+            from.received.clear();
+            from.send("HTTP/1.1 503 Service Unavailable\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        } else if (holds_request(from.received, "prompt")) {
+            received.push_back(std::exchange(from.received, {}));
+            const std::size_t at = runs++;
+            CHECK(at < steps.size());
+            if (at < steps.size()) {
+                steps[at](from);
+            }
+        }
+    }
+    void announce_engine(const raw_server& engine, const char* id,
+                         const char* zone)
+    {
+        const auto reply = control_call(
+            0, "POST", fmt::format("/Instances.Heartbeat/{}", id),
+            fmt::format(R"({{"service":"gen","address":"{}","zone":"{}",)"
+                        R"("slots":8,"state":"ready","coldLeftMs":0,)"
+                        R"("seqNo":1,"born":1000}})",
+                        engine.bound_address().text(), zone));
+        CHECK(reply->status() == 200);
+    }
+    void start()
+    {
+        wait_for_leader();
+        REQUIRE(control_call(1, "POST", "/Config.Replace", configuration(5))
+                    ->status() == 200);
+        REQUIRE(run_until(loop, [&] { return gate->ready(); }));
+        announce_engine(engine_a, "a", "d1");
+        announce_engine(engine_b, "b", "d2");
+        run_until(
+            loop, [] { return false; }, 50ms);
+        request = send_request("/gen/x", "g1");
+    }
+    static std::string chunk(std::string_view text)
+    {
+        return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+    }
+    static std::string head(std::string_view status, std::string_view framing,
+                            std::string_view type = "text/event-stream")
+    {
+        return fmt::format("HTTP/1.1 {}\r\nX-Response-Seal: seal\r\n"
+                           "X-Attempt-Id: g1\r\nContent-Type: {}\r\n{}\r\n\r\n",
+                           status, type, framing);
+    }
+    static std::string length(std::string_view body)
+    {
+        return fmt::format("Content-Length: {}", body.size());
+    }
+    static step send_then_close(const std::string& bytes)
+    {
+        return [bytes](raw_server::connection& to) {
+            to.send(bytes);
+            to.close();
+        };
+    }
+    static step send(const std::string& bytes)
+    {
+        return [bytes](raw_server::connection& to) { to.send(bytes); };
+    }
+    /// A stream of two events that breaks off.
+    static step begin_and_break()
+    {
+        return send_then_close(head("200 OK", chunked) + chunk(event1) +
+                               chunk(event2) + "8\r\nid: 3\n");
+    }
+    static step continue_and_end()
+    {
+        return send(head("200 OK", chunked) + chunk(event3) + "0\r\n\r\n");
+    }
+    static constexpr const char* chunked = "Transfer-Encoding: chunked";
+    static constexpr const char* event1 = "id: 1\ndata: e1\n\n";
+    static constexpr const char* event2 = "id: 2\ndata: e2\n\n";
+    static constexpr const char* event3 = "id: 3\ndata: e3\n\n";
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "repeated_refusal_of_a_stream_is_no_answer_to_its_next_send")
+{
+    std::vector<raw_server::connection*> refused_on;
+    int answered = 0;
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+        "X-Attempt-Id: g1\r\nContent-Length: 0\r\n\r\n";
+    const step refuse = [&](raw_server::connection& to) {
+        refused_on.push_back(&to);
+        to.send(refusal);
+    };
+    const step run = [&](raw_server::connection& to) {
+        ++answered;
+        if (std::find(refused_on.begin(), refused_on.end(), &to) !=
+            refused_on.end()) {
+            to.send(refusal);
+        }
+        to.send(head("200 OK", chunked) + chunk(event1) + chunk(event2) +
+                chunk(event3) + "0\r\n\r\n");
+    };
+    steps = {refuse, refuse, run, run, run};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->status() == 200);
+    CHECK(request->body == std::string(event1) + event2 + event3);
+    CHECK(answered == 1);
+}
