Test streams whose next engine answers with an error

Errors with and without a length, in pieces, without a seal, with other statuses, with a malformed head or cut inside an event are no part of the stream, and a stream that no engine continues breaks off.

--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -108,6 +108,114 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "error_of_the_next_engine_is_no_part_of_a_stream")
+{
+    const std::string text = "engine failed\n\nid: 3\ndata: no event\n\n";
+    step odd;
+    SUBCASE("500 with a length")
+    {
+        odd = send(head("500 Internal Server Error", length(text)) + text);
+    }
+    SUBCASE("500 that ends with the connection")
+    {
+        odd = send_then_close(
+            head("500 Internal Server Error", "Connection: close") + text);
+    }
+    SUBCASE("500 in pieces")
+    {
+        odd = [&](raw_server::connection& to) {
+            const std::string bytes =
+                head("500 Internal Server Error", chunked) + chunk(text) +
+                "0\r\n\r\n";
+            for (const char each : bytes) {
+                to.send(std::string_view(&each, 1));
+            }
+        };
+    }
+    SUBCASE("502 without a seal")
+    {
+        odd = send("HTTP/1.1 502 Bad Gateway\r\n" + length(text) + "\r\n\r\n" +
+                   text);
+    }
+    SUBCASE("404")
+    {
+        odd = send(head("404 Not Found", length(text)) + text);
+    }
+    SUBCASE("204")
+    {
+        odd = send(head("204 No Content", "X-Field: x"));
+    }
+    SUBCASE("206 with the right event")
+    {
+        odd = send(head("206 Partial Content", length(event3)) + event3);
+    }
+    SUBCASE("302")
+    {
+        odd = send(head("302 Found", length(text)) + text);
+    }
+    SUBCASE("200 without a seal")
+    {
+        odd = send("HTTP/1.1 200 OK\r\nX-Attempt-Id: g1\r\n" + length(event3) +
+                   "\r\n\r\n" + event3);
+    }
+    SUBCASE("malformed head")
+    {
+        odd = send_then_close("HTTP/1.1 5x0 No\r\n\r\n" + text);
+    }
+    SUBCASE("bytes without a head")
+    {
+        odd = send_then_close(text);
+    }
+    SUBCASE("200 that ends inside an event")
+    {
+        odd = send(head("200 OK", length("id: 3\ndata: e")) + "id: 3\ndata: e");
+    }
+    steps = {begin_and_break(), odd, continue_and_end()};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->status() == 200);
+    CHECK(request->body == std::string(event1) + event2 + event3);
+    CHECK(request->complete);
+    CHECK(runs == 3);
+}
+
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "stream_that_no_engine_continues_breaks_off")
+{
+    const std::string text = "engine failed\n\n";
+    step odd;
+    SUBCASE("error")
+    {
+        odd = send(head("500 Internal Server Error", length(text)) + text);
+    }
+    SUBCASE("error that breaks off")
+    {
+        odd = send_then_close(
+            head("500 Internal Server Error", "Content-Length: 500") + text);
+    }
+    SUBCASE("client error")
+    {
+        odd = send(head("400 Bad Request", length(text)) + text);
+    }
+    steps = {begin_and_break(), odd, odd};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->failed);
+    CHECK(request->body == std::string(event1) + event2);
+}
+
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "stream_without_further_events_is_complete")
+{
+    steps = {begin_and_break(), send(head("200 OK", chunked) + "0\r\n\r\n")};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2);
+    CHECK(runs == 2);
+}
+
 TEST_CASE_FIXTURE(broken_stream_fixture,
                   "repeated_refusal_of_a_stream_is_no_answer_to_its_next_send")
 {
