End an attempt whose body contains lines that are no event

After a broken stream the next engine answers 200 with the text or the head of an error in its body. Blocks without an event id were skipped, so the stream looked complete although its end was missing, and text directly before an event was forwarded with it.

Each line of a block must now be a field with a lower-case name or a comment; otherwise the attempt is lost and the stream goes on elsewhere.

--- a/lib/include/bamboogate/relay/event_stream.hpp
+++ b/lib/include/bamboogate/relay/event_stream.hpp
@@ -16,6 +16,7 @@
 {
     std::optional<std::uint64_t> id;
     std::string text;
+    bool well_formed = true; ///< each line is a field or a comment
 };
 
 /// Splits a body into complete events, so that a stream that is cut inside an
--- a/lib/source/relay/event_stream.cpp
+++ b/lib/source/relay/event_stream.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/event_stream.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace bamboogate::relay {
@@ -30,6 +31,38 @@
     return std::nullopt;
 }
 
+bool is_field_character(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_';
+}
+
+bool is_field_or_comment(std::string_view line)
+{
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return line.empty() || line == "data" || line == "event" ||
+               line == "id" || line == "retry";
+    }
+    const auto name = line.substr(0, colon);
+    return std::all_of(name.begin(), name.end(), is_field_character);
+}
+
+bool is_well_formed(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        if (!is_field_or_comment(event.substr(0, end))) {
+            return false;
+        }
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return true;
+}
+
 /// Position after the blank line that ends the first event, else `npos`.
 std::size_t end_of_event(std::string_view text, std::size_t from)
 {
@@ -58,6 +91,7 @@
         stream_event event;
         event.text = buffer_.substr(begin, end - begin);
         event.id = read_id(event.text);
+        event.well_formed = is_well_formed(event.text);
         events.push_back(std::move(event));
         begin = end;
     }
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -193,6 +193,10 @@
         if (!attempt_) {
             return;
         }
+        if (!event.well_formed) {
+            lose_unusable_attempt("no_event");
+            return;
+        }
         if (!event.id) {
             // Events without an id, such as comments, carry no part of the
             // response.
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -167,6 +167,32 @@
     {
         odd = send_then_close(text);
     }
+    SUBCASE("head of an error in the body of a stream")
+    {
+        odd = send(head("200 OK", chunked) +
+                   chunk("HTTP/1.1 500 Internal Server Error\r\n"
+                         "Content-Length: 0\r\n\r\n") +
+                   "0\r\n\r\n");
+    }
+    SUBCASE("error in the body of a stream, before an event")
+    {
+        odd = send(head("200 OK", chunked) +
+                   chunk("HTTP/1.1 500 Internal Server Error\r\n"
+                         "Content-Length: 0\r\n" +
+                         std::string(event3)) +
+                   "0\r\n\r\n");
+    }
+    SUBCASE("200 with a text that is no event")
+    {
+        odd = send(head("200 OK", length("engine failed\n\n")) +
+                   "engine failed\n\n");
+    }
+    SUBCASE("200 with a document that ends with a blank line")
+    {
+        const std::string document = "{\"error\":\"engine failed\"}\n\n";
+        odd = send(head("200 OK", length(document), "application/json") +
+                   document);
+    }
     SUBCASE("200 that ends inside an event")
     {
         odd = send(head("200 OK", length("id: 3\ndata: e")) + "id: 3\ndata: e");
@@ -198,6 +224,10 @@
     {
         odd = send(head("400 Bad Request", length(text)) + text);
     }
+    SUBCASE("text")
+    {
+        odd = send(head("200 OK", length(text)) + text);
+    }
     steps = {begin_and_break(), odd, odd};
     start();
     REQUIRE(wait([&] { return request->ended(); }));
