Continue a stream only with a body of the same type

After a broken stream an engine that answers 200 with a document of another type, even an empty one, ended the stream as complete.

The tests failed before: "CHECK( runs == 3 )", values "2 == 3", and "CHECK( request->failed ) is NOT correct". The Content-Type of a further attempt must now be that of the head that the caller has; otherwise the answer counts as failed.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -155,6 +155,15 @@
     arm_silence_timer();
 }
 
+bool stream_exchange::carries_events() const
+{
+    // The caller has the head of the first attempt, so the events that follow
+    // must be of the same type.
+    return head_.status == 200 && answer_.sealed &&
+           (!head_sent_ ||
+            head_.headers.find("Content-Type").value_or("") == content_type_);
+}
+
 bool stream_exchange::on_head(const net::http1_response_head& head)
 {
     const auto answer = context_.protocol.describe_response(head);
@@ -176,7 +185,7 @@
 
 void stream_exchange::on_body(std::string_view part)
 {
-    if (head_.status != 200 || !answer_.sealed) {
+    if (!carries_events()) {
         if (error_body_.size() + part.size() > max_error_body_bytes) {
             lose_unusable_attempt("error_too_large");
             return;
@@ -228,6 +237,7 @@
         head_sent_ = true;
         net::header_list headers = head_.headers;
         net::remove_hop_by_hop_fields(headers);
+        content_type_ = headers.find("Content-Type").value_or("");
         context_.metrics.latency.record(
             to_seconds(context_.loop.now() - started_));
         accepted_.responder->begin_stream(head_.status, head_.reason,
@@ -311,7 +321,7 @@
         on_attempt_lost(fmt::format("refused_{}", head_.status), false);
         return;
     }
-    if (head_.status == 200 && answer_.sealed) {
+    if (carries_events()) {
         if (splitter_.inside_event()) {
             on_connection_broken("cut_inside_event");
             return;
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -50,6 +50,8 @@
     void send(const placement& target,
               const std::optional<copy_source>& source);
     bool on_head(const net::http1_response_head& head);
+    /// True if the body of the current answer is a part of the stream.
+    [[nodiscard]] bool carries_events() const;
     void on_body(std::string_view part);
     /// Ends an attempt whose answer cannot be used.
     void lose_unusable_attempt(std::string_view cause);
@@ -94,7 +96,8 @@
     std::string error_body_;
     std::optional<std::uint64_t> last_event_; ///< last one that the caller has
     bool head_sent_ = false;
-    bool event_seen_ = false; ///< in this attempt
+    std::string content_type_; ///< of the head that the caller has
+    bool event_seen_ = false;  ///< in this attempt
     time_point attempt_started_;
     time_point last_event_at_;
     bool resuming_ = false;
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -193,6 +193,14 @@
         odd = send(head("200 OK", length(document), "application/json") +
                    document);
     }
+    SUBCASE("200 with an empty body of another type")
+    {
+        odd = send(head("200 OK", "Content-Length: 0", "application/json"));
+    }
+    SUBCASE("200 with the right event in a body of another type")
+    {
+        odd = send(head("200 OK", length(event3), "text/plain") + event3);
+    }
     SUBCASE("200 that ends inside an event")
     {
         odd = send(head("200 OK", length("id: 3\ndata: e")) + "id: 3\ndata: e");
@@ -228,6 +236,10 @@
     {
         odd = send(head("200 OK", length(text)) + text);
     }
+    SUBCASE("another type")
+    {
+        odd = send(head("200 OK", length(text), "text/plain") + text);
+    }
     steps = {begin_and_break(), odd, odd};
     start();
     REQUIRE(wait([&] { return request->ended(); }));
