Treat a close before the first event as the loss of the engine

A 200 response without a length ends with its connection. If the engine is lost after its head and before its first event, the body looked complete and the stream ended as complete.

A stream that ends with the connection after at least one event is still taken as complete, because the protocol allows answers without a length.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -326,6 +326,14 @@
             on_connection_broken("cut_inside_event");
             return;
         }
+        const bool ended_by_connection =
+            !head_.headers.find("Content-Length") &&
+            !head_.headers.find("Transfer-Encoding");
+        if (ended_by_connection && !event_seen_) {
+            // The loss of the engine would look the same.
+            on_connection_broken("closed_before_first_event");
+            return;
+        }
         health.request_ended();
         static_cast<void>(copy_.end());
         release();
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -108,6 +108,8 @@
 
 } // namespace
 
+// Guards against the text of an error inside a stream, and against a stream
+// that looks complete after an answer that is no stream.
 TEST_CASE_FIXTURE(broken_stream_fixture,
                   "error_of_the_next_engine_is_no_part_of_a_stream")
 {
@@ -201,6 +203,10 @@
     {
         odd = send(head("200 OK", length(event3), "text/plain") + event3);
     }
+    SUBCASE("200 that ends with the connection before an event")
+    {
+        odd = send_then_close(head("200 OK", "Connection: close"));
+    }
     SUBCASE("200 that ends inside an event")
     {
         odd = send(head("200 OK", length("id: 3\ndata: e")) + "id: 3\ndata: e");
@@ -214,6 +220,8 @@
     CHECK(runs == 3);
 }
 
+// Guards against the same when no further engine may run the stream: it must
+// not look complete.
 TEST_CASE_FIXTURE(broken_stream_fixture,
                   "stream_that_no_engine_continues_breaks_off")
 {
@@ -236,6 +244,10 @@
     {
         odd = send(head("200 OK", length(text)) + text);
     }
+    SUBCASE("no events")
+    {
+        odd = send_then_close(head("200 OK", "Connection: close"));
+    }
     SUBCASE("another type")
     {
         odd = send(head("200 OK", length(text), "text/plain") + text);
@@ -247,6 +259,7 @@
     CHECK(request->body == std::string(event1) + event2);
 }
 
+// Guards against a retry of a stream that had ended when its engine was lost.
 TEST_CASE_FIXTURE(broken_stream_fixture,
                   "stream_without_further_events_is_complete")
 {
@@ -258,6 +271,8 @@
     CHECK(runs == 2);
 }
 
+// Guards against a refusal of the first send that is taken for the refusal of
+// the second one to the same engine, which runs it.
 TEST_CASE_FIXTURE(broken_stream_fixture,
                   "repeated_refusal_of_a_stream_is_no_answer_to_its_next_send")
 {
