--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -137,8 +137,11 @@
     detector_ = streaming::silence_detector(silence_options(
         accepted_.table->find_service(accepted_.service), silent_losses_));
     detector_.start(attempt_started_, expected_first_event(target));
+    auto message = upstream_request(options);
+    // A repeated response to the previous send has the same attempt id.
+    message.fresh_connection = !sent_to_.insert(target.engine).second;
     attempt_ = context_.upstream_client.start(
-        engine->announced.address, upstream_request(options),
+        engine->announced.address, message,
         {.on_head =
              [this](const net::http1_response_head& head) {
                  return on_head(head);
@@ -161,6 +164,15 @@
     arm_silence_timer();
 }
 
+bool stream_exchange::carries_events() const
+{
+    // The caller has the head of the first attempt, so the events that follow
+    // must be of the same type.
+    return head_.status == 200 && answer_.sealed &&
+           (!head_sent_ ||
+            head_.headers.find("Content-Type").value_or("") == content_type_);
+}
+
 bool stream_exchange::on_head(const net::http1_response_head& head)
 {
     const auto answer = context_.protocol.describe_response(head);
@@ -169,6 +181,9 @@
         answer.attempt != accepted_.description.attempt) {
         return false;
     }
+    if (answer.attempt.empty()) {
+        attempt_->close_after_response();
+    }
     answer_ = answer;
     head_ = head;
     if (head.status == 200) {
@@ -179,7 +194,7 @@
 
 void stream_exchange::on_body(std::string_view part)
 {
-    if (head_.status != 200 || !answer_.sealed) {
+    if (!carries_events()) {
         if (error_body_.size() + part.size() > max_error_body_bytes) {
             lose_unusable_attempt("error_too_large");
             return;
@@ -196,6 +211,10 @@
         if (!attempt_) {
             return;
         }
+        if (!event.well_formed) {
+            lose_unusable_attempt("no_event");
+            return;
+        }
         if (!event.id) {
             // Events without an id, such as comments, carry no part of the
             // response.
@@ -227,6 +246,7 @@
         head_sent_ = true;
         net::header_list headers = head_.headers;
         net::remove_hop_by_hop_fields(headers);
+        content_type_ = headers.find("Content-Type").value_or("");
         context_.metrics.latency.record(
             to_seconds(context_.loop.now() - started_));
         accepted_.responder->begin_stream(head_.status, head_.reason,
@@ -325,11 +345,19 @@
         on_attempt_lost(fmt::format("refused_{}", head_.status), false);
         return;
     }
-    if (head_.status == 200 && answer_.sealed) {
+    if (carries_events()) {
         if (splitter_.inside_event()) {
             on_connection_broken("cut_inside_event");
             return;
         }
+        const bool ended_by_connection =
+            !head_.headers.find("Content-Length") &&
+            !head_.headers.find("Transfer-Encoding");
+        if (ended_by_connection && !event_seen_) {
+            // The loss of the engine would look the same.
+            on_connection_broken("closed_before_first_event");
+            return;
+        }
         health.request_ended();
         static_cast<void>(copy_.end());
         release();
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -99,6 +99,27 @@
     CHECK(request.key == "key1");
 }
 
+// Guards against a deadline in the past that results from an overflow.
+TEST_CASE("wire_deadline_too_large_is_limited")
+{
+    for (const std::string text :
+         {"1e15", "1e300", "inf", "9223372036854775808"}) {
+        CAPTURE(text);
+        auto request = sample_request();
+        request.headers.set("X-Deadline-Ms", text);
+        const auto described = wire::describe_request(request);
+        REQUIRE(described);
+        CHECK(described.value().time_left > 1h);
+        CHECK(described.value().time_left < 10000h);
+    }
+    for (const std::string text : {"-1e300", "-inf", "nan"}) {
+        CAPTURE(text);
+        auto request = sample_request();
+        request.headers.set("X-Deadline-Ms", text);
+        CHECK(wire::describe_request(request).value().time_left == 0s);
+    }
+}
+
 TEST_CASE("wire_request_without_attempt_id_is_refused")
 {
     auto request = sample_request();
@@ -175,6 +196,16 @@
     CHECK_FALSE(wire::read_copy_handle(200, "{}"));
 }
 
+// Guards against an exception for the id of a caller's request.
+TEST_CASE("wire_copy_call_of_an_id_that_is_not_utf8_is_encoded")
+{
+    const auto call = wire::copy_call(request_id("a\xff"
+                                                 "b"),
+                                      {"10.0.0.1", 80});
+    CHECK(json::parse(call.body).at("id") == "a\xef\xbf\xbd"
+                                             "b");
+}
+
 // Guards against an upstream that receives requests after it stated that it
 // leaves.
 TEST_CASE("wire_response_states_whether_the_upstream_leaves")
@@ -251,6 +282,38 @@
     CHECK(validate(document).has_value());
 }
 
+// Guards against a time limit that results from an overflow.
+TEST_CASE("wire_configuration_with_a_time_out_of_range_is_malformed")
+{
+    for (const std::string field : {"timeoutMs", "goalMs", "gapGoalMs",
+                                    "headerTimeoutMs", "idleTimeoutMs"}) {
+        for (const std::string value :
+             {"1e300", "1e18", "-1", "-1e300", "1e400"}) {
+            CAPTURE(field);
+            CAPTURE(value);
+            std::string text = sample_configuration;
+            const std::string name = "\"" + field + "\": ";
+            const auto at = text.find(name) + name.size();
+            text.replace(at, text.find_first_of(",}", at) - at, value);
+            CHECK_FALSE(wire::read_configuration(text));
+        }
+    }
+}
+
+// Guards against an overflow of the silence limit of streams.
+TEST_CASE("wire_configuration_tokens_per_event_are_limited")
+{
+    for (const char* value : {"18446744073709551615", "4611686018427387904"}) {
+        std::string text = sample_configuration;
+        const std::string name = "\"stride\": ";
+        const auto at = text.find(name) + name.size();
+        text.replace(at, 1, value);
+        const auto read = wire::read_configuration(text);
+        REQUIRE(read);
+        CHECK(read.value().services[0].engine->tokens_per_event <= 1u << 20);
+    }
+}
+
 // Guards against accepting a document that was cut off during its transfer.
 TEST_CASE("wire_truncated_configuration_is_malformed")
 {
