Reserve the ports of test processes until the test ends

Cause: free_ports() closed its sockets before the processes bound the ports. The deployment then opens up to six proxies on port 0, and the system may give them the port of a gate. A gate that cannot listen ends, and start() is false. Other listeners on port 0 can take a port in the same way. replica_process_test chose its ports like that too. Change: reserved_ports keeps each port bound by a socket that does not listen; port 0 and outgoing connections skip it, also while a process is down, and the process listens on it with SO_REUSEADDR.

--- a/tests/consensus/replica_process_test.cpp
+++ b/tests/consensus/replica_process_test.cpp
@@ -1,5 +1,4 @@
 #include <bamboogate/core/time.hpp>
-#include <bamboogate/net/address.hpp>
 
 #include <consensus/support/temporary_folder.hpp>
 #include <doctest/doctest.h>
@@ -17,6 +16,8 @@
 #include <thread>
 #include <vector>
 
+#include "support/reserved_ports.hpp"
+
 using namespace bamboogate;
 using namespace bamboogate::consensus;
 using namespace std::chrono_literals;
@@ -123,16 +124,8 @@
     process_fixture()
     {
         ::signal(SIGPIPE, SIG_IGN);
-        std::vector<int> listeners;
-        for (int i = 0; i < 3; ++i) {
-            const auto listening = net::listen_on({"127.0.0.1", 0});
-            REQUIRE(listening);
-            listeners.push_back(listening.value());
-            ports_ += fmt::format("{}{}", i == 0 ? "" : ",",
-                                  net::local_address(listening.value()).port);
-        }
-        for (const int each : listeners) {
-            close(each);
+        for (std::size_t i = 0; i < 3; ++i) {
+            ports_ += fmt::format("{}{}", i == 0 ? "" : ",", reserved_[i]);
         }
         for (std::size_t i = 0; i < 3; ++i) {
             start(i);
@@ -239,6 +232,7 @@
     std::vector<std::string> accepted;
 
 private:
+    tests::reserved_ports reserved_{3};
     std::string ports_;
 };
 
--- a/tests/e2e/support/deployment.cpp
+++ b/tests/e2e/support/deployment.cpp
@@ -4,7 +4,6 @@
 #include <bamboogate/net/address.hpp>
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -33,23 +32,6 @@
     port_count = 60,
 };
 
-/// Distinct ports that were free during the call: all are open at the same time
-/// and closed before the return, so another process may still take one.
-std::vector<unsigned> free_ports(unsigned count)
-{
-    std::vector<int> sockets;
-    std::vector<unsigned> out;
-    for (unsigned i = 0; i < count; ++i) {
-        auto fd = net::listen_on({"127.0.0.1", 0});
-        sockets.push_back(fd.value());
-        out.push_back(net::local_address(fd.value()).port);
-    }
-    for (const int fd : sockets) {
-        ::close(fd);
-    }
-    return out;
-}
-
 void write_file(const std::filesystem::path& path, const std::string& text)
 {
     std::ofstream(path) << text;
@@ -71,7 +53,7 @@
 } // namespace
 
 deployment::deployment(options settings)
-    : settings_(std::move(settings)), ports_(free_ports(port_count))
+    : settings_(std::move(settings)), ports_(port_count)
 {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "bamboogate-XXXXXX").string();
--- a/tests/e2e/support/deployment.hpp
+++ b/tests/e2e/support/deployment.hpp
@@ -15,6 +15,7 @@
 
 #include "support/child_process.hpp"
 #include "support/fault_proxy.hpp"
+#include "support/reserved_ports.hpp"
 
 namespace bamboogate::tests {
 
@@ -158,7 +159,7 @@
 
     options settings_;
     std::filesystem::path folder_;
-    std::vector<unsigned> ports_;
+    reserved_ports ports_;
 };
 
 } // namespace bamboogate::tests
