Give a caller the id of a generation once another gate holds it

Cause: the gate sent the header section at the start of the generation. The first copy leaves it in the third iteration of its loop after that. New tests on the code before: owner_lost_right_after_the_start_accepted_answer_continues failed when the owner ran 0, 1 or 2 iterations; gate_vm_lost_before_the_first_copy_caller_was_given_no_id failed, the caller had an id. Change: token_sink::accepted is called after the first acknowledgement of the copy holder, or when no other gate is reachable, and the header section is sent then.

--- a/lib/include/bamboogate/gate/completion_sinks.hpp
+++ b/lib/include/bamboogate/gate/completion_sinks.hpp
@@ -40,6 +40,7 @@
         return out_;
     }
 
+    void accepted() override { send_headers(); }
     void set_epoch(std::uint64_t epoch) override;
     void token(std::uint64_t index, std::string_view text) override;
     void finished(const streaming::finish_info& info) override;
@@ -65,6 +66,7 @@
         target_ = std::move(target);
     }
 
+    void accepted() override { target_->accepted(); }
     void set_epoch(std::uint64_t epoch) override { target_->set_epoch(epoch); }
     void token(std::uint64_t index, std::string_view text) override
     {
--- a/lib/include/bamboogate/streaming/generation_task.hpp
+++ b/lib/include/bamboogate/streaming/generation_task.hpp
@@ -124,6 +124,9 @@
     void replace_buddy(time_point now);
     void send_copy(time_point now);
     void send_new_tokens(time_point now);
+    /// True when the loss of this gate does not lose the generation, or when no
+    /// other gate can hold it.
+    [[nodiscard]] bool survives_loss() const;
     [[nodiscard]] bool awaits_ack() const;
     void check_buddy(time_point now);
     void check_caller(time_point now);
@@ -173,6 +176,7 @@
     // Caller side.
     std::shared_ptr<token_sink> sink_;
     std::uint64_t sink_epoch_ = 0;
+    bool accepted_ = false; ///< a sink was told so, or it is a takeover
     std::optional<time_point> detached_since_;
     std::uint64_t reported_tokens_ = 0;
     bool first_token_reported_ = false;
--- a/lib/include/bamboogate/streaming/token_sink.hpp
+++ b/lib/include/bamboogate/streaming/token_sink.hpp
@@ -28,6 +28,12 @@
 public:
     virtual ~token_sink() = default;
 
+    /// @brief Another gate holds the generation, or none is reachable: the id
+    ///     may be given to the caller. Called once, on the sink of `start` or
+    ///     the one that has replaced it, before its first token and its
+    ///     `finished`; not called for a generation that was taken over.
+    virtual void accepted() {}
+
     /// @brief Sets the epoch of the tokens that follow. Called before the first
     ///     token and when another gate has taken over. A caller that sends the
     ///     epoch back when it reconnects never receives another lineage.
--- a/lib/source/gate/caller_api.cpp
+++ b/lib/source/gate/caller_api.cpp
@@ -256,7 +256,6 @@
                      {"x-preset", configuration->preset_in_force.value()},
                      {"x-config-revision",
                       std::to_string(configuration->revision.value)}}});
-    events->send_headers();
     sink->set_target(events);
     watch_connection(started.value(), sink, events);
 }
--- a/lib/source/streaming/generation_task.cpp
+++ b/lib/source/streaming/generation_task.cpp
@@ -22,7 +22,7 @@
       state_(std::move(copy.history), epoch, std::move(copy.tokens),
              std::move(copy.finish)),
       silence_(host.settings().silence),
-      previous_attempt_(std::move(copy.attempt))
+      previous_attempt_(std::move(copy.attempt)), accepted_(true)
 {
     reported_tokens_ = state_.tokens().size();
 }
--- a/lib/source/streaming/generation_task_copy.cpp
+++ b/lib/source/streaming/generation_task_copy.cpp
@@ -130,6 +130,12 @@
     host_.send_batch(buddy_, std::move(batch));
 }
 
+bool generation_task::survives_loss() const
+{
+    return (!buddy_.empty() && buddy_confirmed_) || without_buddy_ ||
+           !host_.settings().release_after_copy;
+}
+
 bool generation_task::awaits_ack() const
 {
     return !buddy_confirmed_ || state_.acknowledged() < sent_ ||
@@ -182,6 +188,10 @@
     const auto keep_alive = shared_from_this();
     generation_counters& totals = host_.counters();
     const auto sink = sink_;
+    if (sink && !accepted_ && survives_loss()) {
+        accepted_ = true;
+        sink->accepted();
+    }
     while (sink && sink == sink_ && state_.has_releasable() && sink->ready()) {
         if (std::exchange(sink_epoch_, state_.epoch()) != state_.epoch()) {
             sink->set_epoch(state_.epoch());
--- a/tests/e2e/gate_loss_test.cpp
+++ b/tests/e2e/gate_loss_test.cpp
@@ -107,6 +107,36 @@
     answer.check(fakes::token_mode::sampled);
 }
 
+// Guards against an id that the caller was given before another gate held the
+// generation: after the loss of the VM every gate would refuse it.
+TEST_CASE("gate_vm_lost_before_the_first_copy_caller_was_given_no_id")
+{
+    auto options = sampled_engines();
+    options.proxy_gate_zero = true;
+    deployment system(options);
+    REQUIRE(system.start());
+    for (auto& each : system.gate_proxies) {
+        each->blackhole(fault_proxy::direction::both);
+    }
+    const std::string prompt = "manifest tokens=400 lost before the copy";
+    auto stream = system.generate(0, prompt);
+    // Shorter than the time-outs after which the owner chooses another copy
+    // holder.
+    system.run_for(250ms);
+    const auto metrics = system.fetch({.url = system.gate_url(0) + "/metrics"});
+    CHECK(metrics.body.find("bamboogate_generations_started_total 1\n") !=
+          std::string::npos);
+    system.gates[0].kill();
+    REQUIRE(run_until(system.loop, [&] { return stream->ended; }));
+    CHECK(stream->resume_token.empty());
+    received_answer answer(prompt);
+    auto repeated = system.generate(1, prompt);
+    REQUIRE(run_until(
+        system.loop, [&] { return repeated->ended; }, 20s));
+    answer.add(*repeated);
+    answer.check(fakes::token_mode::sampled);
+}
+
 // Guards I1 and I2: open connections drop all bytes without being closed, while
 // new ones work. The links must be replaced, no token may be lost, and the gate
 // must be ready again.
--- a/tests/streaming/gate_loss_test.cpp
+++ b/tests/streaming/gate_loss_test.cpp
@@ -279,6 +279,36 @@
     CHECK(caller.is_complete(token_mode::sampled));
 }
 
+// Guards against a caller that has the id of a generation that only the lost
+// gate held.
+TEST_CASE_FIXTURE(gate_loss_fixture,
+                  "owner_lost_right_after_the_start_accepted_answer_continues")
+{
+    settings.streaming.attach_timeout = 500ms;
+    constexpr unsigned max_iterations = 20;
+    unsigned accepted = 0;
+    for (unsigned iterations = 0; iterations < max_iterations; ++iterations) {
+        CAPTURE(iterations);
+        test_caller local;
+        build();
+        REQUIRE(cluster->start(local, 0, "early loss tokens=50"));
+        for (unsigned i = 0; i < iterations; ++i) {
+            cluster->run_once();
+        }
+        cluster->kill_gate(0);
+        if (!local.accepted) {
+            CHECK(local.tokens.empty());
+            continue;
+        }
+        ++accepted;
+        cluster->attach(local, 3 - cluster->buddy_of(local.id));
+        REQUIRE(
+            cluster->run_until([&] { return local.finish || local.failure; }));
+        CHECK(local.is_complete(token_mode::sampled));
+    }
+    CHECK(accepted > 0);
+}
+
 // Guards against a caller that waits forever when both copies are lost.
 TEST_CASE_FIXTURE(gate_loss_fixture, "owner_and_buddy_lost_fails_as_not_found")
 {
--- a/tests/support/streaming_cluster.hpp
+++ b/tests/support/streaming_cluster.hpp
@@ -97,6 +97,12 @@
         connection(test_caller& owner, unsigned number)
             : owner_(&owner), number_(number)
         {}
+        void accepted() override
+        {
+            if (current()) {
+                owner_->accepted = true;
+            }
+        }
         void set_epoch(std::uint64_t new_epoch) override
         {
             if (current()) {
@@ -226,6 +232,7 @@
     time_point last_token = monotonic_clock::now();
     std::uint64_t epoch = 0;
     bool contiguous = true;
+    bool accepted = false; ///< the caller may know the id
     std::optional<streaming::finish_info> finish;
     std::optional<error> failure;
     std::shared_ptr<connection> sink;
