Count crashes under one request that are 100 ms apart

Cause: the separation of 500 ms is that of prompt parts, which all requests share. A call comes again at once at another gate.

Change: 100 ms for whole requests.

--- a/lib/include/bamboogate/relay/prompt_quarantine.hpp
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -49,6 +49,10 @@
         /// Crashes of different engines in shorter succession count as one: the
         /// engines of a failure domain that fails crash together.
         duration crash_separation = std::chrono::milliseconds(500);
+        /// The same for whole requests. Shorter, because a request that is sent
+        /// again by its callers crashes one process after the other, and seldom
+        /// runs at several when their domain fails.
+        duration request_crash_separation = std::chrono::milliseconds(100);
         /// The first quarantine; doubled with each repetition. Then the parts
         /// are suspected, and the next crash repeats the quarantine.
         duration first_quarantine = std::chrono::minutes(10);
--- a/lib/source/relay/prompt_quarantine.cpp
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -84,10 +84,13 @@
     unsigned most = 0;
     for (const auto& part : parts) {
         suspicion& entry = suspicion_of(part);
-        const bool separate = entry.crashes == 0 ||
-                              (engine != entry.last_engine &&
-                               (repeated || now - entry.last_crash >=
-                                                settings_.crash_separation));
+        const duration separation = is_request_fingerprint(part)
+                                        ? settings_.request_crash_separation
+                                        : settings_.crash_separation;
+        const bool separate =
+            entry.crashes == 0 ||
+            (engine != entry.last_engine &&
+             (repeated || now - entry.last_crash >= separation));
         if (separate) {
             ++entry.crashes;
             entry.last_crash = now;
--- a/tests/relay/prompt_quarantine_test.cpp
+++ b/tests/relay/prompt_quarantine_test.cpp
@@ -128,6 +128,16 @@
     CHECK(quarantine.crashes_of("request:1") == 1);
 }
 
+// Guards against a request that callers send to one process after the other so
+// fast that its crashes count as one failure of their domain.
+TEST_CASE_FIXTURE(prompt_quarantine_fixture,
+                  "crashes_under_a_request_count_after_a_short_separation")
+{
+    CHECK_FALSE(crash({"request:1"}, 150ms));
+    CHECK_FALSE(crash({"request:1"}, 150ms));
+    CHECK(crash({"request:1"}, 150ms));
+}
+
 // Guards against a quarantine of a request that is answered elsewhere between
 // the crashes of its upstreams.
 TEST_CASE_FIXTURE(prompt_quarantine_fixture,
