--- a/lib/include/bamboogate/relay/gate_quarantine.hpp
+++ b/lib/include/bamboogate/relay/gate_quarantine.hpp
@@ -60,7 +60,7 @@
 
     /// @brief The engine doesn't accept connections any more.
     void confirm(const upstream_id& engine, time_point now);
-    /// @brief The engine still accepts connections.
+    /// @brief The engine still accepts connections, or gave no reaction.
     void dismiss(const upstream_id& engine);
 
     /// @brief Records the first event of a stream, which clears its parts.
--- a/lib/include/bamboogate/relay/prompt_quarantine.hpp
+++ b/lib/include/bamboogate/relay/prompt_quarantine.hpp
@@ -15,13 +15,14 @@
 
 namespace bamboogate::relay {
 
-/// Requests that contain all of these prompt parts crash engines and are
-/// refused for some time.
+/// Requests that contain all of these prompt parts, or have this fingerprint,
+/// crash upstreams and are refused for some time.
 struct quarantined_parts
 {
-    std::vector<std::string> parts; ///< sorted, without duplicates
-    unsigned crashes = 0;           ///< since the last start of these parts
-    unsigned repetitions = 0;       ///< earlier quarantines of these parts
+    /// Sorted, without duplicates; a fingerprint stands alone.
+    std::vector<std::string> parts;
+    unsigned crashes = 0;     ///< since the last start of these parts
+    unsigned repetitions = 0; ///< earlier quarantines of these parts
     duration remaining{};
 };
 
@@ -33,11 +34,9 @@
 ///   without a start in between are quarantined; parts with the same evidence
 ///   are quarantined together, so that a sound part is not refused for the
 ///   company that it had.
-/// - A request as a whole, by its fingerprint (`request_fingerprint`). An
-/// answer
-///   clears it.
-/// A fingerprint is passed where a list of parts is expected, as its only
-/// entry. Bounded memory. Performs no I/O. Not thread safe.
+/// - A request as a whole, by its `request_fingerprint`. An answer clears it.
+///   It is passed as the only entry of a list of parts.
+/// Bounded memory. Performs no I/O. Not thread safe.
 class prompt_quarantine
 {
 public:
@@ -92,11 +91,15 @@
 
     /// @brief Takes over the evidence of another process against a part or a
     ///     fingerprint.
-    /// @param crashes 0 clears it
-    /// @return false if this changes nothing
+    /// @return false if as many crashes are known
     bool add_suspicion(const std::string& part, unsigned crashes,
                        time_point now);
 
+    /// @brief Drops the evidence against a part or a fingerprint, because a
+    ///     request with it has begun or was answered.
+    /// @return false if there was none
+    bool clear_suspicion(const std::string& part);
+
     /// @return the crashes that are counted against a part or a fingerprint
     [[nodiscard]] unsigned crashes_of(const std::string& part) const;
 
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -76,8 +76,8 @@
 private:
     void on_request(net::http1_request request,
                     const net::http1_responder_ptr& responder);
-    /// @pre a configuration is loaded
     void on_discarded_input(const net::discarded_input& input);
+    /// @pre a configuration is loaded
     void dispatch(pending_request arrived);
     void reject(const net::http1_responder_ptr& responder,
                 const request_description& description, unsigned status,
--- a/lib/source/relay/gate_quarantine.cpp
+++ b/lib/source/relay/gate_quarantine.cpp
@@ -144,7 +144,7 @@
 {
     const auto found = services_.find(service);
     const bool suspected =
-        found != services_.end() && found->second.add_suspicion(request, 0, {});
+        found != services_.end() && found->second.clear_suspicion(request);
     if (suspected || reported) {
         callbacks_.report_answered({.service = service, .request = request});
     }
@@ -152,7 +152,11 @@
 
 void gate_quarantine::add(const suspicion_update& update, time_point now)
 {
-    of(update.service).add_suspicion(update.request, update.crashes, now);
+    if (update.crashes == 0) {
+        of(update.service).clear_suspicion(update.request);
+    } else {
+        of(update.service).add_suspicion(update.request, update.crashes, now);
+    }
 }
 
 bool gate_quarantine::needs_fingerprints(const service_id& service) const
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -203,8 +203,11 @@
 
 bool placement_server::add_suspicion(const suspicion_update& update)
 {
-    return quarantines_[update.service].add_suspicion(
-        update.request, update.crashes, loop_.now());
+    prompt_quarantine& quarantine = quarantines_[update.service];
+    return update.crashes == 0
+               ? quarantine.clear_suspicion(update.request)
+               : quarantine.add_suspicion(update.request, update.crashes,
+                                          loop_.now());
 }
 
 void placement_server::on_suspect_answered(const suspect_answered& answered)
@@ -214,7 +217,7 @@
     }
     prompt_quarantine& quarantine = quarantines_[answered.service];
     const unsigned crashes = quarantine.crashes_of(answered.request);
-    quarantine.add_suspicion(answered.request, 0, loop_.now());
+    quarantine.clear_suspicion(answered.request);
     if (crashes >= announced_crashes) {
         announce_suspicion(
             {.service = answered.service, .request = answered.request});
--- a/lib/source/relay/prompt_quarantine.cpp
+++ b/lib/source/relay/prompt_quarantine.cpp
@@ -128,11 +128,6 @@
 bool prompt_quarantine::add_suspicion(const std::string& part, unsigned crashes,
                                       time_point now)
 {
-    if (crashes == 0) {
-        const bool known = suspicions_.contains(part);
-        note_started(std::span(&part, 1));
-        return known;
-    }
     suspicion& entry = suspicion_of(part);
     entry.last_break = now;
     if (entry.crashes >= crashes) {
@@ -142,6 +137,13 @@
     return true;
 }
 
+bool prompt_quarantine::clear_suspicion(const std::string& part)
+{
+    const bool known = suspicions_.contains(part);
+    note_started(std::span(&part, 1));
+    return known;
+}
+
 std::map<std::string, unsigned> prompt_quarantine::suspected_requests() const
 {
     std::map<std::string, unsigned> out;
--- a/tests/relay/prompt_quarantine_test.cpp
+++ b/tests/relay/prompt_quarantine_test.cpp
@@ -146,9 +146,9 @@
     for (int i = 0; i < 10; ++i) {
         CHECK_FALSE(crash({"request:1"}));
         CHECK_FALSE(crash({"request:1"}));
-        CHECK(quarantine.add_suspicion("request:1", 0, now));
+        CHECK(quarantine.clear_suspicion("request:1"));
     }
-    CHECK_FALSE(quarantine.add_suspicion("request:1", 0, now));
+    CHECK_FALSE(quarantine.clear_suspicion("request:1"));
 }
 
 // Guards against engines lost because a new leader starts to count anew.
