--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -128,7 +128,7 @@
                   "announcement_that_is_no_text_names_no_upstream")
 {
     start_system();
-    check_rejected("\xff\xfe\x00\x01");
+    check_rejected(std::string{'\xff', '\xfe', '\0', '\1'});
     check_rejected("{\"service\":\"\xff\"}");
     check_rejected(body("service", "\"b\xc3\""));
     check_rejected(body("state", "\"\xed\xa0\x80\""));
