Describe what make_crash_report returns

Cause: the last read of the change found a comment that said the function reports a crash; it only builds the report, and gate_quarantine sends it. Change: the doc comment alone.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -141,8 +141,8 @@
     void respond_failure(unsigned status, std::string_view cause);
     /// @return the rest of a quarantine of this request
     [[nodiscard]] std::optional<duration> quarantine_left();
-    /// @brief Reports that the upstream of a request without an event or
-    ///     response may have crashed.
+    /// @return the report that the upstream of this request, which has no event
+    ///     or response, may have crashed
     [[nodiscard]] crash_report
     make_crash_report(const upstream_id& upstream,
                       std::uint64_t upstream_started_at);
