--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -296,6 +296,14 @@
 
     Returns (status, events, complete): events are (id, data)."""
     reader, writer = await asyncio.open_connection(*gate)
+    try:
+        return await stream_on(reader, writer, host, path, key, run_id, prompt, tokens, note)
+    finally:
+        writer.close()
+
+
+async def stream_on(reader, writer, host, path, key, run_id, prompt, tokens, note):
+    """The same on an open connection, which it leaves open."""
     body = prompt.encode()
     writer.write(("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n"
                   "X-Model: m\r\nX-Token-Count: %s\r\nX-Prefix-Hash: %s:%s\r\n"
@@ -312,8 +320,13 @@
             return status, events, complete
         buffer = b""
         while True:
-            size = int((await asyncio.wait_for(reader.readline(), 26)).strip() or b"0", 16)
+            line = await asyncio.wait_for(reader.readline(), 26)
+            if not line.endswith(b"\r\n"):
+                break  # the connection ended without the last chunk
+            size = int(line, 16)
             if size == 0:
+                if await reader.readline() != b"\r\n":
+                    break
                 complete = True
                 break
             buffer += (await reader.readexactly(size + 2))[:-2]
@@ -323,8 +336,6 @@
                 events.append((int(fields[b"id"]), fields[b"data"].decode()))
     except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
         pass
-    finally:
-        writer.close()
     note("client %s gets status %d, %d events, %s"
          % (run_id, status, len(events), "complete" if complete else "broken off"))
     return status, events, complete
