Sync the folder of the log between removals and before it is read

A power loss keeps or undoes each rename and removal without a folder sync independently.

- remove_segments removed several segments without a sync between them.
If the first removal was undone and the second kept, the replica found a gap and never started again.

Change: a sync of the folder after each removed segment, and one before the folder is read.

--- a/lib/source/consensus/log_store.cpp
+++ b/lib/source/consensus/log_store.cpp
@@ -133,9 +133,12 @@
 result<void> log_store::remove_segments(bool all)
 {
     // Segments are removed oldest first, so that replay never encounters a gap.
+    // Without a sync after each removal, a power loss could undo an earlier one
+    // only.
     while (segments_.size() > 1 &&
            (all || segments_.front().max_index <= snapshot_.index)) {
         BOOST_OUTCOME_TRYV(settings_.files->remove(path_of(segments_.front())));
+        BOOST_OUTCOME_TRYV(settings_.files->sync_folder(settings_.folder));
         segments_.erase(segments_.begin());
     }
     return outcome::success();
--- a/lib/source/consensus/log_store_open.cpp
+++ b/lib/source/consensus/log_store_open.cpp
@@ -52,6 +52,9 @@
     BOOST_OUTCOME_TRYV(files.create_folder(folder));
     BOOST_OUTCOME_TRY(lock, files.lock(folder / "lock"));
     store->lock_ = std::move(lock);
+    // The previous process may have ended between a rename and the sync that
+    // makes it durable; what the new name replaces is removed below.
+    BOOST_OUTCOME_TRYV(files.sync_folder(folder));
     BOOST_OUTCOME_TRY(names, files.list(folder));
     for (const auto& name : names) {
         if (name.ends_with(temporary_suffix)) {
--- a/tests/consensus/log_store_test.cpp
+++ b/tests/consensus/log_store_test.cpp
@@ -257,6 +257,60 @@
     }
 }
 
+// Guards against a folder that cannot be opened after a power loss that kept
+// some of the removals of old segments and lost others.
+TEST_CASE_FIXTURE(store_fixture, "log_store_power_loss_after_removals_opens")
+{
+    constexpr std::uint64_t entries = 12;
+    const auto save = [&] {
+        fs::remove_all(folder.path() / "data");
+        auto store = open(100);
+        REQUIRE(store);
+        for (std::uint64_t i = 1; i <= entries; ++i) {
+            store.value()->write(make_entry(1, i));
+            REQUIRE(store.value()->sync());
+        }
+        REQUIRE(
+            store.value()->save_snapshot({{{1, entries}, {}}, "state"}, false));
+    };
+    save();
+    const std::size_t changes = files->unsynced_changes();
+    for (std::uint64_t lost = 0; lost < (1U << changes); ++lost) {
+        CAPTURE(lost);
+        save();
+        files->lose_changes(lost);
+        auto store = open(100);
+        REQUIRE(store);
+        CHECK(store.value()->take_contents().snapshot.last.index == entries);
+    }
+}
+
+// Guards against the loss of both snapshots in a power loss: the older one was
+// removed at opening while the name of the newer one was not on the disk yet.
+TEST_CASE_FIXTURE(store_fixture, "log_store_unsynced_snapshot_name_keeps_older")
+{
+    {
+        auto store = open();
+        REQUIRE(store);
+        for (std::uint64_t i = 1; i <= 4; ++i) {
+            store.value()->write(make_entry(1, i));
+            REQUIRE(store.value()->sync());
+        }
+        REQUIRE(store.value()->save_snapshot({{{1, 2}, {}}, "older"}, false));
+        files->folder_syncs_until_failure = 0;
+        CHECK_FALSE(
+            store.value()->save_snapshot({{{1, 4}, {}}, "newer"}, false));
+        files->folder_syncs_until_failure =
+            std::numeric_limits<std::uint64_t>::max();
+    }
+    REQUIRE(open());
+    // The rename of the newer snapshot comes before what the opening removed.
+    files->lose_changes(1);
+    auto store = open();
+    REQUIRE(store);
+    CHECK(store.value()->take_contents().snapshot.last.index == 4);
+}
+
 // Guards against a log that grows without bound, and against a hard state or
 // entries that are lost with the removed segments.
 TEST_CASE_FIXTURE(store_fixture, "log_store_snapshot_replaces_older_log")
--- a/tests/consensus/support/faulty_files.hpp
+++ b/tests/consensus/support/faulty_files.hpp
@@ -3,8 +3,12 @@
 
 #include <bamboogate/consensus/file_system.hpp>
 
+#include <filesystem>
+#include <fstream>
 #include <limits>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace bamboogate::consensus {
 
@@ -20,6 +24,9 @@
     std::uint64_t syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
     std::uint64_t syncs = 0;
+    /// Number of successful syncs of a folder before one fails.
+    std::uint64_t folder_syncs_until_failure =
+        std::numeric_limits<std::uint64_t>::max();
 
     result<std::unique_ptr<append_file>> open(const std::filesystem::path& path,
                                               std::uint64_t size) override
@@ -47,10 +54,14 @@
     result<void> rename(const std::filesystem::path& from,
                         const std::filesystem::path& to) override
     {
+        unsynced_.push_back({.path = from, .renamed_to = to, .bytes = {}});
         return inner_->rename(from, to);
     }
     result<void> remove(const std::filesystem::path& path) override
     {
+        BOOST_OUTCOME_TRY(bytes, inner_->read(path));
+        unsynced_.push_back(
+            {.path = path, .renamed_to = {}, .bytes = std::move(bytes)});
         return inner_->remove(path);
     }
     result<void> create_folder(const std::filesystem::path& folder) override
@@ -59,8 +70,35 @@
     }
     result<void> sync_folder(const std::filesystem::path& folder) override
     {
+        if (folder_syncs_until_failure-- == 0) {
+            return fail(errc::storage_failed, "injected");
+        }
+        unsynced_.clear();
         return inner_->sync_folder(folder);
     }
+
+    /// @brief Number of renames and removals since the last sync of a folder.
+    [[nodiscard]] std::size_t unsynced_changes() const
+    {
+        return unsynced_.size();
+    }
+    /// @brief Undoes those of them whose bit is set in `lost`, the oldest being
+    ///     bit 0, as a power loss does.
+    void lose_changes(std::uint64_t lost)
+    {
+        for (std::size_t i = unsynced_.size(); i-- > 0;) {
+            const auto& change = unsynced_[i];
+            if ((lost >> i & 1) == 0) {
+                continue;
+            }
+            if (change.renamed_to.empty()) {
+                std::ofstream(change.path, std::ios::binary) << change.bytes;
+            } else if (std::filesystem::exists(change.renamed_to)) {
+                std::filesystem::rename(change.renamed_to, change.path);
+            }
+        }
+        unsynced_.clear();
+    }
     result<std::unique_ptr<folder_lock>>
     lock(const std::filesystem::path& path) override
     {
@@ -68,6 +106,14 @@
     }
 
 private:
+    /// A rename, or a removal with the removed content.
+    struct unsynced_change
+    {
+        std::filesystem::path path;
+        std::filesystem::path renamed_to;
+        std::string bytes;
+    };
+
     class file : public append_file
     {
     public:
@@ -99,6 +145,7 @@
     };
 
     std::shared_ptr<file_system> inner_ = system_files();
+    std::vector<unsynced_change> unsynced_;
 };
 
 } // namespace bamboogate::consensus
