--- a/lib/include/bamboogate/consensus/log_events.hpp
+++ b/lib/include/bamboogate/consensus/log_events.hpp
@@ -44,6 +44,10 @@
 inline constexpr log_event replica_recovered{
     210, severity::info, "replica_recovered",
     "The folder of a failed replica was opened again; it takes part again."};
+inline constexpr log_event snapshot_refused{
+    211, severity::warning, "snapshot_refused",
+    "A snapshot could not be written; the log is kept and the next snapshot is "
+    "attempted later."};
 
 } // namespace bamboogate::consensus::log_events
 
--- a/lib/include/bamboogate/consensus/log_store.hpp
+++ b/lib/include/bamboogate/consensus/log_store.hpp
@@ -23,7 +23,9 @@
 ///     snapshot-<index>-<term>  the newest snapshot
 ///
 /// Writes are buffered until `sync`, which makes them durable as one batch. The
-/// first failure is permanent: all later calls return it. Not thread safe.
+/// first failure is permanent: all later calls return it. A snapshot of this
+/// replica's own state that could not be written is no such failure, because
+/// the log still has everything. Not thread safe.
 class log_store
 {
 public:
@@ -78,6 +80,12 @@
     void write(const hard_state& value);
     void write(const entry& value);
 
+    /// @brief The failure that ended this store.
+    [[nodiscard]] const std::optional<error>& failure() const noexcept
+    {
+        return failure_;
+    }
+
     [[nodiscard]] bool dirty() const noexcept { return !buffer_.empty(); }
 
     /// @brief Makes all buffered records durable.
@@ -89,6 +97,8 @@
     ///     the segments that it covers.
     /// @param replaces_log true for a snapshot installed from the leader: all
     ///     log entries are discarded
+    /// @return `storage_full` or `storage_failed`; the store stays usable if
+    ///     `failure` is empty then
     /// @pre not dirty
     result<void> save_snapshot(const snapshot& value, bool replaces_log);
 
@@ -121,12 +131,18 @@
     [[nodiscard]] bool synced_record_follows(std::string_view bytes) const;
     result<void> write_atomically(const std::string& name,
                                   std::string_view bytes);
+    /// Writes and syncs the temporary file that `publish` gives its name.
+    result<void> write_temporary(const std::string& name,
+                                 std::string_view bytes);
+    result<void> publish(const std::string& name);
     result<void> start_segment(std::optional<log_position> reset);
     void write_reset(const log_position& last);
     result<void> remove_segments(bool all);
     void add_record(std::uint8_t kind, std::string_view payload);
     result<void> record_failure(result<void> outcome);
     [[nodiscard]] std::filesystem::path path_of(const std::string& name) const;
+    [[nodiscard]] std::filesystem::path
+    temporary_path(const std::string& name) const;
     [[nodiscard]] std::filesystem::path path_of(const segment& target) const;
 
     options settings_;
--- a/lib/source/consensus/log_store.cpp
+++ b/lib/source/consensus/log_store.cpp
@@ -28,6 +28,11 @@
     return settings_.folder / name;
 }
 
+std::filesystem::path log_store::temporary_path(const std::string& name) const
+{
+    return path_of(name + ".tmp");
+}
+
 std::filesystem::path log_store::path_of(const segment& target) const
 {
     return path_of(fmt::format("log-{:016}.wal", target.sequence));
@@ -121,12 +126,22 @@
 result<void> log_store::write_atomically(const std::string& name,
                                          std::string_view bytes)
 {
-    const auto temporary = path_of(name + ".tmp");
-    BOOST_OUTCOME_TRY(file, settings_.files->open(temporary, 0));
+    BOOST_OUTCOME_TRYV(write_temporary(name, bytes));
+    return publish(name);
+}
+
+result<void> log_store::write_temporary(const std::string& name,
+                                        std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(file, settings_.files->open(temporary_path(name), 0));
     BOOST_OUTCOME_TRYV(file->append(bytes));
-    BOOST_OUTCOME_TRYV(file->sync());
-    file.reset();
-    BOOST_OUTCOME_TRYV(settings_.files->rename(temporary, path_of(name)));
+    return file->sync();
+}
+
+result<void> log_store::publish(const std::string& name)
+{
+    BOOST_OUTCOME_TRYV(
+        settings_.files->rename(temporary_path(name), path_of(name)));
     return settings_.files->sync_folder(settings_.folder);
 }
 
@@ -163,7 +178,15 @@
 
     const std::string name = fmt::format(
         "snapshot-{:020}-{:020}", value.info.last.index, value.info.last.term);
-    BOOST_OUTCOME_TRYV(record_failure(write_atomically(name, bytes)));
+    if (auto written = write_temporary(name, bytes); !written) {
+        if (replaces_log) {
+            return record_failure(written);
+        }
+        // Frees the space for the log; a file that stays is removed at opening.
+        static_cast<void>(settings_.files->remove(temporary_path(name)));
+        return written;
+    }
+    BOOST_OUTCOME_TRYV(record_failure(publish(name)));
     const std::string replaced = std::exchange(snapshot_name_, name);
     snapshot_ = value.info.last;
     snapshot_offset_ = snapshot_header_bytes + info.size();
--- a/lib/source/consensus/replica_steps.cpp
+++ b/lib/source/consensus/replica_steps.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t snapshot_chunk_bytes = 256u << 10;
+/// Delay of the next snapshot after one that the disk refused.
+constexpr duration refused_snapshot_delay = std::chrono::seconds(2);
 
 } // namespace
 
@@ -193,11 +195,21 @@
 result<void> replica_core::store_snapshot_if_due()
 {
     if (applied_.index - snapshot_.index <
-        settings_.snapshot_interval_entries) {
+            settings_.snapshot_interval_entries ||
+        loop_.now() < next_snapshot_) {
         return outcome::success();
     }
     const snapshot taken{core_->describe_snapshot(applied_), state_.snapshot()};
-    BOOST_OUTCOME_TRYV(store_->save_snapshot(taken, false));
+    if (auto saved = store_->save_snapshot(taken, false); !saved) {
+        if (store_->failure()) {
+            return saved;
+        }
+        next_snapshot_ = loop_.now() + refused_snapshot_delay;
+        observability::log(log_events::snapshot_refused,
+                           {{"kind", name_of(saved.error().code)},
+                            {"detail", saved.error().detail}});
+        return outcome::success();
+    }
     snapshot_ = applied_;
     core_->compact(taken.info);
     observability::log(
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -469,6 +469,37 @@
     CHECK(commit_within("after", 3s));
 }
 
+// Guards against replicas that leave the group again and again while their
+// disks have space for the log, but not for a snapshot.
+TEST_CASE_FIXTURE(disk_fixture, "replica_refused_snapshot_keeps_its_log")
+{
+    for (auto& each : disks) {
+        each->refused_name = "snapshot-";
+    }
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(commit_within(fmt::format("c{}", i), 3s));
+    }
+    CHECK(run_until([this] { return converged(); }, 4s));
+    CHECK(failures == std::vector<int>{0, 0, 0});
+    const auto stored = [this](std::size_t index) {
+        const auto names = system_files()->list(data(processes[index]->id));
+        return std::any_of(
+            names.value().begin(), names.value().end(),
+            [](const auto& name) { return name.starts_with("snapshot-"); });
+    };
+    CHECK_FALSE(stored(0));
+    for (auto& each : disks) {
+        each->refused_name.clear();
+    }
+    // A snapshot is attempted again, at the next change after the delay.
+    const time_point end = loop.now() + 4s;
+    while (!(stored(0) && stored(1) && stored(2)) && loop.now() < end) {
+        REQUIRE(commit_within("more", 3s));
+        run_until([] { return false; }, 200ms);
+    }
+    CHECK((stored(0) && stored(1) && stored(2)));
+}
+
 // Guards against a replica that goes on although its folder lacks entries that
 // it has applied: it would vote with a log that is too short.
 TEST_CASE_FIXTURE(disk_fixture,
--- a/tests/consensus/support/faulty_files.hpp
+++ b/tests/consensus/support/faulty_files.hpp
@@ -24,6 +24,8 @@
     std::uint64_t syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
     std::uint64_t syncs = 0;
+    /// Files whose names contain this text, if any, take no bytes.
+    std::string refused_name;
     /// Number of successful syncs of a folder before one fails.
     std::uint64_t folder_syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
@@ -32,8 +34,8 @@
                                               std::uint64_t size) override
     {
         BOOST_OUTCOME_TRY(inner, inner_->open(path, size));
-        std::unique_ptr<append_file> out =
-            std::make_unique<file>(*this, std::move(inner));
+        std::unique_ptr<append_file> out = std::make_unique<file>(
+            *this, std::move(inner), path.filename().string());
         return out;
     }
     result<std::string> read(const std::filesystem::path& path) override
@@ -117,11 +119,18 @@
     class file : public append_file
     {
     public:
-        file(faulty_files& owner, std::unique_ptr<append_file> inner)
-            : owner_(owner), inner_(std::move(inner))
+        file(faulty_files& owner, std::unique_ptr<append_file> inner,
+             std::string name)
+            : owner_(owner), inner_(std::move(inner)), name_(std::move(name))
         {}
         result<void> append(std::string_view bytes) override
         {
+            const bool refused =
+                !owner_.refused_name.empty() &&
+                name_.find(owner_.refused_name) != std::string::npos;
+            if (refused) {
+                return fail(errc::storage_full, "injected");
+            }
             if (bytes.size() > owner_.capacity) {
                 (void)inner_->append(bytes.substr(0, owner_.capacity));
                 owner_.capacity = 0;
@@ -142,6 +151,7 @@
     private:
         faulty_files& owner_;
         std::unique_ptr<append_file> inner_;
+        std::string name_;
     };
 
     std::shared_ptr<file_system> inner_ = system_files();
