Soak: let the disks of replicas refuse and cut writes

Change: every 1.5 s the disk of one replica refuses all writes, or cuts its next one, for 0.3 to 4.5 s, by a limit on the file size of its process. A replica so hit counts as one of the two that may be away. After the recovery time a change must be acknowledged.

A disk that stalls is a pause of the one thread, which the soak has.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -45,8 +45,8 @@
 
 soak::soak(options settings)
     : settings_(std::move(settings)), random_(settings_.seed),
-      statement_random_(settings_.seed + 4), load_random_(settings_.seed + 1),
-      client_(loop_, {})
+      statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
+      load_random_(settings_.seed + 1), client_(loop_, {})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -167,8 +167,9 @@
 std::size_t soak::replicas_down() const
 {
     return static_cast<std::size_t>(
-        std::count_if(replicas_.begin(), replicas_.end(),
-                      [](const auto& each) { return !each->up(); }));
+        std::count_if(replicas_.begin(), replicas_.end(), [](const auto& each) {
+            return !each->up() || each->refuses_writes();
+        }));
 }
 
 void soak::poll_readiness()
@@ -264,6 +265,11 @@
         next_statement_ = now + statement_interval;
         inject_statement();
     }
+    if (injects_faults_ && now >= next_disk_refusal_) {
+        constexpr duration refusal_interval = 1500ms;
+        next_disk_refusal_ = now + refusal_interval;
+        inject_disk_refusal();
+    }
     callers_->step();
     operators_->step();
 }
@@ -317,7 +323,11 @@
     end_faults();
     run_for(recovery_time);
     must_succeed_ = true;
+    const unsigned acknowledged_before = operators_->acknowledged();
     run_for(verification_time);
+    if (operators_->acknowledged() == acknowledged_before) {
+        violations_.add("recovery", "no change is acknowledged");
+    }
     sends_requests_ = must_succeed_ = sends_changes_ = false;
     // Covers the longest stream and the callers' retries.
     constexpr duration settle_limit = 26s;
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -75,6 +75,8 @@
     void fault_engine();
     void fault_connections();
     void kill_all();
+    /// Lets the disk of one replica refuse all writes, or cuts its next one.
+    void inject_disk_refusal();
     /// Lets a back end state that it leaves, or ask for a pause.
     void inject_statement();
     void end_faults();
@@ -94,6 +96,7 @@
     std::mt19937 random_;
     /// Apart from `random_`, so that the other faults of a seed stay the same.
     std::mt19937 statement_random_;
+    std::mt19937 disk_random_;
     std::mt19937 load_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
@@ -108,6 +111,7 @@
     time_point next_read_;
     time_point next_fault_;
     time_point next_statement_;
+    time_point next_disk_refusal_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -222,6 +222,29 @@
     });
 }
 
+void soak::inject_disk_refusal()
+{
+    machine& victim = *replicas_[disk_random_() % replicas_.size()];
+    const bool cuts_a_write = disk_random_() % 2 == 0;
+    const auto time =
+        std::chrono::milliseconds(300 + disk_random_() % 4200); // at most 4.5 s
+    constexpr std::uint64_t bytes_of_cut_write = 20;
+    if (!victim.up() || victim.refuses_writes() ||
+        replicas_down() >= tolerated_losses) {
+        return;
+    }
+    violations_.print(cuts_a_write ? "cut write" : "refuse writes",
+                      victim.name());
+    victim.refuse_writes(
+        cuts_a_write ? victim.newest_file_bytes() + bytes_of_cut_write : 0);
+    schedule(time, [this, &victim] {
+        if (victim.refuses_writes()) {
+            violations_.print("accept writes", victim.name());
+            victim.accept_writes();
+        }
+    });
+}
+
 void soak::inject_statement()
 {
     backend& victim = *backends_[statement_random_() % backends_.size()];
@@ -281,6 +304,9 @@
         if (each.paused()) {
             each.resume();
         }
+        if (each.refuses_writes()) {
+            each.accept_writes();
+        }
         if (!each.started()) {
             each.start(false);
         }
