--- a/lib/include/bamboogate/consensus/raft.hpp
+++ b/lib/include/bamboogate/consensus/raft.hpp
@@ -79,6 +79,7 @@
         /// Entries kept in memory although a snapshot covers them, so that
         /// slightly lagging followers catch up without it.
         std::uint64_t retained_entries = 256;
+        std::size_t retained_bytes = 16u << 20; ///< of these entries' data
         /// Source of random numbers, used to randomize election timeouts.
         std::function<std::uint64_t()> random;
     };
@@ -132,7 +133,8 @@
     void persisted(const log_position& position);
 
     /// @brief Reports a durable snapshot; entries that it covers are discarded,
-    ///     except the last `retained_entries`.
+    ///     except the last ones within `retained_entries` and
+    ///     `retained_bytes`.
     void compact(const snapshot_info& info);
 
     /// @brief Identity of a snapshot of the state at an applied position.
--- a/lib/include/bamboogate/consensus/raft_log.hpp
+++ b/lib/include/bamboogate/consensus/raft_log.hpp
@@ -46,10 +46,17 @@
     /// @brief Removes the entry at the index and all later ones.
     void truncate_from(std::uint64_t index);
 
+    /// Covered entries that are kept, so that slightly lagging followers catch
+    /// up without a snapshot.
+    struct retention
+    {
+        std::uint64_t entries = 0;
+        std::size_t bytes = 0; ///< of their data
+    };
+
     /// @brief Records a snapshot and removes the entries that it covers, except
-    ///     the last `retained`, which let slightly lagging followers catch up
-    ///     without a snapshot.
-    void compact(const snapshot_info& info, std::uint64_t retained);
+    ///     the last ones within both limits of `kept`.
+    void compact(const snapshot_info& info, const retention& kept);
 
     /// @brief Clears the log, which then continues after a snapshot.
     void reset(const snapshot_info& info);
--- a/lib/include/bamboogate/consensus/replica.hpp
+++ b/lib/include/bamboogate/consensus/replica.hpp
@@ -58,6 +58,9 @@
         duration heartbeat_interval = std::chrono::milliseconds(60);
         /// Applied entries between two snapshots; must be positive.
         std::uint64_t snapshot_interval_entries = 10000;
+        /// Bytes of applied entries after which a snapshot is taken earlier.
+        /// Bounds the log on a small disk when the entries are large.
+        std::size_t snapshot_interval_bytes = 16u << 20;
         /// If true, one disk sync covers all entries of a loop iteration. If
         /// false, each entry is synced separately, as a baseline for
         /// measurements.
--- a/lib/include/bamboogate/consensus/replica_core.hpp
+++ b/lib/include/bamboogate/consensus/replica_core.hpp
@@ -111,7 +111,8 @@
     log_position written_; ///< last entry passed to the store
     log_position applied_;
     log_position snapshot_;
-    time_point next_snapshot_; ///< earliest, after a refused one
+    std::size_t bytes_after_snapshot_ = 0; ///< of applied entries
+    time_point next_snapshot_;             ///< earliest, after a refused one
     std::map<std::uint64_t, pending_proposal> pending_; ///< by index
     bool leading_ = false; ///< as reported to observers
     node_id known_leader_;
--- a/lib/source/consensus/raft.cpp
+++ b/lib/source/consensus/raft.cpp
@@ -73,7 +73,8 @@
 
 void raft::compact(const snapshot_info& info)
 {
-    log_.compact(info, settings_.retained_entries);
+    log_.compact(info, {.entries = settings_.retained_entries,
+                        .bytes = settings_.retained_bytes});
 }
 
 snapshot_info raft::describe_snapshot(const log_position& applied) const
--- a/lib/source/consensus/raft_log.cpp
+++ b/lib/source/consensus/raft_log.cpp
@@ -73,14 +73,22 @@
     }
 }
 
-void raft_log::compact(const snapshot_info& info, std::uint64_t retained)
+void raft_log::compact(const snapshot_info& info, const retention& kept)
 {
     if (info.last.index <= snapshot_.index) {
         return;
     }
     snapshot_ = info.last;
+    std::size_t covered_bytes = 0;
+    for (const auto& each : entries_) {
+        covered_bytes +=
+            each.position.index <= info.last.index ? each.data.size() : 0;
+    }
     while (!entries_.empty() &&
-           entries_.front().position.index + retained <= info.last.index) {
+           entries_.front().position.index <= info.last.index &&
+           (entries_.front().position.index + kept.entries <= info.last.index ||
+            covered_bytes > kept.bytes)) {
+        covered_bytes -= entries_.front().data.size();
         base_ = entries_.front().position;
         entries_.pop_front();
     }
--- a/lib/source/consensus/replica_core.cpp
+++ b/lib/source/consensus/replica_core.cpp
@@ -118,6 +118,11 @@
         applied_ = stored.snapshot.last;
     }
     snapshot_ = stored.snapshot.last;
+    bytes_after_snapshot_ = 0;
+    for (const auto& each : stored.entries) {
+        bytes_after_snapshot_ +=
+            each.position.index <= applied_.index ? each.data.size() : 0;
+    }
     const auto entries = stored.entries.size();
     auto core = std::make_unique<raft>(
         raft::options{.self = hub_.self().node,
--- a/lib/source/consensus/replica_steps.cpp
+++ b/lib/source/consensus/replica_steps.cpp
@@ -151,6 +151,7 @@
         BOOST_OUTCOME_TRYV(state_.restore(work.installed->data));
         applied_ = work.installed->info.last;
         snapshot_ = applied_;
+        bytes_after_snapshot_ = 0;
         // The responses of pending proposals are not known on this replica.
         fail_pending(0, {errc::outcome_unknown, "leadership was lost"});
         observability::log(log_events::snapshot_installed,
@@ -169,6 +170,7 @@
         response = state_.apply(committed.position, committed.data);
     }
     applied_ = committed.position;
+    bytes_after_snapshot_ += committed.data.size();
     if (committed.kind == entry_kind::configuration) {
         observability::log(
             log_events::members_changed,
@@ -194,9 +196,10 @@
 
 result<void> replica_core::store_snapshot_if_due()
 {
-    if (applied_.index - snapshot_.index <
-            settings_.snapshot_interval_entries ||
-        loop_.now() < next_snapshot_) {
+    const bool due = applied_.index - snapshot_.index >=
+                         settings_.snapshot_interval_entries ||
+                     bytes_after_snapshot_ >= settings_.snapshot_interval_bytes;
+    if (!due || loop_.now() < next_snapshot_) {
         return outcome::success();
     }
     const snapshot taken{core_->describe_snapshot(applied_), state_.snapshot()};
@@ -211,6 +214,7 @@
         return outcome::success();
     }
     snapshot_ = applied_;
+    bytes_after_snapshot_ = 0;
     core_->compact(taken.info);
     observability::log(
         log_events::snapshot_stored,
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -469,6 +469,31 @@
     CHECK(commit_within("after", 3s));
 }
 
+// Guards against large entries that fill the disk and the memory before the
+// number of entries calls for a snapshot.
+TEST_CASE_FIXTURE(replica_fixture, "replica_large_entries_are_bounded_by_size")
+{
+    constexpr std::size_t entry_bytes = 10000;
+    constexpr std::size_t limit = 20 * entry_bytes;
+    base.snapshot_interval_bytes = 4 * entry_bytes;
+    run_voters(1);
+    for (int i = 0; i < 60; ++i) {
+        // The state keeps the size of a command only.
+        REQUIRE(commit(std::string(entry_bytes, 'x')));
+        processes[0]->state->commands.back() = "x";
+    }
+    std::uintmax_t stored = 0;
+    for (const auto& each :
+         std::filesystem::directory_iterator(data(processes[0]->id))) {
+        stored += each.file_size();
+    }
+    CHECK(stored < limit);
+    stop(*processes[0]);
+    run(*processes[0]);
+    CHECK(run_until(
+        [this] { return processes[0]->state->commands.size() == 60; }));
+}
+
 // Guards against replicas that leave the group again and again while their
 // disks have space for the log, but not for a snapshot.
 TEST_CASE_FIXTURE(disk_fixture, "replica_refused_snapshot_keeps_its_log")
