Free a store call after its answer

Cause: a call that is retried for lack of a leader owned its timer, whose function owned the call, so it was never freed.

Change: the function takes the timer out of the call when it fires.

--- a/lib/source/relay/control_node_configuration.cpp
+++ b/lib/source/relay/control_node_configuration.cpp
@@ -78,8 +78,11 @@
             job->callback(problem);
             return;
         }
-        job->retry = std::make_unique<net::timer>(
-            loop_, [this, job] { store_through_leader(job); });
+        job->retry = std::make_unique<net::timer>(loop_, [this, job] {
+            // The timer and the job own each other until it fires.
+            const auto fired = std::move(job->retry);
+            store_through_leader(job);
+        });
         job->retry->start_once(store_retry_delay);
     };
     if (replica_->is_leader()) {
