Soak: changes of the configuration and SIGHUP without faults

Change: SIGHUP to a program every 400 ms, routes that come and go, an alternating idle time-out; --no-faults plays changes every 60 ms and asks that every request succeeds and that no sent request ends without an answer.

--- a/tests/platform/control_node_test.cpp
+++ b/tests/platform/control_node_test.cpp
@@ -5,7 +5,8 @@
 using namespace bamboogate::tests;
 
 // Guards against a store call that stays in memory for good after its answer:
-// without a leader each call is retried, and an outage would exhaust the memory.
+// without a leader each call is retried, and an outage would exhaust the
+// memory.
 TEST_CASE_FIXTURE(relay_fixture, "store_call_without_a_leader_is_freed")
 {
     start_system();
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -234,6 +234,12 @@
             retry_or(&caller_counts::failed, "no connection");
             return;
         }
+        // A gate may close an idle connection while a request is on its way.
+        const bool crossed_close = failure_.on_reused_connection &&
+                                   pool_.ledger_.runs(attempts_.back()) == 0;
+        if (must_succeed_ && !crossed_close) {
+            violate("every request gets an answer", "connection lost");
+        }
         finish_or_retry("connection lost");
     }
 
--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -95,6 +95,12 @@
     paused_ = false;
 }
 
+void machine::reload()
+{
+    write_settings(false);
+    process_.send_signal(SIGHUP);
+}
+
 void machine::terminate(time_point now)
 {
     process_.send_signal(SIGTERM);
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -41,6 +41,8 @@
     void kill();
     void pause();
     void resume();
+    /// @brief Writes the settings anew and tells the program (SIGHUP).
+    void reload();
     /// @brief Requests a planned stop within the grace period.
     void terminate(time_point now);
     /// @brief Deletes the data of a killed replica.
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -23,6 +23,10 @@
                                         "number", command);
         TCLAP::ValueArg<unsigned> engines("", "engines", "engines", false, 6,
                                           "number", command);
+        TCLAP::SwitchArg calm("", "no-faults",
+                              "only changes and signals to read the settings; "
+                              "every request has to succeed",
+                              command);
         TCLAP::ValueArg<std::string> folder(
             "", "folder", "where settings, logs and data of the runs go", false,
             (std::filesystem::temp_directory_path() /
@@ -46,6 +50,7 @@
                  .gates = gates.getValue(),
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
+                 .faults = !calm.getValue(),
                  .programs = programs.getValue(),
                  .folder = run_folder});
             const bool passed = soak.run();
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -25,6 +25,7 @@
 constexpr duration announcement_time = 1s;
 constexpr duration readiness_interval = 1s;
 constexpr duration change_interval = 300ms;
+constexpr duration quick_change_interval = 60ms; ///< without faults
 /// Short enough to reach a replica right after a pause, when it could return
 /// stale data.
 constexpr duration read_interval = 40ms;
@@ -46,7 +47,8 @@
 soak::soak(options settings)
     : settings_(std::move(settings)), random_(settings_.seed),
       statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
-      load_random_(settings_.seed + 1), client_(loop_, {})
+      reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
+      client_(loop_, {})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -120,7 +122,7 @@
               {{"maxHeaderBytes", 8192},
                {"maxBodyBytes", 1048576},
                {"headerTimeoutMs", 2500},
-               {"idleTimeoutMs", 12000}}},
+               {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
     out["routes"] = {
         {{"name", "gen"},
@@ -137,6 +139,13 @@
         plain("book", "/book/", "non_idempotent"),
         plain("look", "/look/", "idempotent"),
         plain("extra", fmt::format("/v{}/", version).c_str(), "idempotent")};
+    // Routes that come and go, and with them the size of the document.
+    constexpr unsigned most_routes = 40;
+    for (unsigned i = 0; i < version % most_routes; ++i) {
+        out["routes"].push_back(plain(fmt::format("more{}", i).c_str(),
+                                      fmt::format("/more{}/", i).c_str(),
+                                      "idempotent"));
+    }
     out["services"] = {
         {{"name", "gen"},
          {"healthPath", "/healthz"},
@@ -246,7 +255,8 @@
                         must_succeed_);
     }
     if (sends_changes_ && now >= next_change_) {
-        next_change_ = now + change_interval;
+        next_change_ =
+            now + (settings_.faults ? change_interval : quick_change_interval);
         constexpr std::size_t max_open_changes = 8;
         if (operators_->open_changes() < max_open_changes) {
             operators_->change();
@@ -265,6 +275,11 @@
         next_statement_ = now + statement_interval;
         inject_statement();
     }
+    if (reloads_ && now >= next_reload_) {
+        constexpr duration reload_interval = 400ms;
+        next_reload_ = now + reload_interval;
+        reload_one();
+    }
     if (injects_faults_ && now >= next_disk_refusal_) {
         constexpr duration refusal_interval = 1500ms;
         next_disk_refusal_ = now + refusal_interval;
@@ -318,10 +333,15 @@
     run_for(announcement_time);
     sends_requests_ = true;
     run_for(1s);
-    injects_faults_ = true;
+    reloads_ = true;
+    injects_faults_ = settings_.faults;
+    must_succeed_ = !settings_.faults;
     run_for(settings_.fault_time);
-    end_faults();
-    run_for(recovery_time);
+    reloads_ = false;
+    if (settings_.faults) {
+        end_faults();
+        run_for(recovery_time);
+    }
     must_succeed_ = true;
     const unsigned acknowledged_before = operators_->acknowledged();
     run_for(verification_time);
@@ -364,8 +384,9 @@
                             name_of(kind), counts.served, counts.started,
                             counts.refused, counts.failed);
     }
-    line += fmt::format("; {} leaves passed on, {} pauses stated",
-                        statements_.leaves(), statements_.pauses());
+    line += fmt::format(
+        "; {} leaves passed on, {} pauses stated, {} settings read again",
+        statements_.leaves(), statements_.pauses(), reloads_sent_);
     violations_.print("result", line);
     for (const auto& [guarantee, count] : violations_.counts()) {
         violations_.print("violated", fmt::format("{} x {}", count, guarantee));
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -34,6 +34,10 @@
         unsigned services = 3;
         unsigned requests_per_second = 40;
         duration fault_time = std::chrono::seconds(12);
+        /// False: changes of the configuration in quick succession and signals
+        /// to read the settings are all that happens, so that every request has
+        /// to succeed.
+        bool faults = true;
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, logs and data
     };
@@ -75,6 +79,8 @@
     void fault_engine();
     void fault_connections();
     void kill_all();
+    /// Lets a program read its settings again.
+    void reload_one();
     /// Lets the disk of one replica refuse all writes, or cuts its next one.
     void inject_disk_refusal();
     /// Lets a back end state that it leaves, or ask for a pause.
@@ -97,6 +103,7 @@
     /// Apart from `random_`, so that the other faults of a seed stay the same.
     std::mt19937 statement_random_;
     std::mt19937 disk_random_;
+    std::mt19937 reload_random_;
     std::mt19937 load_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
@@ -112,12 +119,15 @@
     time_point next_fault_;
     time_point next_statement_;
     time_point next_disk_refusal_;
+    time_point next_reload_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
+    bool reloads_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
     double peak_gate_kib_ = 0;
+    unsigned reloads_sent_ = 0;
 };
 
 } // namespace bamboogate::tests
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -222,6 +222,17 @@
     });
 }
 
+void soak::reload_one()
+{
+    const auto index = reload_random_() % (gates_.size() + replicas_.size());
+    machine& target = index < gates_.size() ? *gates_[index].program
+                                            : *replicas_[index - gates_.size()];
+    if (target.up()) {
+        target.reload();
+        ++reloads_sent_;
+    }
+}
+
 void soak::inject_disk_refusal()
 {
     machine& victim = *replicas_[disk_random_() % replicas_.size()];
