Refuse calls that outlast the planned stop of a gate

Cause: for 3 s after SIGTERM short requests are taken, because the load balancer goes on sending, whatever their service needs and whatever is left.

Change: such a request is refused at once as not run if the slowest response of its service in the last 30 to 60 s, and a quarter more, would end after the stop. Without a response the time that the request may take counts.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -9,6 +9,7 @@
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/gate_quarantine.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/response_times.hpp>
 #include <bamboogate/relay/retry_limiter.hpp>
 #include <bamboogate/relay/stream_placer.hpp>
 #include <bamboogate/relay/stream_planner.hpp>
@@ -43,6 +44,7 @@
     gate_quarantine& quarantine;
     gate_metrics& metrics;
     buffer_budget& response_buffers;
+    response_times& times; ///< of plain services
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -101,7 +101,11 @@
     void refresh_planner(const service_id& service);
     void on_new_leader();
     void tick();
-    [[nodiscard]] bool refuses_while_stopping(const route& candidate) const;
+    /// True for streams, for requests after `accept_after_stop`, and for those
+    /// that are not expected to end before `stop_limit`.
+    [[nodiscard]] bool
+    refuses_while_stopping(const route& candidate, const service_id& service,
+                           const request_description& description);
     void check_stopped();
 
     net::event_loop& loop_;
@@ -110,6 +114,7 @@
     observability::metric_registry registry_;
     gate_metrics metrics_;
     buffer_budget response_buffers_;
+    response_times response_times_;
     net::http1_client client_;
     upstream_directory directory_;
     std::map<service_id, stream_planner> planners_;
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -150,6 +150,7 @@
     net::remove_hop_by_hop_fields(headers);
     const duration latency = context_.loop.now() - started_;
     context_.metrics.latency.record(to_seconds(latency));
+    context_.times.record(accepted_.service, latency, context_.loop.now());
     accepted_.responder->respond(head_.status, std::move(headers), body_);
     end("answered", head_.status);
 }
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -100,6 +100,7 @@
           .quarantine = quarantine_,
           .metrics = metrics_,
           .response_buffers = response_buffers_,
+          .times = response_times_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
           .on_statement =
@@ -214,7 +215,9 @@
         reject(responder, description, 404, "no_route");
         return;
     }
-    if (refuses_while_stopping(*matched)) {
+    const service_id service = route_table::pick_service(
+        *matched, hash_of(description.attempt.value()));
+    if (refuses_while_stopping(*matched, service, description)) {
         reject(responder, description, 503, "stopping");
         return;
     }
@@ -231,8 +234,7 @@
         .responder = responder,
         .table = table_,
         .matched_route = matched,
-        .service = route_table::pick_service(
-            *matched, hash_of(description.attempt.value())),
+        .service = service,
         .account = account != nullptr ? account->name : client_account_id(),
         .arrived = arrival,
         .rank = combined_rank(account != nullptr ? account->rank : std::nullopt,
@@ -259,11 +261,26 @@
     created->start();
 }
 
-bool relay_gate::refuses_while_stopping(const route& candidate) const
+bool relay_gate::refuses_while_stopping(const route& candidate,
+                                        const service_id& service,
+                                        const request_description& description)
 {
-    return stopping_ &&
-           (candidate.policy == retry_policy::streaming ||
-            loop_.now() - stop_started_at_ > settings_.accept_after_stop);
+    if (!stopping_) {
+        return false;
+    }
+    const time_point now = loop_.now();
+    const duration since = now - stop_started_at_;
+    if (candidate.policy == retry_policy::streaming ||
+        since > settings_.accept_after_stop) {
+        return true;
+    }
+    // Without a recent response, the request may take all of its time.
+    const duration allowed = std::min(
+        candidate.timeout, description.time_left.value_or(candidate.timeout));
+    const auto slowest = response_times_.slowest(service, now);
+    const duration expected =
+        slowest ? std::min(*slowest + *slowest / 4, allowed) : allowed;
+    return since + expected >= settings_.stop_limit;
 }
 
 void relay_gate::on_configuration(configuration document)
