Answer what is still at work when a stopping gate ends

Seen by callers: calls still at work at the end of a planned stop lost their connection without an answer; a gate could be killed before it ended by itself.

Cause: at stop_limit the process simply ended, and the end was decided by a check every 250 ms, although only 200 ms are left to the grace period.

Change: 150 ms before stop_limit what has not run is refused, other calls get 504 and streams are broken off; a timer ends the stop.

Measured: planned_stop_answers_calls_before_it_ends (connection closed) and planned_stop_with_open_work_ends_at_its_limit (2,027 to 2,144 ms where 2,020 are allowed) fail before and pass.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -121,6 +121,11 @@
     ///     attempt runs there, or the copy of its stream is there
     [[nodiscard]] virtual bool uses_upstream(const upstream_id& id) const = 0;
 
+    /// @brief Ends the exchange now: refuses the request if it has not run,
+    ///     otherwise responds that its outcome is late or breaks the stream
+    ///     off.
+    void give_up(std::string_view cause);
+
     /// @brief Reports to a new leader where this stream runs.
     virtual void report_placement() {}
 
@@ -128,7 +133,8 @@
     virtual void begin() = 0;
     /// Cancels attempts after the caller disconnected or the deadline passed.
     virtual void cancel_attempts() = 0;
-    virtual void on_deadline() = 0;
+    /// The time of the request is over.
+    virtual void on_deadline(std::string_view cause) = 0;
 
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] net::http1_client::request
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -107,6 +107,8 @@
     refuses_while_stopping(const route& candidate, const service_id& service,
                            const request_description& description);
     void check_stopped();
+    /// Ends what is still at work shortly before `stop_limit`.
+    void end_open_work();
 
     net::event_loop& loop_;
     relay_protocol protocol_;
@@ -134,6 +136,7 @@
     std::uint64_t next_exchange_ = 0;
     suspicion_limiter reported_suspicions_;
     net::timer tick_timer_;
+    net::timer stop_timer_;
     bool stopping_ = false;
     bool reported_ready_ = false;
     time_point stop_started_at_;
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -34,12 +34,7 @@
                    std::function<void()> on_end)
     : context_(context), accepted_(std::move(accepted)),
       started_(accepted_.arrived), on_end_(std::move(on_end)),
-      deadline_timer_(context.loop, [this] {
-          if (!ended_) {
-              const auto self = shared_from_this();
-              on_deadline();
-          }
-      })
+      deadline_timer_(context.loop, [this] { give_up("deadline"); })
 {
     duration allowed = accepted_.matched_route->timeout;
     if (accepted_.description.time_left) {
@@ -68,6 +63,14 @@
     begin();
 }
 
+void exchange::give_up(std::string_view cause)
+{
+    if (!ended_) {
+        const auto self = shared_from_this();
+        on_deadline(cause);
+    }
+}
+
 duration exchange::time_left() const
 {
     return deadline_ - context_.loop.now();
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -272,16 +272,16 @@
     }
 }
 
-void plain_exchange::on_deadline()
+void plain_exchange::on_deadline(std::string_view cause)
 {
     const bool may_have_run =
         (attempt_ && attempt_->request_sent()) || runs_ > 0;
     cancel_attempts();
     if (may_have_run) {
-        respond_failure(504, "deadline");
+        respond_failure(504, cause);
         return;
     }
-    refuse("deadline", refusal_retry_after);
+    refuse(cause, refusal_retry_after);
 }
 
 void plain_exchange::on_upstream_lost(const upstream_id& id)
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -26,7 +26,7 @@
 private:
     void begin() override;
     void cancel_attempts() override;
-    void on_deadline() override;
+    void on_deadline(std::string_view cause) override;
 
     void attempt();
     bool on_head(const net::http1_response_head& head);
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -16,6 +16,8 @@
 /// Retry delay sent to callers of a stopping gate; other gates can serve them
 /// at once.
 constexpr duration stopping_retry_after = std::chrono::milliseconds(20);
+/// Time in which the answers at the end of a planned stop are written.
+constexpr duration last_answers_time = std::chrono::milliseconds(150);
 /// KV cache capacity assumed for an upstream whose service declares no engine.
 constexpr std::uint64_t default_kv_capacity_tokens = 100000;
 
@@ -126,7 +128,8 @@
                          reject(arrived.responder, arrived.description, 503,
                                 "no_configuration");
                      }),
-      tick_timer_(loop, [this] { tick(); })
+      tick_timer_(loop, [this] { tick(); }),
+      stop_timer_(loop, [this] { end_open_work(); })
 {}
 
 relay_gate::~relay_gate() = default;
@@ -510,9 +513,22 @@
     log(events::process_stopping, {{"active", exchanges_.size()}});
     server_->begin_drain();
     startup_queue_.expire_all();
+    stop_timer_.start_once(settings_.stop_limit - last_answers_time);
     tick();
 }
 
+void relay_gate::end_open_work()
+{
+    for (const auto& each : exchanges()) {
+        each->give_up("stopping");
+    }
+    const duration since = loop_.now() - stop_started_at_;
+    if (since < settings_.stop_limit) {
+        stop_timer_.start_once(settings_.stop_limit - since);
+    }
+    check_stopped();
+}
+
 void relay_gate::check_stopped()
 {
     if (!stopping_ || !on_stopped_) {
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -537,16 +537,16 @@
     }
 }
 
-void stream_exchange::on_deadline()
+void stream_exchange::on_deadline(std::string_view cause)
 {
     const bool may_have_run =
         (attempt_ && attempt_->request_sent()) || checking_engine_ || runs_ > 0;
     cancel_attempts();
     if (may_have_run || head_sent_) {
-        respond_failure(504, "deadline");
+        respond_failure(504, cause);
         return;
     }
-    refuse("deadline", refusal_retry_after);
+    refuse(cause, refusal_retry_after);
 }
 
 bool stream_exchange::uses_upstream(const upstream_id& id) const
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -34,7 +34,7 @@
 
     void begin() override;
     void cancel_attempts() override;
-    void on_deadline() override;
+    void on_deadline(std::string_view cause) override;
 
     void place();
     void on_placed(const result<place_reply>& reply);
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -59,3 +59,38 @@
     REQUIRE(wait([&] { return late->ended(); }));
     CHECK(late->status() == 200);
 }
+
+// Guards against calls that are still at work when the gate stops and whose
+// connections are closed without an answer.
+TEST_CASE_FIXTURE(stop_fixture, "planned_stop_answers_calls_before_it_ends")
+{
+    const auto running = send_request("/book/x", "running");
+    REQUIRE(wait([&] { return service.received.size() == 1; }));
+    stop_gate();
+    REQUIRE(wait([this] { return stopped; }));
+    gate.reset();
+    REQUIRE(wait([&] { return running->ended(); }));
+    CHECK(running->complete);
+    CHECK(running->status() == 504);
+}
+
+// Guards against a stop that exceeds its limit, after which the platform kills
+// the process.
+TEST_CASE_FIXTURE(stop_fixture, "planned_stop_with_open_work_ends_at_its_limit")
+{
+    const auto running = send_request("/book/x", "running");
+    REQUIRE(wait([&] { return service.received.size() == 1; }));
+    // The gate's periodic checks, every 250 ms, must not decide the end.
+    duration offset = 0ms;
+    SUBCASE("at one moment between two checks") {}
+    SUBCASE("at another one")
+    {
+        offset = 125ms;
+    }
+    run_until(
+        loop, [] { return false; }, offset);
+    stop_gate();
+    REQUIRE(wait([this] { return stopped; }));
+    constexpr duration limit = 2s;
+    CHECK(loop.now() - stop_started <= limit + 20ms);
+}
