Keep upstreams when an unknown service names their address

Cause: instance_registry::claim_address gave an address to the newest start that names it, whatever its service. The id of an upstream was taken in the same way.

Change: the registries know the services of the configuration; an announcement for another service takes neither address nor id of an upstream of a named one.

--- a/lib/include/bamboogate/relay/configuration.hpp
+++ b/lib/include/bamboogate/relay/configuration.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -102,6 +103,15 @@
     std::vector<service> services;
     std::vector<client_account> accounts;
     caller_limits limits;
+
+    [[nodiscard]] std::set<service_id> service_ids() const
+    {
+        std::set<service_id> out;
+        for (const auto& each : services) {
+            out.insert(each.name);
+        }
+        return out;
+    }
 };
 
 /// @brief Checks constraints between fields: unknown services, duplicate
--- a/lib/include/bamboogate/relay/instance_registry.hpp
+++ b/lib/include/bamboogate/relay/instance_registry.hpp
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +60,12 @@
 
     explicit instance_registry(options settings) : settings_(settings) {}
 
+    /// @brief Sets the services that the configuration names. An announcement
+    ///     for another service takes neither the id nor the address of an
+    ///     upstream of these. Until the first call, all services count as
+    ///     named.
+    void declare_services(std::set<service_id> services);
+
     /// @brief Records an announcement.
     change record_announcement(const announcement& received, time_point now);
 
@@ -93,10 +101,16 @@
 private:
     [[nodiscard]] bool has_departed(const announcement& received) const;
     [[nodiscard]] bool claim_address(const announcement& received);
+    [[nodiscard]] bool is_declared(const service_id& service) const;
+    /// True if the announcement must not replace what the upstream is known
+    /// for.
+    [[nodiscard]] bool is_foreign(const announcement& received,
+                                  const announcement& known) const;
 
     options settings_;
     std::map<upstream_id, instance> instances_;
     std::map<std::string, upstream_id> by_address_;
+    std::optional<std::set<service_id>> services_;
     std::map<upstream_id, departure> departures_;
 };
 
--- a/lib/include/bamboogate/relay/upstream_directory.hpp
+++ b/lib/include/bamboogate/relay/upstream_directory.hpp
@@ -44,6 +44,11 @@
     {
         return registry_.record_refresh(id, started_at, sequence, now);
     }
+    /// @brief See `instance_registry::declare_services`.
+    void declare_services(std::set<service_id> services)
+    {
+        registry_.declare_services(std::move(services));
+    }
     /// @brief Removes upstreams without announcements, with their health.
     /// @return the removed upstreams
     std::vector<upstream_id> expire(time_point now);
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -313,6 +313,7 @@
     if (const auto current = protocol_.read_configuration(document->text)) {
         placements_.on_configuration(current.value());
         engine_services_.clear();
+        registry_.declare_services(current.value().service_ids());
         for (const auto& each : current.value().services) {
             if (each.engine) {
                 engine_services_.insert(each.name);
--- a/lib/source/relay/instance_registry.cpp
+++ b/lib/source/relay/instance_registry.cpp
@@ -16,6 +16,29 @@
 
 } // namespace
 
+bool instance_registry::is_declared(const service_id& service) const
+{
+    return !services_ || services_->contains(service);
+}
+
+bool instance_registry::is_foreign(const announcement& received,
+                                   const announcement& known) const
+{
+    return !is_declared(received.service) && is_declared(known.service);
+}
+
+void instance_registry::declare_services(std::set<service_id> services)
+{
+    services_ = std::move(services);
+    // Upstreams of services that are named now take their addresses.
+    for (const auto& [id, each] : instances_) {
+        if (each.state == instance_state::ready &&
+            is_declared(each.announced.service)) {
+            static_cast<void>(claim_address(each.announced));
+        }
+    }
+}
+
 bool instance_registry::claim_address(const announcement& received)
 {
     const std::string address = received.address.text();
@@ -24,6 +47,9 @@
         const auto known = instances_.find(owner->second);
         if (known != instances_.end() &&
             known->second.announced.address == received.address) {
+            if (is_foreign(received, known->second.announced)) {
+                return true;
+            }
             if (known->second.announced.started_at > received.started_at) {
                 return false;
             }
@@ -52,7 +78,9 @@
         !is_newer(received, found->second.announced)) {
         return change::none;
     }
-    if (!claim_address(received)) {
+    const bool foreign = found != instances_.end() &&
+                         is_foreign(received, found->second.announced);
+    if (foreign || !claim_address(received)) {
         return change::none;
     }
     const auto state = received.draining || has_departed(received)
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -289,6 +289,7 @@
 void relay_gate::on_configuration(configuration document)
 {
     const caller_limits limits = document.limits;
+    directory_.declare_services(document.service_ids());
     table_ = std::make_shared<const route_table>(std::move(document));
     server_->change_limits(
         {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -151,3 +151,41 @@
     }
     check_service_in_use();
 }
+
+// Guards against an announcement for a service that the configuration does not
+// name and that bears the address or the id of an upstream in use: it ended the
+// upstream's running requests and its use.
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_for_an_unknown_service_ends_no_use")
+{
+    start_system();
+    const auto stream = send_request("/gen/x", "g1");
+    REQUIRE(wait([this] {
+        return engine1.received.size() + engine2.received.size() == 1;
+    }));
+    fake_upstream& engine = engine1.received.empty() ? engine2 : engine1;
+    engine.begin_stream(0);
+    engine.event(0, 1);
+    REQUIRE(wait([&] { return !stream->body.empty(); }));
+    for (const auto* named : {&engine, &service}) {
+        for (const auto& id : {std::string("odd"), named->id}) {
+            const auto text = fmt::format(
+                R"({{"service":"unknown","address":"{}","zone":"d1",)"
+                R"("slots":8,"state":"ready","coldLeftMs":0,)"
+                R"("seqNo":900,"born":9000}})",
+                named->server->bound_address().text());
+            for (std::size_t node = 0; node < apis.size(); ++node) {
+                control_call(node, "POST", "/Instances.Heartbeat/" + id, text);
+            }
+        }
+    }
+    run_until(
+        loop, [] { return false; }, 200ms);
+    engine.event(0, 2);
+    engine.received[0].responder->finish();
+    REQUIRE(wait([&] { return stream->ended(); }));
+    CHECK(stream->complete);
+    CHECK(stream->body.find("data: e2") != std::string::npos);
+    CHECK(engine.disconnected_callers == 0);
+    check_service_in_use();
+}
