Go on with a stream whose engine was killed without a length

Cause: the end of the connection was taken for the end of the stream once an event had come. The connections of a killed process end in the same way.

Change: the gate checks whether the engine accepts connections; if not, the stream goes on at another engine behind its last event.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -14,6 +14,7 @@
 #include <bamboogate/relay/stream_placer.hpp>
 #include <bamboogate/relay/stream_planner.hpp>
 #include <bamboogate/relay/upstream_directory.hpp>
+#include <bamboogate/relay/upstream_prober.hpp>
 
 #include <functional>
 #include <memory>
@@ -48,6 +49,10 @@
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
+    /// Checks whether the upstream accepts connections, and calls the function
+    /// from the event loop.
+    std::function<void(const upstream_id&, std::function<void(probe_result)>)>
+        probe;
     /// Evaluates what a start of an upstream states about itself in a response.
     std::function<void(const upstream_id&, std::uint64_t started_at,
                        const response_description&)>
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -98,6 +98,8 @@
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> exchanges() const;
     void on_probe_finished(const upstream_id& id, probe_result outcome);
     void fail_attempts_on(const upstream_id& id);
+    void probe(const upstream_id& id,
+               std::function<void(probe_result)> on_result);
     void refresh_planner(const service_id& service);
     void on_new_leader();
     void tick();
@@ -124,6 +126,9 @@
     control_feed feed_;
     stream_placer placer_;
     upstream_prober prober_;
+    /// Called with the result of the upstream's probe in progress.
+    std::map<upstream_id, std::vector<std::function<void(probe_result)>>>
+        probe_observers_;
     gate_quarantine quarantine_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -105,6 +105,11 @@
           .times = response_times_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
+          .probe =
+              [this](const upstream_id& id,
+                     std::function<void(probe_result)> on_result) {
+                  probe(id, std::move(on_result));
+              },
           .on_statement =
               [this](const upstream_id& id, std::uint64_t started_at,
                      const response_description& answer) {
@@ -428,8 +433,27 @@
     }
 }
 
+void relay_gate::probe(const upstream_id& id,
+                       std::function<void(probe_result)> on_result)
+{
+    const instance* upstream = directory_.find(id);
+    if (upstream == nullptr) {
+        loop_.post([on_result = std::move(on_result)] {
+            on_result(probe_result::silent);
+        });
+        return;
+    }
+    probe_observers_[id].push_back(std::move(on_result));
+    prober_.probe(id, upstream->announced.address);
+}
+
 void relay_gate::on_probe_finished(const upstream_id& id, probe_result outcome)
 {
+    if (auto observers = probe_observers_.extract(id)) {
+        for (const auto& observer : observers.mapped()) {
+            observer(outcome);
+        }
+    }
     if (outcome == probe_result::refused) {
         quarantine_.confirm(id, loop_.now());
     } else {
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -353,24 +353,14 @@
         const bool ended_by_connection =
             !head_.headers.find("Content-Length") &&
             !head_.headers.find("Transfer-Encoding");
+        // The loss of the engine would look the same.
         if (ended_by_connection && !event_seen_) {
-            // The loss of the engine would look the same.
             on_connection_broken("closed_before_first_event");
-            return;
-        }
-        health.request_ended();
-        static_cast<void>(copy_.end());
-        release();
-        if (!head_sent_) {
-            // The stream had no events after the caller's last one.
-            net::header_list headers = head_.headers;
-            net::remove_hop_by_hop_fields(headers);
-            accepted_.responder->begin_stream(head_.status, head_.reason,
-                                              std::move(headers));
+        } else if (ended_by_connection) {
+            check_end();
+        } else {
+            finish();
         }
-        accepted_.responder->finish();
-        log_stream();
-        end("answered", 200);
         return;
     }
     // A client error of the engine itself is final. The excluded statuses would
@@ -394,6 +384,41 @@
     on_attempt_lost(fmt::format("failed_{}", head_.status), true);
 }
 
+void stream_exchange::check_end()
+{
+    silence_timer_.stop();
+    checking_engine_ = true;
+    context_.probe(engine_,
+                   [weak = weak_from_this(), this](probe_result outcome) {
+                       const auto self = weak.lock();
+                       if (!self || !std::exchange(checking_engine_, false)) {
+                           return;
+                       }
+                       if (outcome == probe_result::accepted) {
+                           finish();
+                       } else {
+                           on_attempt_lost("closed_by_lost_engine", true);
+                       }
+                   });
+}
+
+void stream_exchange::finish()
+{
+    context_.directory.health(engine_).request_ended();
+    static_cast<void>(copy_.end());
+    release();
+    if (!head_sent_) {
+        // The stream had no events after the caller's last one.
+        net::header_list headers = head_.headers;
+        net::remove_hop_by_hop_fields(headers);
+        accepted_.responder->begin_stream(head_.status, head_.reason,
+                                          std::move(headers));
+    }
+    accepted_.responder->finish();
+    log_stream();
+    end("answered", 200);
+}
+
 void stream_exchange::log_stream() const
 {
     observability::log(
@@ -468,7 +493,8 @@
 
 void stream_exchange::on_quarantine(const service_id& service)
 {
-    if (ended_ || service != accepted_.service || (attempt_ && event_seen_)) {
+    const bool begun = event_seen_ && (attempt_ || checking_engine_);
+    if (ended_ || service != accepted_.service || begun) {
         return;
     }
     const auto rest = quarantine_left();
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -59,6 +59,11 @@
     void lose_unusable_attempt(std::string_view cause);
     void on_complete();
     void on_failure(const net::http1_failure& failure);
+    /// A stream without a length ended with its connection: it is complete if
+    /// the engine still accepts connections.
+    void check_end();
+    /// Ends the response as complete.
+    void finish();
     void on_silence();
     /// @return a report that the engine of a lost attempt may have crashed
     ///     because of this stream; none if the attempt had begun
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -16,8 +16,15 @@
     std::vector<step> steps;
     std::size_t runs = 0;
     std::vector<std::string> received; ///< requests
-    raw_server engine_a{loop, [this](auto& from) { on_input(from); }};
-    raw_server engine_b{loop, [this](auto& from) { on_input(from); }};
+    raw_server* serving = nullptr;     ///< engine of the newest input
+    raw_server engine_a{loop, [this](auto& from) {
+                            serving = &engine_a;
+                            on_input(from);
+                        }};
+    raw_server engine_b{loop, [this](auto& from) {
+                            serving = &engine_b;
+                            on_input(from);
+                        }};
     std::unique_ptr<caller> request;
 
     void on_input(raw_server::connection& from)
@@ -42,14 +49,14 @@
         }
     }
     void announce_engine(const raw_server& engine, const char* id,
-                         const char* zone)
+                         const char* zone, int started_at = 1000)
     {
         const auto reply = control_call(
             0, "POST", fmt::format("/Instances.Heartbeat/{}", id),
             fmt::format(R"({{"service":"gen","address":"{}","zone":"{}",)"
                         R"("slots":8,"state":"ready","coldLeftMs":0,)"
-                        R"("seqNo":1,"born":1000}})",
-                        engine.bound_address().text(), zone));
+                        R"("seqNo":1,"born":{}}})",
+                        engine.bound_address().text(), zone, started_at));
         CHECK(reply->status() == 200);
     }
     void start()
@@ -273,6 +280,37 @@
     CHECK(runs == 2);
 }
 
+// Guards against a stream without a length whose engine is killed: the end of
+// its connection was taken for the end of the stream.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "stream_without_length_of_a_killed_engine_goes_on")
+{
+    const step begin_and_die = [this](raw_server::connection& to) {
+        to.send(head("200 OK", "Connection: close") + event1 + event2);
+        serving->stop_listening();
+        to.close();
+    };
+    steps = {begin_and_die, continue_and_end()};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2 + event3);
+    CHECK(runs == 2);
+}
+
+// Guards against a whole stream without a length that is sent again.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "stream_without_length_of_a_live_engine_is_complete")
+{
+    steps = {send_then_close(head("200 OK", "Connection: close") + event1 +
+                             event2 + event3)};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2 + event3);
+    CHECK(runs == 1);
+}
+
 // Guards against a refusal of the first send that is taken for the refusal of
 // the second one to the same engine, which runs it.
 TEST_CASE_FIXTURE(broken_stream_fixture,
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -126,14 +126,20 @@
     {
         watcher_.await(net::io_event::read);
     }
-    ~raw_server()
-    {
-        watcher_.await(net::io_event::none);
-        ::close(listener_);
-    }
+    ~raw_server() { stop_listening(); }
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
 
+    /// Refuses new connections, like the host of a process that has ended.
+    void stop_listening()
+    {
+        if (listener_ >= 0) {
+            watcher_.await(net::io_event::none);
+            ::close(listener_);
+            listener_ = -1;
+        }
+    }
+
     [[nodiscard]] net::address bound_address() const
     {
         return net::local_address(listener_);
