Close the connection of a copy call whose answer bears no id

Cause: a second copy of an answer to a copy call was taken for the answer to the next call on the kept connection, for another stream. That stream then resumed from the other's handle.

Change: the connection is closed after an answer without an attempt id, as for requests; an answer with another attempt's id is discarded.

--- a/lib/source/relay/stream_copy.cpp
+++ b/lib/source/relay/stream_copy.cpp
@@ -181,11 +181,16 @@
         {.on_head =
              [this, started_at = engine->announced.started_at](
                  const net::http1_response_head& head) {
-                 context_.on_statement(
-                     engine_, started_at,
-                     context_.protocol.describe_response(head));
+                 const auto answer = context_.protocol.describe_response(head);
+                 context_.on_statement(engine_, started_at, answer);
+                 if (!answer.attempt.empty() &&
+                     answer.attempt != settings_.run) {
+                     return false;
+                 }
                  response_status_ = head.status;
-                 if (head.status != 200) {
+                 // Without an id, a repetition of this response would be taken
+                 // for the response to the next call, for another stream.
+                 if (answer.attempt.empty() || head.status != 200) {
                      call_->close_after_response();
                  }
                  return true;
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -25,6 +25,9 @@
                             serving = &engine_b;
                             on_input(from);
                         }};
+    /// Answers a copy call; refuses it unless the test replaces this.
+    step answer_copy = send("HTTP/1.1 503 Service Unavailable\r\n"
+                            "Content-Length: 0\r\n\r\n");
     std::unique_ptr<caller> request;
 
     void on_input(raw_server::connection& from)
@@ -37,8 +40,7 @@
                       R"({"events":[]})");
         } else if (has_head && from.received.starts_with("POST /kv-move")) {
             from.received.clear();
-            from.send("HTTP/1.1 503 Service Unavailable\r\n"
-                      "Content-Length: 0\r\n\r\n");
+            answer_copy(from);
         } else if (holds_request(from.received, "prompt")) {
             received.push_back(std::exchange(from.received, {}));
             const std::size_t at = runs++;
@@ -311,6 +313,61 @@
     CHECK(runs == 1);
 }
 
+// Guards against a repeated answer to a copy call that is taken for the answer
+// to the next one on its connection: with several streams on an engine, one
+// stream went on from the memory of another.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "repeated_answer_to_a_copy_call_is_no_answer_to_the_next")
+{
+    std::map<raw_server::connection*, std::string> answered;
+    int copies = 0;
+    answer_copy = [&](raw_server::connection& to) {
+        const std::string body =
+            fmt::format(R"({{"kvHandle":"h{}","made":2}})", ++copies);
+        const std::string answer =
+            fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                        body.size(), body);
+        to.send(answered[&to] + answer);
+        answered[&to] = answer;
+    };
+    raw_server::connection* stream = nullptr;
+    int events = 0;
+    const auto send_event = [&] {
+        ++events;
+        stream->send(chunk(fmt::format("id: {0}\ndata: e{0}\n\n", events)));
+    };
+    steps = {[&](raw_server::connection& to) {
+                 stream = &to;
+                 to.send(head("200 OK", chunked));
+                 send_event();
+             },
+             [&](raw_server::connection& to) {
+                 to.send(head("200 OK", chunked) + "0\r\n\r\n");
+             }};
+    start();
+    REQUIRE(wait([&] { return !request->body.empty(); }));
+    // The holder of the first copy starts again, so copies are ordered.
+    if (serving == &engine_a) {
+        announce_engine(engine_b, "b", "d2", 2000);
+    } else {
+        announce_engine(engine_a, "a", "d1", 2000);
+    }
+    const time_point begun = loop.now();
+    while (copies < 2 && loop.now() - begun < 3s) {
+        send_event();
+        run_until(
+            loop, [] { return false; }, 50ms);
+    }
+    REQUIRE(copies == 2);
+    const int last_copy = copies;
+    stream->close();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    REQUIRE(received.size() == 2);
+    CHECK(received[1].find(fmt::format("/h{}\r\n", last_copy)) !=
+          std::string::npos);
+}
+
 // Guards against a refusal of the first send that is taken for the refusal of
 // the second one to the same engine, which runs it.
 TEST_CASE_FIXTURE(broken_stream_fixture,
