Treat a write beyond the file size limit like a full disk

Cause: the platform sets a limit on the size of files. A write beyond it ends a process with SIGXFSZ, whatever the caller of write would do, and the process ends again at the next write after its restart.

The test and the soak no longer ignore the signal for them.

--- a/lib/source/consensus/file_system.cpp
+++ b/lib/source/consensus/file_system.cpp
@@ -17,7 +17,7 @@
 error storage_error(int number, std::string_view action,
                     const std::filesystem::path& path)
 {
-    const bool full = number == ENOSPC || number == EDQUOT;
+    const bool full = number == ENOSPC || number == EDQUOT || number == EFBIG;
     return {full ? errc::storage_full : errc::storage_failed,
             fmt::format("{} {}: {}", action, path.string(),
                         std::generic_category().message(number))};
--- a/tests/platform/full_disk_test.cpp
+++ b/tests/platform/full_disk_test.cpp
@@ -42,7 +42,6 @@
     replicas_fixture()
     {
         std::signal(SIGPIPE, SIG_IGN);
-        std::signal(SIGXFSZ, SIG_IGN);
         const auto ip = [](unsigned number) {
             return fmt::format("127.{}.250.{}",
                                64 + static_cast<unsigned>(::getpid()) % 128,
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -52,7 +52,7 @@
     /// @brief Lets every write of the program that reaches beyond `bytes` in a
     ///     file fail, those of its log too. The program keeps log lines until
     ///     they can be written.
-    /// @pre started; SIGXFSZ is ignored, also in the program
+    /// @pre started
     void refuse_writes(std::uint64_t bytes);
     void accept_writes();
     /// @brief Size of the data file that was written last; 0 if there is none.
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -38,8 +38,6 @@
             false, BAMBOOGATE_BINARY_DIR "/bin", "path", command);
         command.parse(argc, argv);
         std::signal(SIGPIPE, SIG_IGN);
-        // Inherited by the programs, whose refused writes then fail.
-        std::signal(SIGXFSZ, SIG_IGN);
         unsigned failed = 0;
         for (unsigned i = 0; i < runs.getValue(); ++i) {
             const unsigned seed = first.getValue() + i;
