--- a/tests/consensus/replica_process_test.cpp
+++ b/tests/consensus/replica_process_test.cpp
@@ -164,13 +164,26 @@
     bool commit(const std::string& command)
     {
         const int index = leader();
-        if (index < 0 || replicas[index]
-                             ->request("propose " + command, "committed ")
-                             .empty()) {
+        if (index < 0) {
+            MESSAGE(command << ": no leader");
             return false;
         }
-        accepted.push_back(command);
-        return true;
+        replicas[index]->write("propose " + command);
+        const time_point end = monotonic_clock::now() + 1s;
+        std::string refusal = "no reply within 1 s";
+        while (monotonic_clock::now() < end) {
+            const std::string reply =
+                replicas[index]->read(end - monotonic_clock::now());
+            if (reply.starts_with("committed ")) {
+                accepted.push_back(command);
+                return true;
+            }
+            if (reply.starts_with("refused ")) {
+                refusal = reply;
+            }
+        }
+        MESSAGE(command << " at n" << index << ": " << refusal);
+        return false;
     }
 
     /// Checks that the list contains every accepted command once and in order.
