Soak: replace the settings file as a whole

The soak had truncated the settings file for a SIGHUP while the program, started 5 ms before, read it.

Change: the soak writes the new file beside the old one and renames it. A program that finds unreadable settings at its start still ends, and is restarted.

--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -39,7 +39,9 @@
     for (const auto& seed : settings_.seeds) {
         seeds.push_back(fmt::format("\"{}:8748\"", seed));
     }
-    std::ofstream out(file(".toml"));
+    // Replaced as a whole, because a program that starts may read it now.
+    const auto written = file(".toml.new");
+    std::ofstream out(written);
     out << fmt::format("node = \"{}\"\nzone = \"{}\"\nip = \"{}\"\n"
                        "internalPorts = [7200, 7215]\nseeds = [{}]\n"
                        "bootstrap = {}\nheartbeatMs = 1200\n",
@@ -57,6 +59,8 @@
     }
     out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
            "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
+    out.close();
+    std::filesystem::rename(written, file(".toml"));
 }
 
 void machine::start(bool first_start)
