Space out the openings of a folder without space for an entry

Each opening reads the whole log.

Change: the delay doubles, up to 2 s, until a write has succeeded, not only until an opening has.

--- a/lib/include/bamboogate/consensus/raft.hpp
+++ b/lib/include/bamboogate/consensus/raft.hpp
@@ -91,7 +91,8 @@
         snapshot_info snapshot;
         std::vector<entry> entries;
         /// Last index that the driver has already applied; entries up to it are
-        /// not delivered again. Ignored below the snapshot's index.
+        /// not delivered again. Ignored below the snapshot's index; an object
+        /// whose log does not reach it must not be used.
         std::uint64_t applied = 0;
     };
 
@@ -113,8 +114,7 @@
         [[nodiscard]] bool empty() const;
     };
 
-    /// @pre settings.random is set; lease_duration < election_timeout; the
-    ///     stored log reaches `stored.applied`
+    /// @pre settings.random is set; lease_duration < election_timeout
     raft(options settings, stored_state stored, time_point now);
 
     /// @brief Advances the timers: election time-out, heartbeats, check-quorum
--- a/lib/include/bamboogate/consensus/replica_core.hpp
+++ b/lib/include/bamboogate/consensus/replica_core.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/consensus/raft.hpp>
 #include <bamboogate/consensus/replica.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,6 +56,11 @@
     [[nodiscard]] time_point now() const { return loop_.now(); }
 
 private:
+    /// Delay of the first attempt to open a failed store; doubled until a write
+    /// succeeds.
+    static constexpr duration first_reopen_delay =
+        std::chrono::milliseconds(250);
+
     using proposal_callback = std::function<void(result<proposal_result>)>;
 
     /// A proposal that has been appended but not applied.
@@ -100,7 +106,7 @@
     net::timer tick_timer_;
     net::timer transfer_timer_;
     net::timer reopen_timer_;
-    duration reopen_delay_;
+    duration reopen_delay_ = first_reopen_delay;
     incarnation folder_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
--- a/lib/source/consensus/replica_core.cpp
+++ b/lib/source/consensus/replica_core.cpp
@@ -22,9 +22,8 @@
             .count())};
 }
 
-/// Delays between two attempts to open a failed store. The longest is below the
-/// time that a caller grants a replica to take part again.
-constexpr duration first_reopen_delay = std::chrono::milliseconds(250);
+/// Longest delay of the next attempt to open a failed store: half of the time
+/// that the platform grants a replica to catch up.
 constexpr duration longest_reopen_delay = std::chrono::seconds(2);
 
 membership initial_members(const std::vector<node_id>& voters)
@@ -55,8 +54,7 @@
                               fail(errc::deadline_exceeded,
                                    "no other voter became leader in time"));
                       }),
-      reopen_timer_(loop, [this] { reopen(); }),
-      reopen_delay_(first_reopen_delay)
+      reopen_timer_(loop, [this] { reopen(); })
 {}
 
 replica_core::~replica_core()
@@ -183,7 +181,6 @@
         }
         return;
     }
-    reopen_delay_ = first_reopen_delay;
     hard_pending_ = false;
     failure_.reset();
     observability::log(log_events::replica_recovered,
--- a/lib/source/consensus/replica_steps.cpp
+++ b/lib/source/consensus/replica_steps.cpp
@@ -112,7 +112,11 @@
 
 result<void> replica_core::sync()
 {
+    const bool wrote = store_->dirty();
     BOOST_OUTCOME_TRYV(store_->sync());
+    if (wrote) {
+        reopen_delay_ = first_reopen_delay;
+    }
     core_->persisted(written_);
     return outcome::success();
 }
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -525,6 +525,30 @@
     CHECK((stored(0) && stored(1) && stored(2)));
 }
 
+// Guards against a folder that is read again in quick succession, because its
+// disk has space for what is there and none for the next entry.
+TEST_CASE_FIXTURE(disk_fixture, "replica_without_space_for_an_entry_waits")
+{
+    REQUIRE(commit_within("first", 3s));
+    REQUIRE(run_until([this] { return converged(); }));
+    std::uintmax_t largest = 0;
+    for (const auto& each :
+         std::filesystem::directory_iterator(data(processes[0]->id))) {
+        largest = std::max(largest, each.file_size());
+    }
+    disks[0]->max_file_bytes = largest;
+    const time_point end = loop.now() + 3s;
+    while (loop.now() < end) {
+        REQUIRE(commit_within("more", 3s));
+        run_until([] { return false; }, 20ms);
+    }
+    // Pauses of 0.25, 0.5, 1 and 2 s; without them about ten.
+    CHECK(failures[0] >= 2);
+    CHECK(failures[0] <= 4);
+    disks[0]->max_file_bytes = std::numeric_limits<std::uint64_t>::max();
+    CHECK(run_until([this] { return converged(); }, 4s));
+}
+
 // Guards against a replica that goes on although its folder lacks entries that
 // it has applied: it would vote with a log that is too short.
 TEST_CASE_FIXTURE(disk_fixture,
--- a/tests/consensus/support/faulty_files.hpp
+++ b/tests/consensus/support/faulty_files.hpp
@@ -26,6 +26,8 @@
     std::uint64_t syncs = 0;
     /// Files whose names contain this text, if any, take no bytes.
     std::string refused_name;
+    /// Writes that make a file larger than this fail with `storage_full`.
+    std::uint64_t max_file_bytes = std::numeric_limits<std::uint64_t>::max();
     /// Number of successful syncs of a folder before one fails.
     std::uint64_t folder_syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
@@ -35,7 +37,7 @@
     {
         BOOST_OUTCOME_TRY(inner, inner_->open(path, size));
         std::unique_ptr<append_file> out = std::make_unique<file>(
-            *this, std::move(inner), path.filename().string());
+            *this, std::move(inner), path.filename().string(), size);
         return out;
     }
     result<std::string> read(const std::filesystem::path& path) override
@@ -120,15 +122,16 @@
     {
     public:
         file(faulty_files& owner, std::unique_ptr<append_file> inner,
-             std::string name)
-            : owner_(owner), inner_(std::move(inner)), name_(std::move(name))
+             std::string name, std::uint64_t size)
+            : owner_(owner), inner_(std::move(inner)), name_(std::move(name)),
+              size_(size)
         {}
         result<void> append(std::string_view bytes) override
         {
             const bool refused =
                 !owner_.refused_name.empty() &&
                 name_.find(owner_.refused_name) != std::string::npos;
-            if (refused) {
+            if (refused || size_ + bytes.size() > owner_.max_file_bytes) {
                 return fail(errc::storage_full, "injected");
             }
             if (bytes.size() > owner_.capacity) {
@@ -137,6 +140,7 @@
                 return fail(errc::storage_full, "injected");
             }
             owner_.capacity -= bytes.size();
+            size_ += bytes.size();
             return inner_->append(bytes);
         }
         result<void> sync() override
@@ -152,6 +156,7 @@
         faulty_files& owner_;
         std::unique_ptr<append_file> inner_;
         std::string name_;
+        std::uint64_t size_;
     };
 
     std::shared_ptr<file_system> inner_ = system_files();
