--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -163,6 +163,11 @@
     }
 }
 
+bool machine::handles_signals(time_point now) const
+{
+    return now - started_at_ >= exec_time;
+}
+
 void machine::check(time_point now)
 {
     if (!started_ || paused_) {
@@ -178,8 +183,7 @@
     }
     // The default action of a signal ends a program that has not reached its
     // first instruction.
-    const bool before_main =
-        process_.exit_code() < 0 && now - started_at_ < exec_time;
+    const bool before_main = process_.exit_code() < 0 && !handles_signals(now);
     if (stopping_since_ && before_main) {
         violations_.print("ended before its first instruction", name());
     } else if (!stopping_since_) {
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -62,6 +62,9 @@
     void check(time_point now);
 
     [[nodiscard]] const std::string& name() const { return settings_.name; }
+    /// @brief True once the program has surely reached its first instruction:
+    ///     before it, the default action of any signal ends the program.
+    [[nodiscard]] bool handles_signals(time_point now) const;
     [[nodiscard]] bool paused() const { return paused_; }
     [[nodiscard]] bool refuses_writes() const { return refuses_writes_; }
     [[nodiscard]] bool stopping() const { return stopping_since_.has_value(); }
