Soak: ask the kernel whether a program handles signals yet

The program had been started 210 ms before and had not logged its start; it blocks signals before it reads its settings, so SIGTERM came before its first instruction. The soak allowed 100 ms for that, and measured them when it saw the end.

Change: when the soak sends SIGTERM it reads from the process's status whether the signal is blocked or handled, and sends SIGHUP only then. Nothing else is excused.

--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -17,8 +17,21 @@
 namespace {
 
 constexpr duration stop_grace = 8s; ///< `graceS` of the bounds
-/// Upper bound from the start of a process to its first instruction.
-constexpr duration exec_time = 100ms;
+
+/// Returns a signal mask of a process from its status file.
+/// @param name such as `SigBlk:`
+std::uint64_t signal_mask(pid_t process, std::string_view name)
+{
+    std::ifstream status(fmt::format("/proc/{}/status", process));
+    for (std::string key; status >> key;) {
+        if (key == name) {
+            std::uint64_t mask = 0;
+            status >> std::hex >> mask;
+            return mask;
+        }
+    }
+    return 0;
+}
 
 } // namespace
 
@@ -75,7 +88,6 @@
         (settings_.gate ? "platform-gate" : "platform-control");
     process_ = child_process(program, {}, file(".log"));
     started_ = true;
-    started_at_ = monotonic_clock::now();
     paused_ = refuses_writes_ = false;
     stopping_since_.reset();
 }
@@ -107,6 +119,7 @@
 
 void machine::terminate(time_point now)
 {
+    ended_before_main_ = !handles_signals();
     process_.send_signal(SIGTERM);
     stopping_since_ = now;
 }
@@ -163,9 +176,11 @@
     }
 }
 
-bool machine::handles_signals(time_point now) const
+bool machine::handles_signals() const
 {
-    return now - started_at_ >= exec_time;
+    const std::uint64_t handled = signal_mask(process_.id(), "SigBlk:") |
+                                  signal_mask(process_.id(), "SigCgt:");
+    return (handled >> (SIGTERM - 1) & 1) != 0;
 }
 
 void machine::check(time_point now)
@@ -183,7 +198,7 @@
     }
     // The default action of a signal ends a program that has not reached its
     // first instruction.
-    const bool before_main = process_.exit_code() < 0 && !handles_signals(now);
+    const bool before_main = process_.exit_code() < 0 && ended_before_main_;
     if (stopping_since_ && before_main) {
         violations_.print("ended before its first instruction", name());
     } else if (!stopping_since_) {
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -62,9 +62,9 @@
     void check(time_point now);
 
     [[nodiscard]] const std::string& name() const { return settings_.name; }
-    /// @brief True once the program has surely reached its first instruction:
-    ///     before it, the default action of any signal ends the program.
-    [[nodiscard]] bool handles_signals(time_point now) const;
+    /// @brief True once the program blocks or handles signals, which it does
+    ///     first; until then the default action of a signal ends it.
+    [[nodiscard]] bool handles_signals() const;
     [[nodiscard]] bool paused() const { return paused_; }
     [[nodiscard]] bool refuses_writes() const { return refuses_writes_; }
     [[nodiscard]] bool stopping() const { return stopping_since_.has_value(); }
@@ -100,9 +100,9 @@
     violations& violations_;
     child_process process_;
     bool started_ = false;
-    time_point started_at_;
     bool paused_ = false;
     bool refuses_writes_ = false;
+    bool ended_before_main_ = false; ///< by the SIGTERM of a planned stop
     std::optional<time_point> stopping_since_;
 };
 
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -227,7 +227,7 @@
     const auto index = reload_random_() % (gates_.size() + replicas_.size());
     machine& target = index < gates_.size() ? *gates_[index].program
                                             : *replicas_[index - gates_.size()];
-    if (target.up() && target.handles_signals(loop_.now())) {
+    if (target.up() && target.handles_signals()) {
         target.reload();
         ++reloads_sent_;
     }
