--- a/lib/include/bamboogate/core/ids.hpp
+++ b/lib/include/bamboogate/core/ids.hpp
@@ -65,6 +65,8 @@
 using operation_id = string_id<struct operation_tag>;
 using preset_id = string_id<struct preset_tag>;
 using service_id = string_id<struct service_tag>;
+/// The version of the software that an upstream runs.
+using software_version = string_id<struct software_version_tag>;
 using model_id = string_id<struct model_tag>;
 
 /// Distinguishes successive starts of a process, or successive data folders;
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -99,6 +99,7 @@
     duration warm_up_left{}; ///< remaining warm-up time after a start
     std::uint64_t sequence = 0;
     std::uint64_t started_at = 0; ///< Unix milliseconds; 0 if unknown
+    software_version version = {}; ///< empty if unknown
 };
 
 /// Encoding of requests, responses and configurations on the wire.
--- a/lib/source/relay/messages.cpp
+++ b/lib/source/relay/messages.cpp
@@ -14,7 +14,7 @@
          std::chrono::duration_cast<std::chrono::milliseconds>(
              value.warm_up_left)
              .count(),
-         value.sequence, value.started_at});
+         value.sequence, value.started_at, value.version});
 }
 
 void from_json(const json& document, announcement& value)
@@ -30,6 +30,10 @@
         std::chrono::milliseconds(document.at(7).get<std::int64_t>());
     document.at(8).get_to(value.sequence);
     document.at(9).get_to(value.started_at);
+    // Earlier builds don't send the version.
+    value.version = document.size() > 10
+                        ? document.at(10).get<software_version>()
+                        : software_version();
 }
 
 void to_json(json& document, const upstream_refresh& value)
