--- a/lib/include/bamboogate/rollout/judgement.hpp
+++ b/lib/include/bamboogate/rollout/judgement.hpp
@@ -55,7 +55,7 @@
     /// @param reference_bad, reference_total of the other side, at about the
     ///     same time
     /// @pre bad <= total, reference_bad <= reference_total
-    void record(std::uint64_t bad, std::uint64_t total, double reference_bad,
+    void record(double bad, double total, double reference_bad,
                 double reference_total);
 
     [[nodiscard]] bool alarmed() const { return sum_ >= settings_.alarm; }
@@ -104,28 +104,41 @@
     void record(const std::string& reporter,
                 std::span<const version_evidence> evidence);
 
+    /// @brief Tests the evidence since the last call. Called at an interval in
+    ///     which all gates report, so that a trouble of both sides is seen on
+    ///     both.
+    void close_interval();
+
+    /// @brief The verdict on the intervals closed so far.
     [[nodiscard]] judgement judge() const;
 
 private:
-    using latency_counts = std::array<double, latency_buckets>;
+    struct counts
+    {
+        double requests = 0.0;
+        double failures = 0.0;
+        std::array<double, latency_buckets> latencies{};
 
+        void add(const version_evidence& increment);
+        void add(const counts& other);
+        void scale(double factor);
+    };
     /// What is known of one route, or of all routes together.
     struct comparison
     {
-        double reference_total = 0.0;
-        double reference_failures = 0.0;
-        latency_counts reference_latencies{};
+        counts reference; ///< of the other versions, recent requests
+        counts previous;  ///< of the other versions, in the last interval
+        counts others;    ///< in this interval
+        counts target;    ///< in this interval
         share_test failures;
         share_test slow;
     };
 
-    void record_reference(comparison& route, const version_evidence& increment);
-    void record_target(comparison& route, const version_evidence& increment,
-                       bool compare_latencies);
+    void close_interval(comparison& route, bool compare_latencies);
     /// @return the first bucket of slow answers, if there are enough answers of
     ///     the other versions to tell
     [[nodiscard]] std::optional<std::size_t>
-    slow_from(const comparison& route) const;
+    slow_from(const counts& reference) const;
 
     software_version target_;
     options settings_;
--- a/lib/source/rollout/judgement.cpp
+++ b/lib/source/rollout/judgement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <numeric>
 #include <optional>
+#include <utility>
 
 namespace bamboogate::rollout {
 
@@ -44,8 +45,8 @@
 
 } // namespace
 
-void share_test::record(std::uint64_t bad, std::uint64_t total,
-                        double reference_bad, double reference_total)
+void share_test::record(double bad, double total, double reference_bad,
+                        double reference_total)
 {
     // The reference is an estimate: one standard error above it, so that a low
     // estimate from few trials is not held against the tested side.
@@ -54,27 +55,50 @@
         (reference_bad + prior_share * prior_trials) / trials;
     const double reference =
         estimate + std::sqrt(estimate * (1.0 - estimate) / trials);
-    if (total == 0 || reference >= max_reference_share) {
+    if (total <= 0.0 || reference >= max_reference_share) {
         return;
     }
     const double raised = std::min(std::max(reference * settings_.least_factor,
                                             reference + settings_.least_rise),
                                    max_raised_share);
-    const auto bad_trials = static_cast<double>(bad);
-    const auto good_trials = static_cast<double>(total - bad);
     const double gain =
-        bad_trials * std::log(raised / reference) +
-        good_trials * std::log((1.0 - raised) / (1.0 - reference));
+        bad * std::log(raised / reference) +
+        (total - bad) * std::log((1.0 - raised) / (1.0 - reference));
     sum_ = std::max(0.0, sum_ + gain);
 }
 
+void version_judge::counts::add(const version_evidence& increment)
+{
+    requests += static_cast<double>(increment.requests);
+    failures += static_cast<double>(increment.failures);
+    const auto buckets = std::min(increment.latencies.size(), latency_buckets);
+    for (std::size_t i = 0; i < buckets; ++i) {
+        latencies[i] += static_cast<double>(increment.latencies[i]);
+    }
+}
+
+void version_judge::counts::add(const counts& other)
+{
+    requests += other.requests;
+    failures += other.failures;
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        latencies[i] += other.latencies[i];
+    }
+}
+
+void version_judge::counts::scale(double factor)
+{
+    requests *= factor;
+    failures *= factor;
+    for (auto& count : latencies) {
+        count *= factor;
+    }
+}
+
 void version_judge::record(const std::string& reporter,
                            std::span<const version_evidence> evidence)
 {
     auto& reported = reports_[reporter];
-    // The reference first, so that a trouble that begins on both sides within
-    // one report counts for both.
-    std::vector<version_evidence> of_target;
     for (const auto& each : evidence) {
         const std::pair key{each.route, each.version};
         const auto before = reported.find(key);
@@ -83,83 +107,82 @@
         increment.failures = std::min(increment.failures, increment.requests);
         reported[key] = each;
         if (increment.version == target_) {
-            of_target.push_back(std::move(increment));
-            continue;
+            target_requests_ += increment.requests;
+            target_failures_ += increment.failures;
+            routes_[increment.route].target.add(increment);
+            all_routes_.target.add(increment);
+        } else {
+            other_requests_ += increment.requests;
+            routes_[increment.route].others.add(increment);
+            all_routes_.others.add(increment);
         }
-        other_requests_ += increment.requests;
-        record_reference(routes_[each.route], increment);
-        record_reference(all_routes_, increment);
-    }
-    for (const auto& increment : of_target) {
-        target_requests_ += increment.requests;
-        target_failures_ += increment.failures;
-        record_target(routes_[increment.route], increment, true);
-        // Latencies of different routes are not comparable.
-        record_target(all_routes_, increment, false);
     }
 }
 
-void version_judge::record_reference(comparison& route,
-                                     const version_evidence& increment)
+void version_judge::close_interval()
 {
-    route.reference_total += static_cast<double>(increment.requests);
-    route.reference_failures += static_cast<double>(increment.failures);
-    const auto buckets = std::min(increment.latencies.size(), latency_buckets);
-    for (std::size_t i = 0; i < buckets; ++i) {
-        route.reference_latencies[i] +=
-            static_cast<double>(increment.latencies[i]);
-    }
-    if (route.reference_total <= settings_.reference_requests) {
-        return;
-    }
-    const double keep = settings_.reference_requests / route.reference_total;
-    route.reference_total *= keep;
-    route.reference_failures *= keep;
-    for (auto& count : route.reference_latencies) {
-        count *= keep;
+    for (auto& [name, route] : routes_) {
+        close_interval(route, true);
     }
+    // Latencies of different routes are not comparable.
+    close_interval(all_routes_, false);
 }
 
 std::optional<std::size_t>
-version_judge::slow_from(const comparison& route) const
+version_judge::slow_from(const counts& reference) const
 {
-    const auto& counts = route.reference_latencies;
-    const double total = std::accumulate(counts.begin(), counts.end(), 0.0);
+    const auto& latencies = reference.latencies;
+    const double total =
+        std::accumulate(latencies.begin(), latencies.end(), 0.0);
     if (total < min_reference_latencies) {
         return std::nullopt;
     }
     double below = 0.0;
     std::size_t median = 0;
     while (median + 1 < latency_buckets &&
-           below + counts[median] < total / 2.0) {
-        below += counts[median++];
+           below + latencies[median] < total / 2.0) {
+        below += latencies[median++];
     }
     return std::min(median + settings_.slow_buckets, latency_buckets - 1);
 }
 
-void version_judge::record_target(comparison& route,
-                                  const version_evidence& increment,
-                                  bool compare_latencies)
+void version_judge::close_interval(comparison& route, bool compare_latencies)
 {
-    route.failures.record(increment.failures, increment.requests,
-                          route.reference_failures, route.reference_total);
-    const auto limit = compare_latencies ? slow_from(route) : std::nullopt;
-    if (!limit) {
-        return;
+    // A trouble that begins raises the share of the last two intervals first.
+    counts latest = route.previous;
+    latest.add(route.others);
+    route.reference.add(route.others);
+    if (route.reference.requests > settings_.reference_requests) {
+        route.reference.scale(settings_.reference_requests /
+                              route.reference.requests);
     }
-    std::uint64_t slow = 0;
-    std::uint64_t total = 0;
-    double reference_slow = 0.0;
-    double reference_total = 0.0;
-    for (std::size_t i = 0; i < latency_buckets; ++i) {
-        const std::uint64_t count =
-            i < increment.latencies.size() ? increment.latencies[i] : 0;
-        total += count;
-        slow += i >= *limit ? count : 0;
-        reference_total += route.reference_latencies[i];
-        reference_slow += i >= *limit ? route.reference_latencies[i] : 0.0;
+    const auto test = [&](share_test& tested, auto bad, auto total) {
+        const counts& reference = bad(latest) * total(route.reference) >
+                                          bad(route.reference) * total(latest)
+                                      ? latest
+                                      : route.reference;
+        tested.record(bad(route.target), total(route.target), bad(reference),
+                      total(reference));
+    };
+    test(
+        route.failures, [](const counts& of) { return of.failures; },
+        [](const counts& of) { return of.requests; });
+    if (const auto limit =
+            compare_latencies ? slow_from(route.reference) : std::nullopt) {
+        test(
+            route.slow,
+            [&](const counts& of) {
+                return std::accumulate(of.latencies.begin() +
+                                           static_cast<std::ptrdiff_t>(*limit),
+                                       of.latencies.end(), 0.0);
+            },
+            [](const counts& of) {
+                return std::accumulate(of.latencies.begin(), of.latencies.end(),
+                                       0.0);
+            });
     }
-    route.slow.record(slow, total, reference_slow, reference_total);
+    route.previous = std::exchange(route.others, {});
+    route.target = {};
 }
 
 judgement version_judge::judge() const
