--- a/lib/include/bamboogate/relay/configuration.hpp
+++ b/lib/include/bamboogate/relay/configuration.hpp
@@ -59,6 +59,8 @@
     bool stores_copies = false;    ///< stores KV cache copies of other engines
     bool copies_on_demand = false; ///< copies the KV cache of a run on request
     duration copy_lifetime{};      ///< of a copy made on demand
+
+    bool operator==(const engine_profile&) const = default;
 };
 
 /// A group of interchangeable upstreams.
@@ -93,6 +95,8 @@
     std::size_t body_bytes = 4u << 20;
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
+
+    bool operator==(const caller_limits&) const = default;
 };
 
 /// A complete configuration with its version; the highest version is in effect.
@@ -114,10 +118,15 @@
     }
 };
 
+/// @brief Normalises a host for comparison: lower case, without the port.
+///     Thread safe.
+[[nodiscard]] std::string normalized_host(std::string_view host);
+
 /// @brief Checks constraints between fields: unknown services, duplicate
 ///     routes, weights that add up to zero, missing time-outs, keys shared by
 ///     two accounts.
-/// @return `invalid_argument` that describes the first violation. Thread safe.
+/// @return `invalid_argument` that describes the first violation; `find_errors`
+///     returns all of them. Thread safe.
 [[nodiscard]] result<void> validate(const configuration& candidate);
 
 /// A configuration with indices for request lookup. Not thread safe.
--- a/lib/source/relay/configuration.cpp
+++ b/lib/source/relay/configuration.cpp
@@ -1,16 +1,11 @@
 #include <bamboogate/relay/configuration.hpp>
-
-#include <fmt/format.h>
+#include <bamboogate/relay/configuration_check.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace bamboogate::relay {
 
-namespace {
-
-/// Normalises a host for comparison: lower case, without the port.
-std::string host_key(std::string_view host)
+std::string normalized_host(std::string_view host)
 {
     const auto colon = host.rfind(':');
     if (colon != std::string_view::npos &&
@@ -24,32 +19,6 @@
     return key;
 }
 
-result<void> validate_route(const route& candidate,
-                            const std::set<service_id>& services)
-{
-    if (candidate.timeout <= duration::zero()) {
-        return fail(errc::invalid_argument,
-                    fmt::format("route {} has no time-out", candidate.name));
-    }
-    std::uint64_t weights = 0;
-    for (const auto& target : candidate.targets) {
-        if (!services.contains(target.service)) {
-            return fail(errc::invalid_argument,
-                        fmt::format("route {} names unknown service {}",
-                                    candidate.name, target.service.value()));
-        }
-        weights += target.weight;
-    }
-    if (weights == 0) {
-        return fail(
-            errc::invalid_argument,
-            fmt::format("the weights of route {} add up to 0", candidate.name));
-    }
-    return outcome::success();
-}
-
-} // namespace
-
 unsigned combined_rank(std::optional<unsigned> account, unsigned route)
 {
     // Three route ranks times three account ranks fit into the ten urgency
@@ -62,34 +31,9 @@
 
 result<void> validate(const configuration& candidate)
 {
-    std::set<service_id> services;
-    for (const auto& each : candidate.services) {
-        if (!services.insert(each.name).second) {
-            return fail(
-                errc::invalid_argument,
-                fmt::format("two services are named {}", each.name.value()));
-        }
-    }
-    std::set<std::pair<std::string, std::string>> prefixes;
-    for (const auto& each : candidate.routes) {
-        BOOST_OUTCOME_TRYV(validate_route(each, services));
-        if (!prefixes.emplace(host_key(each.host), each.path_prefix).second) {
-            return fail(errc::invalid_argument,
-                        fmt::format("two routes share host and prefix {}{}",
-                                    each.host, each.path_prefix));
-        }
-    }
-    std::map<std::string, client_account_id> keys;
-    for (const auto& account : candidate.accounts) {
-        for (const auto& key : account.keys) {
-            const auto [found, added] = keys.emplace(key, account.name);
-            if (!added && found->second != account.name) {
-                return fail(errc::invalid_argument,
-                            fmt::format("accounts {} and {} share a key",
-                                        found->second.value(),
-                                        account.name.value()));
-            }
-        }
+    auto errors = find_errors(candidate);
+    if (!errors.empty()) {
+        return fail(errc::invalid_argument, std::move(errors.front().detail));
     }
     return outcome::success();
 }
@@ -97,7 +41,7 @@
 route_table::route_table(configuration source) : source_(std::move(source))
 {
     for (const auto& each : source_.routes) {
-        by_host_[host_key(each.host)].push_back(&each);
+        by_host_[normalized_host(each.host)].push_back(&each);
     }
     for (auto& [host, routes] : by_host_) {
         std::stable_sort(
@@ -118,7 +62,7 @@
 const route* route_table::find_route(std::string_view host,
                                      std::string_view path) const
 {
-    const auto routes = by_host_.find(host_key(host));
+    const auto routes = by_host_.find(normalized_host(host));
     if (routes == by_host_.end()) {
         return nullptr;
     }
