--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -98,7 +98,7 @@
     bool draining = false;
     duration warm_up_left{}; ///< remaining warm-up time after a start
     std::uint64_t sequence = 0;
-    std::uint64_t started_at = 0; ///< Unix milliseconds; 0 if unknown
+    std::uint64_t started_at = 0;  ///< Unix milliseconds; 0 if unknown
     software_version version = {}; ///< empty if unknown
 };
 
