Route requests by the versions that a rollout allows

Change: gate_rollouts keeps the records, the lease, the trial selector and the evidence of a gate. First attempts of chosen requests go to the version on trial, all others by the general filter. Streams carry their trial in place_request; the leader places by its own records, a copy stays within the version of its engine, and a kept prompt counts only at an engine that may take the stream.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/relay/home_replica.hpp>
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/rollout_messages.hpp>
 
 #include <functional>
 #include <map>
@@ -58,6 +59,10 @@
         std::function<void(const quarantine_update&)> on_quarantine;
         /// Upstreams have crashed under a request, or it was answered since.
         std::function<void(const suspicion_update&)> on_request_suspicion;
+        /// The last rollouts of services.
+        std::function<void(const rollout_update&)> on_rollouts;
+        /// The leader still judges the rollouts in progress.
+        std::function<void(const rollout_lease&)> on_rollout_lease;
         /// The leader changed, or the link to it was established again.
         std::function<void()> on_new_leader;
     };
@@ -84,6 +89,10 @@
     ///     Dropped without a leader.
     void report_answered(const suspect_answered& answered);
 
+    /// @brief Sends the evidence of a rollout to the leader.
+    /// @return false if there is no link to a leader
+    [[nodiscard]] bool report_evidence(const rollout_evidence& evidence);
+
     /// @brief Number of control replicas whose link is up.
     [[nodiscard]] std::size_t links_up() const;
     /// @brief Version of the configuration in use; 0 if none was received.
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/relay/configuration.hpp>
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/gate_quarantine.hpp>
+#include <bamboogate/relay/gate_rollouts.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/response_times.hpp>
 #include <bamboogate/relay/retry_limiter.hpp>
@@ -43,6 +44,7 @@
     retry_limiter& retries;
     stream_placer& placer;
     gate_quarantine& quarantine;
+    gate_rollouts& rollouts;
     gate_metrics& metrics;
     buffer_budget& response_buffers;
     response_times& times; ///< of plain services
@@ -135,10 +137,13 @@
     virtual void report_placement() {}
 
 protected:
+    /// Cause of `on_deadline` if the time of the request is over.
+    static constexpr std::string_view deadline_cause = "deadline";
+
     virtual void begin() = 0;
     /// Cancels attempts after the caller disconnected or the deadline passed.
     virtual void cancel_attempts() = 0;
-    /// The time of the request is over.
+    /// The time of the request, or of this process, is over.
     virtual void on_deadline(std::string_view cause) = 0;
 
     [[nodiscard]] duration time_left() const;
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -34,6 +34,12 @@
               "bamboogate_relay_discarded_inputs_total",
               "Connections on which a caller sent more after the gate had "
               "closed them.")),
+          trial_requests(registry.add_counter(
+              "bamboogate_relay_trial_requests_total",
+              "Requests sent to upstreams of a version on trial.")),
+          evidence_reports(registry.add_counter(
+              "bamboogate_relay_rollout_evidence_total",
+              "Reports of a rollout's evidence sent to the leader.")),
           latency(registry.add_histogram(
               "bamboogate_relay_latency_seconds",
               "From the request to the whole answer, or the first event.")),
@@ -51,6 +57,8 @@
     observability::counter& resumed;
     observability::counter& caller_left;
     observability::counter& discarded_inputs;
+    observability::counter& trial_requests;
+    observability::counter& evidence_reports;
     observability::log_histogram& latency;
     observability::log_histogram& pause;
 };
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -144,6 +144,13 @@
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
+inline constexpr log_event trial_attempt{
+    1210, severity::info, "relay_trial_attempt",
+    "A request was sent to an upstream of a version on trial."};
+inline constexpr log_event rollout_applied{
+    1211, severity::info, "relay_rollout_applied",
+    "The gate applied a newer record of a service's rollout; its phase decides "
+    "which versions get later attempts."};
 
 } // namespace bamboogate::relay::log_events
 
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -187,11 +187,15 @@
     /// Parts of the prompt that other requests may share, see
     /// `prompt_quarantine`. Earlier builds don't send them.
     std::vector<std::string> shared_parts;
+    /// Takes part in the trial of a version, see `rollout::trial_selector`.
+    /// Earlier builds don't send it.
+    bool trial = false;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_request, service, id,
                                                 account, rank, urgent,
                                                 prompt_tokens, output_tokens,
                                                 prompt, excluded, resuming,
-                                                start_within_ms, shared_parts)
+                                                start_within_ms, shared_parts,
+                                                trial)
 };
 
 /// @brief Converts the copy holder in a message, where empty means none.
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -6,6 +6,7 @@
 #include <bamboogate/relay/instance_registry.hpp>
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/rollout_records.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
 
 #include <functional>
@@ -70,6 +71,10 @@
         on_suspicion_changed_ = std::move(function);
     }
 
+    /// @brief Places streams by the newest rollout of a service from now on.
+    ///     Kept while this replica does not lead.
+    void on_rollout(const rollout::rollout_record& record);
+
     /// @brief This replica became the leader. Placement is delayed until the
     ///     engines' caches are known, so that a retried stream goes to the
     ///     engine that caches its prompt. The delay is bounded.
@@ -123,6 +128,9 @@
     [[nodiscard]] std::optional<std::size_t>
     allowed_by_pause(const upstream_id& id, const instance& engine,
                      const stream_planner& planner) const;
+    /// Sets the versions that the rollout of the service allows.
+    void update_versions(const service_id& service,
+                         stream_scheduler& scheduler) const;
     void decide(const service_id& service);
     void decide_all();
     void send_reply(const request_id& id, result<place_reply> reply);
@@ -136,6 +144,7 @@
     std::map<service_id, prompt_quarantine> quarantines_;
     std::function<void(const quarantine_update&)> on_quarantine_;
     std::function<void(const suspicion_update&)> on_suspicion_changed_;
+    rollout_records rollouts_;
     std::map<upstream_id, time_point> suspected_at_;
     struct pause
     {
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -102,6 +102,9 @@
                std::function<void(probe_result)> on_result);
     void refresh_planner(const service_id& service);
     void on_new_leader();
+    void on_rollouts(const rollout_update& update);
+    /// Sends the evidence of the rollouts in progress that has changed.
+    void report_evidence();
     void tick();
     /// True for streams, for requests after `accept_after_stop`, and for those
     /// that are not expected to end before `stop_limit`.
@@ -130,6 +133,7 @@
     std::map<upstream_id, std::vector<std::function<void(probe_result)>>>
         probe_observers_;
     gate_quarantine quarantine_;
+    gate_rollouts rollouts_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
     /// Observes connections of the server, so it has to outlive the server.
@@ -141,6 +145,7 @@
     std::uint64_t next_exchange_ = 0;
     suspicion_limiter reported_suspicions_;
     net::timer tick_timer_;
+    net::timer evidence_timer_; ///< runs while a rollout is in progress
     net::timer stop_timer_;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -3,6 +3,7 @@
 
 #include <bamboogate/core/ids.hpp>
 #include <bamboogate/core/time.hpp>
+#include <bamboogate/rollout/rollout.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -24,6 +25,9 @@
     unsigned slots = 0;
     bool usable = true;  ///< ready and not suspended
     double slowdown = 1; ///< time per unit of work relative to a typical engine
+    /// Empty if unknown, or if the service never had a rollout: then all
+    /// engines count as alike.
+    software_version version = {};
 };
 
 /// A stream that needs an engine.
@@ -39,6 +43,8 @@
     std::string prompt = {};
     /// The run may crash its engine when it begins, see `prompt_quarantine`.
     bool suspect = false;
+    /// Versions of the engines that it may be placed on.
+    rollout::version_filter versions = {};
 };
 
 /// The engine of a stream and the holder of its KV cache copy.
@@ -120,7 +126,8 @@
            time_point now,
            capacity_policy needed = capacity_policy::preferred) const;
 
-    /// @brief Chooses a holder for the copy of a run on `engine`.
+    /// @brief Chooses a holder for the copy of a run on `engine`: one of the
+    ///     same version, because a stream is not continued by another one.
     [[nodiscard]] std::optional<upstream_id>
     choose_copy_holder(const planned_run& run, const upstream_id& engine,
                        const std::set<upstream_id>& excluded) const;
@@ -166,8 +173,9 @@
     [[nodiscard]] std::vector<request_id>
     runs_using(const upstream_id& id) const;
     [[nodiscard]] std::size_t engines() const { return engines_.size(); }
-    /// @brief Number of engines that may receive work.
-    [[nodiscard]] std::size_t usable_engines() const;
+    /// @brief Number of engines of these versions that may receive work.
+    [[nodiscard]] std::size_t
+    usable_engines(const rollout::version_filter& versions = {}) const;
 
 private:
     struct load
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -28,6 +28,8 @@
     time_point latest_start;
     /// Parts of the prompt that other requests may share.
     std::vector<std::string> shared_parts = {};
+    /// Is placed on the version on trial if it can be at once.
+    bool trial = false;
 };
 
 /// The scheduler's decision on one demand.
@@ -90,6 +92,15 @@
     ///     once, until then.
     void engines_paused_for(duration pause) { pause_ = pause; }
 
+    /// @brief Sets which versions streams may be placed on.
+    /// @param trial_target version for the demands of a trial, if there is one
+    void set_versions(rollout::version_filter general,
+                      std::optional<software_version> trial_target)
+    {
+        versions_ = std::move(general);
+        trial_target_ = std::move(trial_target);
+    }
+
     /// @brief Removes a run that has ended or a demand that is withdrawn.
     void end(const request_id& id);
 
@@ -116,6 +127,10 @@
     using demand_list = std::list<stream_demand>;
 
     [[nodiscard]] demand_list::iterator next_demand();
+    /// Chooses an engine with free capacity for the demand, which takes part
+    /// in a trial only at the first call.
+    [[nodiscard]] std::optional<placement> choose_engine(stream_demand& demand,
+                                                         time_point now) const;
     [[nodiscard]] duration expected_wait(const stream_demand& demand) const;
     /// @return whether the engine is expected to cache the prompt
     bool place(const stream_demand& demand, const placement& target,
@@ -132,6 +147,8 @@
     options settings_;
     stream_planner planner_;
     duration pause_{};
+    rollout::version_filter versions_;
+    std::optional<software_version> trial_target_;
     demand_list waiting_;
     std::map<request_id, running_stream> running_;
     std::map<client_account_id, std::uint64_t> tokens_by_account_;
--- a/lib/include/bamboogate/relay/upstream_directory.hpp
+++ b/lib/include/bamboogate/relay/upstream_directory.hpp
@@ -3,6 +3,7 @@
 
 #include <bamboogate/relay/instance_registry.hpp>
 #include <bamboogate/relay/upstream_health.hpp>
+#include <bamboogate/rollout/rollout.hpp>
 
 #include <map>
 #include <optional>
@@ -70,10 +71,16 @@
     /// @brief Chooses the upstream of a plain service with the lowest expected
     ///     latency. Suspended ones are used only if no other is left, paused
     ///     ones never.
+    /// @param versions that may be chosen
     /// @return null if every upstream is excluded or paused, or none is ready
-    [[nodiscard]] const instance* choose(const service_id& service,
-                                         const std::set<upstream_id>& excluded,
-                                         time_point now) const;
+    [[nodiscard]] const instance*
+    choose(const service_id& service, const std::set<upstream_id>& excluded,
+           time_point now, const rollout::version_filter& versions = {}) const;
+
+    /// @return whether an upstream of one of the versions is ready, whatever
+    ///     its health
+    [[nodiscard]] bool any_ready(const service_id& service,
+                                 const rollout::version_filter& versions) const;
 
     /// @return the time until an upstream of the service may receive requests
     ///     again, if all that are ready have asked for a pause
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -65,6 +65,14 @@
         [this](const net::peer_info&, const suspicion_update& update) {
             observers_.on_request_suspicion(update);
         });
+    hub_.on<rollout_update>(
+        [this](const net::peer_info&, const rollout_update& update) {
+            observers_.on_rollouts(update);
+        });
+    hub_.on<rollout_lease>(
+        [this](const net::peer_info&, const rollout_lease& lease) {
+            observers_.on_rollout_lease(lease);
+        });
     for (const auto& seed : settings_.seeds) {
         add_replica(seed.text());
     }
@@ -297,6 +305,11 @@
     hub_.send(leader_, answered);
 }
 
+bool control_feed::report_evidence(const rollout_evidence& evidence)
+{
+    return hub_.send(leader_, evidence);
+}
+
 template <typename Message>
 void control_feed::send_to_leader_or_home(const Message& message)
 {
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -34,7 +34,7 @@
                    std::function<void()> on_end)
     : context_(context), accepted_(std::move(accepted)),
       started_(accepted_.arrived), on_end_(std::move(on_end)),
-      deadline_timer_(context.loop, [this] { give_up("deadline"); })
+      deadline_timer_(context.loop, [this] { give_up(deadline_cause); })
 {
     duration allowed = accepted_.matched_route->timeout;
     if (accepted_.description.time_left) {
@@ -174,6 +174,16 @@
          {"heard_ms_ago",
           to_milliseconds(context_.loop.now() - upstream.last_seen)},
          {"left_ms", to_milliseconds(time_left())}});
+    const software_version& version = upstream.announced.version;
+    if (context_.rollouts.on_trial(accepted_.service, version)) {
+        context_.metrics.trial_requests.add();
+        log(events::trial_attempt,
+            {{"request", id()},
+             {"service", accepted_.service.value()},
+             {"route", accepted_.matched_route->name},
+             {"version", version.value()},
+             {"upstream", upstream.announced.id.value()}});
+    }
 }
 
 void exchange::log_failure(const upstream_id& upstream,
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -327,7 +327,8 @@
         .arrived = now,
         .latest_start =
             now + std::chrono::milliseconds(request.start_within_ms),
-        .shared_parts = request.shared_parts};
+        .shared_parts = request.shared_parts,
+        .trial = request.trial};
     pending_[request.id] = {request.service, peer.node, std::move(reply)};
     owners_[request.id] = {peer.node, request.service};
     schedulers_[request.service].submit(std::move(demand));
@@ -393,6 +394,7 @@
 {
     const time_point now = loop_.now();
     const auto profile = profiles_.find(service);
+    const bool has_rollout = rollouts_.find(service) != nullptr;
     scheduler.planner().suspend_all();
     std::optional<duration> shortest_pause;
     for (const auto& [id, each] : registry_.instances()) {
@@ -421,8 +423,11 @@
                                        ? profile->second.kv_capacity_tokens
                                        : default_kv_capacity_tokens,
              .slots = static_cast<unsigned>(slots),
-             .usable = usable});
+             .usable = usable,
+             .version =
+                 has_rollout ? each.announced.version : software_version()});
     }
+    update_versions(service, scheduler);
     scheduler.engines_paused_for(
         std::max(shortest_pause.value_or(duration::zero()), duration::zero()));
 }
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -35,6 +35,8 @@
 plain_exchange::plain_exchange(gate_context& context, accepted_request accepted,
                                std::function<void()> on_end)
     : exchange(context, std::move(accepted), std::move(on_end)),
+      evidence_(context.rollouts, accepted_.service,
+                accepted_.matched_route->name),
       buffered_(context.response_buffers)
 {}
 
@@ -43,11 +45,36 @@
     attempt();
 }
 
+const instance* plain_exchange::choose_upstream(time_point now)
+{
+    const auto choose = [&](const rollout::version_filter& versions) {
+        return context_.directory.choose(accepted_.service, excluded_, now,
+                                         versions);
+    };
+    const bool on_trial =
+        attempts_ == 0 &&
+        context_.rollouts.admit_to_trial(accepted_.service,
+                                         accepted_.matched_route->name, now);
+    const auto versions =
+        context_.rollouts.preference(accepted_.service, on_trial);
+    const instance* preferred = choose(versions.preferred);
+    if (on_trial) {
+        return preferred != nullptr &&
+                       context_.directory.usable(*preferred, now)
+                   ? preferred
+                   : choose(versions.fallback);
+    }
+    if (preferred == nullptr &&
+        !context_.directory.any_ready(accepted_.service, versions.preferred)) {
+        return choose(versions.fallback);
+    }
+    return preferred;
+}
+
 void plain_exchange::attempt()
 {
     const time_point now = context_.loop.now();
-    const instance* chosen =
-        context_.directory.choose(accepted_.service, excluded_, now);
+    const instance* chosen = choose_upstream(now);
     if (chosen == nullptr) {
         finish_without_response("no_upstream");
         return;
@@ -55,6 +82,7 @@
     upstream_ = chosen->announced.id;
     upstream_started_at_ = chosen->announced.started_at;
     attempt_started_ = now;
+    evidence_.begin(*chosen, true, now);
     head_ = {};
     body_.clear();
     buffered_.release();
@@ -108,6 +136,7 @@
 {
     if (!buffered_.reserve(part.size())) {
         const auto self = shared_from_this();
+        evidence_.discard();
         on_failure({.code = errc::limit_exceeded, .request_sent = true});
         return;
     }
@@ -130,11 +159,18 @@
     if (!answer_.sealed || guarantees_not_run(head_.status)) {
         // Not the upstream's own response, or a status that would wrongly
         // guarantee that the request was not executed.
+        evidence_.note_failure();
         health.note_failure(now);
         on_outcome_unknown(fmt::format("unusable_{}", head_.status));
         return;
     }
-    if (!success && head_.status >= 500 && may_run_again()) {
+    const bool failed = !success && head_.status >= 500;
+    if (failed) {
+        evidence_.note_failure();
+    } else {
+        evidence_.note_answer(now);
+    }
+    if (failed && may_run_again()) {
         fallback_ = fallback_response{head_, body_};
         on_outcome_unknown(fmt::format("failed_{}", head_.status));
         return;
@@ -169,6 +205,7 @@
         return;
     }
     ++runs_;
+    evidence_.note_failure();
     const std::string_view cause = failure.on_reused_connection
                                        ? "kept_connection_lost"
                                        : name_of(failure.code);
@@ -274,8 +311,12 @@
 
 void plain_exchange::on_deadline(std::string_view cause)
 {
-    const bool may_have_run =
-        (attempt_ && attempt_->request_sent()) || runs_ > 0;
+    const bool sent = attempt_ && attempt_->request_sent();
+    // A repetition had only the rest of the time.
+    if (sent && attempts_ == 1 && cause == deadline_cause) {
+        evidence_.note_failure();
+    }
+    const bool may_have_run = sent || runs_ > 0;
     cancel_attempts();
     if (may_have_run) {
         respond_failure(504, cause);
@@ -296,6 +337,7 @@
         return;
     }
     ++runs_;
+    evidence_.note_failure();
     on_outcome_unknown("upstream_lost");
 }
 
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -3,6 +3,8 @@
 
 #include <bamboogate/relay/exchange.hpp>
 
+#include "attempt_evidence.hpp"
+
 namespace bamboogate::relay {
 
 /// A request with a single complete response. The response is buffered before
@@ -29,6 +31,8 @@
     void on_deadline(std::string_view cause) override;
 
     void attempt();
+    /// Chooses an upstream by the versions that the service's rollout allows.
+    [[nodiscard]] const instance* choose_upstream(time_point now);
     bool on_head(const net::http1_response_head& head);
     void on_body(std::string_view part);
     void on_complete();
@@ -43,6 +47,7 @@
     void finish_without_response(std::string_view cause);
     void forward_response();
 
+    attempt_evidence evidence_;
     std::unique_ptr<net::http1_client::exchange> attempt_;
     upstream_id upstream_;
     std::uint64_t upstream_started_at_ = 0;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -26,6 +26,14 @@
     return std::hash<std::string_view>{}(text);
 }
 
+/// Spreads the gates evenly over [0, 1).
+double position_of(const node_id& gate)
+{
+    constexpr std::uint64_t steps = 1U << 20U;
+    return static_cast<double>(hash_of(gate.value()) % steps) /
+           static_cast<double>(steps);
+}
+
 } // namespace
 
 relay_gate::relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -64,6 +72,12 @@
                [this](const suspicion_update& update) {
                    quarantine_.add(update, loop_.now());
                },
+           .on_rollouts =
+               [this](const rollout_update& update) { on_rollouts(update); },
+           .on_rollout_lease =
+               [this](const rollout_lease& lease) {
+                   rollouts_.renew(lease.numbers, loop_.now());
+               },
            .on_new_leader = [this] { on_new_leader(); }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
       prober_(loop, {},
@@ -92,6 +106,7 @@
                                each->on_quarantine(service);
                            }
                        }}),
+      rollouts_({.position = position_of(settings_.control.self)}),
       context_{
           .loop = loop,
           .upstream_client = client_,
@@ -100,6 +115,7 @@
           .retries = retries_,
           .placer = placer_,
           .quarantine = quarantine_,
+          .rollouts = rollouts_,
           .metrics = metrics_,
           .response_buffers = response_buffers_,
           .times = response_times_,
@@ -134,6 +150,7 @@
                                 "no_configuration");
                      }),
       tick_timer_(loop, [this] { tick(); }),
+      evidence_timer_(loop, [this] { report_evidence(); }),
       stop_timer_(loop, [this] { end_open_work(); })
 {}
 
@@ -482,6 +499,7 @@
     const time_point now = loop_.now();
     const relay::service* declared =
         table_ ? table_->find_service(service) : nullptr;
+    const bool has_rollout = rollouts_.find(service) != nullptr;
     stream_planner& planner = planners_[service];
     planner.suspend_all();
     for (const auto& [id, each] : directory_.registry().instances()) {
@@ -495,7 +513,9 @@
              .kv_capacity_tokens = engine ? declared->engine->kv_capacity_tokens
                                           : default_kv_capacity_tokens,
              .slots = each.announced.slots,
-             .usable = directory_.usable(each, now)});
+             .usable = directory_.usable(each, now),
+             .version =
+                 has_rollout ? each.announced.version : software_version()});
     }
 }
 
@@ -504,6 +524,8 @@
     for (const auto& each : exchanges()) {
         each->report_placement();
     }
+    rollouts_.report_again();
+    report_evidence();
 }
 
 void relay_gate::tick()
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -78,6 +78,8 @@
                        }),
       detector_(
           silence_options(accepted_.table->find_service(accepted_.service), 0)),
+      evidence_(context.rollouts, accepted_.service,
+                accepted_.matched_route->name),
       copy_(context, {.service = accepted_.service,
                       .run = accepted_.description.attempt}),
       last_event_(accepted_.description.resume_after)
@@ -98,7 +100,10 @@
     const bool paused =
         engine != nullptr &&
         context_.directory.health(target.engine).paused(context_.loop.now());
-    if (engine == nullptr || paused ||
+    const bool rolled_back =
+        engine != nullptr && context_.rollouts.rolled_back(
+                                 accepted_.service, engine->announced.version);
+    if (engine == nullptr || paused || rolled_back ||
         (!source && engine->state != instance_state::ready)) {
         place_elsewhere(target.engine);
         return;
@@ -132,6 +137,7 @@
     event_seen_ = false;
     ++attempts_;
     attempt_started_ = context_.loop.now();
+    evidence_.begin(*engine, !from_copy_, attempt_started_);
     log_attempt(from_copy_ ? "stream_from_copy" : "stream", *engine, attempts_);
     context_.directory.health(target.engine).request_started(attempt_started_);
     detector_ = streaming::silence_detector(silence_options(
@@ -261,6 +267,7 @@
     const time_point now = context_.loop.now();
     if (!event_seen_) {
         event_seen_ = true;
+        evidence_.note_answer(now);
         planner().note_started(accepted_.description.attempt);
         report_run(run_update::change::started);
         context_.quarantine.note_started(accepted_.service,
@@ -371,6 +378,7 @@
                                     head_.status != 408 &&
                                     head_.status != 421 && head_.status != 429;
     if (final_client_error) {
+        evidence_.note_answer(now);
         health.request_ended();
         release();
         net::header_list headers = head_.headers;
@@ -404,6 +412,7 @@
 
 void stream_exchange::finish()
 {
+    evidence_.note_answer(context_.loop.now());
     context_.directory.health(engine_).request_ended();
     static_cast<void>(copy_.end());
     release();
@@ -521,7 +530,10 @@
 {
     log_failure(engine_, cause);
     silence_timer_.stop();
-    const auto held = copy_.end();
+    const auto held = take_copy();
+    if (may_have_run) {
+        evidence_.note_failure();
+    }
     context_.directory.health(engine_).request_ended();
     release();
     runs_ += may_have_run ? 1 : 0;
@@ -565,8 +577,12 @@
 
 void stream_exchange::on_deadline(std::string_view cause)
 {
-    const bool may_have_run =
-        (attempt_ && attempt_->request_sent()) || checking_engine_ || runs_ > 0;
+    const bool sent = attempt_ && attempt_->request_sent();
+    // A repetition had only the rest of the time.
+    if (sent && attempts_ == 1 && cause == deadline_cause) {
+        evidence_.note_failure();
+    }
+    const bool may_have_run = sent || checking_engine_ || runs_ > 0;
     cancel_attempts();
     if (may_have_run || head_sent_) {
         respond_failure(504, cause);
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/streaming/silence_detector.hpp>
 
+#include "attempt_evidence.hpp"
 #include "stream_copy.hpp"
 
 namespace bamboogate::relay {
@@ -39,6 +40,13 @@
     void place();
     void on_placed(const result<place_reply>& reply);
     void place_locally();
+    /// Whether this stream takes part in a trial, until its first attempt.
+    [[nodiscard]] bool on_trial();
+    /// Chooses an engine by the gate's own view, of the versions that the
+    /// service's rollout allows.
+    [[nodiscard]] std::optional<placement> choose_engine();
+    /// The copy of a lost attempt from which the stream may resume.
+    [[nodiscard]] std::optional<held_copy> take_copy();
     /// Ends a stream that no engine can take. One that has begun is placed
     /// again after the delay, until its deadline.
     void end_unplaced(std::string_view cause, duration retry_after);
@@ -98,6 +106,8 @@
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
+    attempt_evidence evidence_;
+    std::optional<bool> chosen_for_trial_;
     upstream_id engine_;
     std::uint64_t engine_started_at_ =
         0; ///< of the current attempt, or the last one
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -42,6 +42,32 @@
             .prompt = accepted_.description.prompt};
 }
 
+bool stream_exchange::on_trial()
+{
+    if (!chosen_for_trial_) {
+        // The rest of a stream that another gate has lost is a repetition.
+        chosen_for_trial_ =
+            !accepted_.description.resume_after &&
+            context_.rollouts.admit_to_trial(accepted_.service,
+                                             accepted_.matched_route->name,
+                                             context_.loop.now());
+    }
+    return *chosen_for_trial_ && attempts_ == 0;
+}
+
+std::optional<held_copy> stream_exchange::take_copy()
+{
+    auto held = copy_.end();
+    const instance* holder =
+        held ? context_.directory.find(held->holder) : nullptr;
+    const bool allowed =
+        holder != nullptr &&
+        context_.rollouts.may_resume(accepted_.service, evidence_.version(),
+                                     holder->announced.version,
+                                     chosen_for_trial_.value_or(false));
+    return allowed ? std::move(held) : std::nullopt;
+}
+
 void stream_exchange::place()
 {
     const duration prefill_time =
@@ -70,7 +96,8 @@
         .start_within_ms =
             std::chrono::duration_cast<std::chrono::milliseconds>(start_within)
                 .count(),
-        .shared_parts = accepted_.description.shared_parts};
+        .shared_parts = accepted_.description.shared_parts,
+        .trial = on_trial()};
     awaiting_placement_ = true;
     reported_to_leader_ = true;
     context_.placer.request_placement(
@@ -125,18 +152,40 @@
     place_locally();
 }
 
+std::optional<placement> stream_exchange::choose_engine()
+{
+    context_.refresh_planner(accepted_.service);
+    const time_point now = context_.loop.now();
+    planned_run planned = run();
+    const auto& rollouts = context_.rollouts;
+    if (on_trial()) {
+        planned.versions =
+            rollouts.preference(accepted_.service, true).preferred;
+        if (auto target =
+                planner().choose(planned, excluded_, now,
+                                 stream_planner::capacity_policy::required)) {
+            return target;
+        }
+    }
+    const auto general = rollouts.preference(accepted_.service, false);
+    planned.versions = planner().usable_engines(general.preferred) > 0
+                           ? general.preferred
+                           : general.fallback;
+    auto target = planner().choose(planned, excluded_, now);
+    if (!target && !excluded_.empty()) {
+        excluded_.clear();
+        target = planner().choose(planned, excluded_, now);
+    }
+    return target;
+}
+
 void stream_exchange::place_locally()
 {
     if (breaks_before_start_ >= max_breaks_without_leader) {
         respond_failure(502, "engines_crash");
         return;
     }
-    context_.refresh_planner(accepted_.service);
-    auto target = planner().choose(run(), excluded_, context_.loop.now());
-    if (!target && !excluded_.empty()) {
-        excluded_.clear();
-        target = planner().choose(run(), excluded_, context_.loop.now());
-    }
+    const auto target = choose_engine();
     if (!target) {
         if (runs_ == 0 && !head_sent_) {
             refuse_without_upstream("no_engine", refusal_retry_after);
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -126,7 +126,8 @@
     std::tuple<bool, bool, std::size_t, double, std::uint64_t> best_key;
     for (const auto& [id, engine] : engines_) {
         if (!engine.usable || excluded.contains(id) ||
-            tokens > engine.kv_capacity_tokens) {
+            tokens > engine.kv_capacity_tokens ||
+            !run.versions.admits(engine.version)) {
             continue;
         }
         const bool full = !has_run_capacity(engine, run, now);
@@ -162,6 +163,7 @@
     const auto engine = engines_.find(found->second.engine);
     const bool has_capacity =
         engine != engines_.end() && engine->second.usable &&
+        run.versions.admits(engine->second.version) &&
         load_of(engine->first).runs < engine->second.slots &&
         fits(engine->second, run.prompt_tokens + run.output_tokens,
              settings_.cached_prompt_memory_share);
@@ -210,8 +212,10 @@
     const planned_engine* best = nullptr;
     std::tuple<bool, std::uint64_t, std::uint64_t> best_key;
     for (const auto& [id, candidate] : engines_) {
+        const bool other_version = primary != engines_.end() &&
+                                   primary->second.version != candidate.version;
         if (id == engine || !candidate.usable || excluded.contains(id) ||
-            !fits(candidate, tokens, share)) {
+            other_version || !fits(candidate, tokens, share)) {
             continue;
         }
         const bool same_domain = primary != engines_.end() &&
@@ -325,11 +329,13 @@
     return load_of(id).resident_tokens;
 }
 
-std::size_t stream_planner::usable_engines() const
+std::size_t
+stream_planner::usable_engines(const rollout::version_filter& versions) const
 {
     return static_cast<std::size_t>(
-        std::count_if(engines_.begin(), engines_.end(),
-                      [](const auto& each) { return each.second.usable; }));
+        std::count_if(engines_.begin(), engines_.end(), [&](const auto& each) {
+            return each.second.usable && versions.admits(each.second.version);
+        }));
 }
 
 std::vector<request_id> stream_planner::runs_using(const upstream_id& id) const
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -106,7 +106,7 @@
         tokens_ahead += first ? each.run.prompt_tokens : 0;
     }
     const std::size_t engines =
-        std::max<std::size_t>(planner_.usable_engines(), 1);
+        std::max<std::size_t>(planner_.usable_engines(versions_), 1);
     const double ms =
         static_cast<double>(tokens_ahead) /
         (settings_.prompt_tokens_per_ms * static_cast<double>(engines));
@@ -114,6 +114,27 @@
         std::chrono::duration<double, std::milli>(ms));
 }
 
+std::optional<placement> stream_scheduler::choose_engine(stream_demand& demand,
+                                                         time_point now) const
+{
+    constexpr auto required = stream_planner::capacity_policy::required;
+    if (std::exchange(demand.trial, false) && trial_target_) {
+        demand.run.versions = {rollout::version_filter::rule::only,
+                               {*trial_target_}};
+        if (auto target =
+                planner_.choose(demand.run, demand.excluded, now, required)) {
+            return target;
+        }
+    }
+    demand.run.versions = versions_;
+    auto target = planner_.choose(demand.run, demand.excluded, now, required);
+    if (!target && !demand.excluded.empty()) {
+        // An engine on which the run has failed before is better than none.
+        target = planner_.choose(demand.run, {}, now, required);
+    }
+    return target;
+}
+
 bool stream_scheduler::place(const stream_demand& demand,
                              const placement& target, time_point now)
 {
@@ -151,14 +172,7 @@
             continue;
         }
         next->run.suspect = !suspects.empty();
-        auto target =
-            planner_.choose(next->run, next->excluded, now,
-                            stream_planner::capacity_policy::required);
-        if (!target && !next->excluded.empty()) {
-            // An engine on which the run has failed before is better than none.
-            target = planner_.choose(next->run, {}, now,
-                                     stream_planner::capacity_policy::required);
-        }
+        const auto target = choose_engine(*next, now);
         if (target) {
             const bool cached = place(*next, *target, now);
             out.push_back({.id = next->run.id,
--- a/lib/source/relay/upstream_directory.cpp
+++ b/lib/source/relay/upstream_directory.cpp
@@ -72,16 +72,16 @@
            (!observed->suspended(now) && !observed->paused(now));
 }
 
-const instance*
-upstream_directory::choose(const service_id& service,
-                           const std::set<upstream_id>& excluded,
-                           time_point now) const
+const instance* upstream_directory::choose(
+    const service_id& service, const std::set<upstream_id>& excluded,
+    time_point now, const rollout::version_filter& versions) const
 {
     const instance* best = nullptr;
     std::tuple<bool, double> best_key;
     for (const auto& [id, each] : registry_.instances()) {
         if (each.announced.service != service ||
-            each.state != instance_state::ready || excluded.contains(id)) {
+            each.state != instance_state::ready || excluded.contains(id) ||
+            !versions.admits(each.announced.version)) {
             continue;
         }
         const upstream_health* observed = find_health(id);
@@ -110,4 +110,16 @@
     return best;
 }
 
+bool upstream_directory::any_ready(
+    const service_id& service, const rollout::version_filter& versions) const
+{
+    const auto& known = registry_.instances();
+    return std::any_of(known.begin(), known.end(), [&](const auto& entry) {
+        const instance& each = entry.second;
+        return each.announced.service == service &&
+               each.state == instance_state::ready &&
+               versions.admits(each.announced.version);
+    });
+}
+
 } // namespace bamboogate::relay
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -103,6 +103,8 @@
                     },
                 .on_suspicion = [](const upstream_id&) {},
                 .on_quarantine = [](const relay::quarantine_update&) {},
+                .on_rollouts = [](const relay::rollout_update&) {},
+                .on_rollout_lease = [](const relay::rollout_lease&) {},
                 .on_new_leader = [] {}});
     }
     /// Waits until the gate has closed the link that it doesn't need.
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -72,6 +72,8 @@
                 .on_departure = [](const relay::announcement&) {},
                 .on_suspicion = [](const upstream_id&) {},
                 .on_quarantine = [](const relay::quarantine_update&) {},
+                .on_rollouts = [](const relay::rollout_update&) {},
+                .on_rollout_lease = [](const relay::rollout_lease&) {},
                 .on_new_leader = [] {}});
     }
     void run_for(duration time)
--- a/tests/relay/event_stream_and_configuration_store_test.cpp
+++ b/tests/relay/event_stream_and_configuration_store_test.cpp
@@ -23,10 +23,12 @@
                              .excluded = {upstream_id("e")},
                              .resuming = true,
                              .start_within_ms = 70,
-                             .shared_parts = {"f", "g"}};
+                             .shared_parts = {"f", "g"},
+                             .trial = true};
     const json document = sent;
     const auto parsed = document.get<place_request>();
-    CHECK(document.size() == 12);
+    CHECK(document.size() == 13);
+    CHECK(parsed.trial);
     CHECK(parsed.prompt == "p");
     CHECK(parsed.shared_parts == sent.shared_parts);
     CHECK(parsed.urgent);
