--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -70,6 +70,11 @@
     } else {
         out << fmt::format("control = \"{}\"\n", control_address().text());
     }
+    if (settings_.limits) {
+        out << fmt::format("[limits]\nmemoryMb = {}\nmaxFds = {}\n",
+                           settings_.limits->memory_mb,
+                           settings_.limits->descriptors);
+    }
     out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
            "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
     out.close();
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -18,6 +18,13 @@
 
 namespace bamboogate::tests {
 
+/// Limits of a program's memory and descriptors in its settings.
+struct program_limits
+{
+    unsigned memory_mb = 0;
+    unsigned descriptors = 0;
+};
+
 /// Runs one of the two programs on its own loopback address with a settings
 /// file as the platform writes it. Not thread safe.
 class machine
@@ -32,6 +39,7 @@
         std::vector<std::string> seeds; ///< IP addresses of three replicas
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, log and data
+        std::optional<program_limits> limits = std::nullopt;
     };
 
     machine(options settings, violations& problems);
@@ -75,6 +83,7 @@
     }
     [[nodiscard]] bool started() const { return started_; }
     [[nodiscard]] double resident_kib() const;
+    [[nodiscard]] pid_t process_id() const { return process_.id(); }
 
     [[nodiscard]] net::address caller_address() const
     {
