Share a request's body between the exchange and its attempts

Change: the accepted request is shared, and an attempt sends a body of more than 64 KiB from it in parts of 64 KiB. A connection whose server responded before it had read the whole body is not kept.

--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -95,6 +95,8 @@
         std::string target;
         header_list headers;
         std::string_view body; ///< copied by `start`
+        /// Sent instead of `body` if it is set. A long one is not copied.
+        std::shared_ptr<const std::string> shared_body = nullptr;
         bool fresh_connection = false;
         /// A response with a larger body fails the exchange; unlimited if not
         /// set, for streams whose receiver limits each part.
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -68,7 +68,8 @@
 /// A request that was accepted for a route.
 struct accepted_request
 {
-    net::http1_request request;
+    /// Shared with the attempts, which send its body without a copy.
+    std::shared_ptr<const net::http1_request> request;
     net::http1_responder_ptr responder;
     std::shared_ptr<const route_table> table; ///< keeps `matched_route` alive
     const route* matched_route = nullptr;
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -6,12 +6,16 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace bamboogate::net {
 
 namespace {
 
+/// Part of a shared body that is copied to the output of its connection.
+constexpr std::size_t body_part_bytes = 64u << 10;
+
 /// Subtracted from the idle time that a server announces: a request must arrive
 /// before the server closes the connection.
 constexpr duration keep_alive_margin = std::chrono::milliseconds(500);
@@ -88,6 +92,9 @@
     std::shared_ptr<http1_client_connection> connection;
     callbacks handlers;
     std::string output;
+    /// Follows `output`; null if that holds the body.
+    std::shared_ptr<const std::string> shared_body;
+    std::size_t body_bytes_sent = 0; ///< of `shared_body`
     bool head_request = false;
     std::unique_ptr<http1_response_reader> reader;
     header_list response_headers;
@@ -141,7 +148,26 @@
     {
         connect_timer.stop();
         sent = true;
-        connection->stream->write(output);
+        connection->stream->write(std::exchange(output, {}));
+        send_body();
+    }
+
+    [[nodiscard]] bool body_sent() const
+    {
+        return !shared_body || body_bytes_sent == shared_body->size();
+    }
+
+    /// Sends the shared body as far as the socket accepts it.
+    void send_body()
+    {
+        tcp_stream& stream = *connection->stream;
+        while (!body_sent() && stream.connected() &&
+               stream.queued_bytes() == 0) {
+            const auto part = std::string_view(*shared_body)
+                                  .substr(body_bytes_sent, body_part_bytes);
+            body_bytes_sent += part.size();
+            stream.write(part);
+        }
     }
 
     void on_data(std::string_view bytes)
@@ -199,10 +225,12 @@
     {
         const auto self = shared_from_this();
         ended = true;
-        const bool reusable = clean && reuse_allowed && reader->keep_alive() &&
-                              !reader->ends_with_connection() &&
-                              connection->stream &&
-                              connection->stream->queued_bytes() == 0;
+        // A server may respond before it has read the body, the rest of which
+        // would be taken for the next request.
+        const bool reusable =
+            clean && body_sent() && reuse_allowed && reader->keep_alive() &&
+            !reader->ends_with_connection() && connection->stream &&
+            connection->stream->queued_bytes() == 0;
         auto used = std::move(connection);
         if (const auto pool = client.lock(); pool && reusable) {
             pool->keep(std::move(used), response_headers);
@@ -277,7 +305,14 @@
                     }
                     self->stream.reset();
                 },
-            .on_drained = nullptr};
+            .on_drained =
+                [weak] {
+                    const auto self = weak.lock();
+                    const auto owner = self ? self->owner.lock() : nullptr;
+                    if (owner && owner->connection == self) {
+                        owner->send_body();
+                    }
+                }};
 }
 
 } // namespace
@@ -356,9 +391,16 @@
         message.max_body_bytes.value_or(state->max_body_bytes);
     state->max_discarded_bytes = impl_->settings.max_discarded_bytes;
     state->new_reader();
-    state->output = serialize_request_head(
-        message.method, message.target, message.headers, message.body.size());
-    state->output.append(message.body);
+    const std::string_view body = message.shared_body
+                                      ? std::string_view(*message.shared_body)
+                                      : message.body;
+    state->output = serialize_request_head(message.method, message.target,
+                                           message.headers, body.size());
+    if (message.shared_body && body.size() > body_part_bytes) {
+        state->shared_body = message.shared_body;
+    } else {
+        state->output.append(body);
+    }
     auto connection =
         message.fresh_connection ? nullptr : impl_->take_idle(server);
     if (connection) {
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -15,7 +15,7 @@
 {
     if (accepted.fingerprint.empty()) {
         accepted.fingerprint = request_fingerprint(
-            accepted.request, accepted.description, accepted.account);
+            *accepted.request, accepted.description, accepted.account);
     }
     return accepted.fingerprint;
 }
@@ -79,10 +79,11 @@
 net::http1_client::request
 exchange::upstream_request(const attempt_options& options) const
 {
-    net::http1_client::request out{.method = accepted_.request.method,
-                                   .target = accepted_.request.target,
-                                   .headers = accepted_.request.headers,
-                                   .body = accepted_.request.body};
+    const auto& request = accepted_.request;
+    net::http1_client::request out{.method = request->method,
+                                   .target = request->target,
+                                   .headers = request->headers,
+                                   .shared_body = {request, &request->body}};
     net::remove_hop_by_hop_fields(out.headers);
     context_.protocol.write_attempt(out.headers, options);
     return out;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -238,7 +238,8 @@
         }
     }
     accepted_request accepted{
-        .request = std::move(request),
+        .request =
+            std::make_shared<const net::http1_request>(std::move(request)),
         .responder = responder,
         .table = table_,
         .matched_route = matched,
