Bound the memory and the connections of all clients of a process

Cause: requests were bounded one by one and not in sum, and a server accepted any number of connections. Change: net/request_memory counts heads, bodies and unparsed input of all clients against a share of limits.memoryMb before a body is read, and decides who waits, who is refused with 503 and which slow sender is closed with 408; small requests have a reserve. net/connection_choice decides which connection is closed beyond the share of limits.maxFds. The gate's and the control program's ports, metrics and readiness use both. The parser reads input without copying it first and frees what it does not need. Without limits in the settings nothing changes. Events 1220 and 1221, metrics, docs.

--- a/lib/include/bamboogate/net/http1.hpp
+++ b/lib/include/bamboogate/net/http1.hpp
@@ -105,10 +105,23 @@
     /// @brief True if the client waits for `100 Continue`.
     [[nodiscard]] bool expects_continue() const;
 
+    /// @brief Bytes of memory that the current request takes: of its head, of
+    ///     input that is not parsed yet, and of the whole body if its length is
+    ///     known, else of the space for the part that was received.
+    [[nodiscard]] std::size_t needed_bytes() const;
+
+    /// @brief Allocates the space of a body whose length is known, so that it
+    ///     is not copied while it grows. Has no effect before the head is
+    ///     complete.
+    void reserve_body();
+
     /// @brief Returns the request and resets the reader for the next one.
     /// @pre done()
     http1_request take();
 
+    /// @brief Discards the current request and its memory.
+    void reset();
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/net/address.hpp>
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1.hpp>
+#include <bamboogate/net/request_memory.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -78,6 +79,18 @@
     duration after_close; ///< from the close to the first input after it
 };
 
+/// What a server did because it had no room for all clients.
+enum class client_limit_action : std::uint8_t
+{
+    request_refused,    ///< 503: no memory for the request
+    sender_closed,      ///< 408: a slow sender's memory was needed by others
+    input_dropped,      ///< of requests that followed one in progress
+    connection_closed,  ///< idle or slow, for a new one
+    connection_refused, ///< 503: all connections were in use
+};
+
+[[nodiscard]] std::string_view name_of(client_limit_action action);
+
 /// HTTP/1.1 server on sockets that it owns. Unlike `http_server`, it detects a
 /// client that disconnects while its request is pending, and its limits can be
 /// changed at run time. Not thread safe.
@@ -99,6 +112,16 @@
         duration linger_timeout = std::chrono::seconds(1);
         /// A client with more unsent output than this is disconnected.
         std::size_t max_queued_bytes = 4u << 20;
+        /// Open connections; with a new one beyond that, an idle or slow one is
+        /// closed, or the new one is refused with 503.
+        std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+        /// Memory of the requests that are being received or handled; unlimited
+        /// by default.
+        request_memory::options memory = {};
+        /// Header fields of a 503 response for lack of room.
+        header_list refusal_fields = {};
+        /// Called when a limit on clients took effect; may be empty.
+        std::function<void(client_limit_action)> on_client_limit = {};
         /// Called once for each connection with such input; may be empty.
         std::function<void(const discarded_input&)> on_discarded_input = {};
     };
@@ -132,6 +155,8 @@
     /// @brief Requests that the handler has not fully answered yet.
     [[nodiscard]] std::size_t active_requests() const;
     [[nodiscard]] std::size_t connections() const;
+    /// @brief Bytes counted against `options::memory`.
+    [[nodiscard]] std::size_t request_bytes() const;
 
 private:
     friend class http1_connection;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -141,6 +141,16 @@
     1043, severity::warning, "relay_input_discarded",
     "A caller sent more on a connection that the gate had closed; its request "
     "was neither read nor answered."};
+inline constexpr log_event client_limit_reached{
+    1220, severity::warning, "relay_client_limit_reached",
+    "Requests or connections of clients were refused or closed since the last "
+    "such line, because together they would exceed the memory or the "
+    "descriptors that the process has for them; none of these requests was "
+    "run."};
+inline constexpr log_event client_limits_set{
+    1221, severity::info, "relay_client_limits_set",
+    "The process starts with these limits on the requests and connections of "
+    "all its clients."};
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/net/http1_server.hpp>
 #include <bamboogate/observability/metrics.hpp>
+#include <bamboogate/relay/client_limits.hpp>
 #include <bamboogate/relay/control_feed.hpp>
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/relay/startup_queue.hpp>
@@ -41,6 +42,8 @@
         /// Bytes of upstreams' responses that all requests buffer together. A
         /// third of the memory of the smallest gates in use.
         std::size_t response_buffer_bytes = 28u << 20;
+        /// Of all callers together.
+        client_limits callers = {};
     };
 
     relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -117,6 +120,7 @@
     options settings_;
     observability::metric_registry registry_;
     gate_metrics metrics_;
+    client_limit_monitor client_limits_;
     buffer_budget response_buffers_;
     response_times response_times_;
     net::http1_client client_;
--- a/lib/source/net/http1.cpp
+++ b/lib/source/net/http1.cpp
@@ -57,6 +57,8 @@
     unsigned status = 0;
     std::string reason;
     header_list headers;
+    /// Memory of the fields, whose list grows by doubling.
+    std::size_t field_bytes = 0;
     bool head_read = false;
     std::function<void(std::string_view)> on_body;
 
@@ -84,6 +86,8 @@
     {
         problem = {};
         headers.add(to_text(name), to_text(value));
+        field_bytes +=
+            name.size() + value.size() + 2 * sizeof(header_list::field);
     }
 
     void on_header_impl(beast::error_code& problem) override
@@ -132,12 +136,15 @@
     // Beast does not keep unfinished lines: they are passed to it again
     // together with the next input.
     const std::size_t before = unparsed.size();
-    unparsed.append(bytes);
+    if (before > 0) {
+        unparsed.append(bytes);
+    }
+    const std::string_view input = before > 0 ? unparsed : bytes;
     std::size_t used = 0;
-    while (used < unparsed.size() && !parser.is_done()) {
+    while (used < input.size() && !parser.is_done()) {
         beast::error_code problem;
         const std::size_t count = parser.put(
-            boost::asio::buffer(unparsed.data() + used, unparsed.size() - used),
+            boost::asio::buffer(input.data() + used, input.size() - used),
             problem);
         used += count;
         if (problem == http::error::need_more) {
@@ -159,10 +166,18 @@
     }
     if (parser.is_done()) {
         // Everything up to `used` belongs to this message.
-        unparsed.clear();
+        std::string().swap(unparsed);
         return used - std::min(used, before);
     }
-    unparsed.erase(0, used);
+    if (before > 0) {
+        unparsed.erase(0, used);
+    } else {
+        unparsed.assign(input.substr(used));
+    }
+    if (unparsed.empty()) {
+        // Long bodies follow; the memory of the head is not needed for them.
+        std::string().swap(unparsed);
+    }
     if (unparsed.size() > max_unparsed_bytes) {
         return fail(errc::limit_exceeded, "header");
     }
@@ -243,8 +258,17 @@
         parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser->body_limit(limits.body_bytes);
         parser->on_body = [this](std::string_view part) { body.append(part); };
-        body.clear();
-        unparsed.clear();
+        std::string().swap(body);
+        std::string().swap(unparsed);
+    }
+
+    [[nodiscard]] std::size_t known_body_bytes() const
+    {
+        const auto length =
+            parser->is_header_done() ? parser->content_length() : boost::none;
+        return length ? std::min(static_cast<std::size_t>(*length),
+                                 limits.body_bytes)
+                      : 0;
     }
 };
 
@@ -290,6 +314,22 @@
            impl_->parser->headers.has_token("Expect", "100-continue");
 }
 
+std::size_t http1_request_reader::needed_bytes() const
+{
+    return impl_->parser->field_bytes + impl_->unparsed.capacity() +
+           std::max(impl_->body.capacity(), impl_->known_body_bytes());
+}
+
+void http1_request_reader::reserve_body()
+{
+    impl_->body.reserve(impl_->known_body_bytes());
+}
+
+void http1_request_reader::reset()
+{
+    impl_->reset();
+}
+
 http1_request http1_request_reader::take()
 {
     http1_request request{.method = std::move(impl_->parser->method),
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef BAMBOOGATE_NET_HTTP1_CONNECTION_HPP
 #define BAMBOOGATE_NET_HTTP1_CONNECTION_HPP
 
+#include <bamboogate/net/connection_choice.hpp>
 #include <bamboogate/net/http1_server.hpp>
 #include <bamboogate/net/tcp_stream.hpp>
 
@@ -28,6 +29,17 @@
     void abort();
     [[nodiscard]] std::size_t queued_bytes() const;
 
+    [[nodiscard]] std::uint64_t number() const { return number_; }
+    [[nodiscard]] connection_state state() const;
+    /// Room was found for the request that waits.
+    void on_admitted();
+    /// Refuses the request that is being received as not run.
+    void refuse_without_room();
+    /// Refuses a request whose sender is slow.
+    void refuse_slow_sender();
+    /// Closes a connection that serves no request, for another one.
+    void close_for_another();
+
 private:
     enum class phase : std::uint8_t
     {
@@ -40,11 +52,22 @@
     };
 
     void on_data(std::string_view bytes);
-    void read_requests();
+    /// @param bytes that arrived after `pending_`
+    void read_requests(std::string_view bytes);
+    /// Continues with the request after a part of it was read.
+    void proceed();
+    /// Asks for the memory of the current request.
+    /// @return false if it waits for room or was refused
+    bool admit();
+    /// Keeps input that follows the request in progress.
+    void hold_next_requests(std::string_view bytes);
+    /// Returns the memory of the request that has ended or was refused.
+    void release_memory();
     void dispatch_request();
     void on_end();
     void on_timeout();
     void refuse(const error& problem);
+    void refuse(unsigned status, header_list headers);
     void end_exchange();
     void begin_idle();
     void linger(server_close cause);
@@ -60,6 +83,10 @@
     phase phase_ = phase::idle;
     time_point idle_since_;
     duration idle_allowed_{};
+    std::uint64_t number_;
+    time_point request_since_;    ///< first byte of the request
+    bool waits_for_room_ = false; ///< reading is paused meanwhile
+    bool drops_next_requests_ = false;
     /// Unsent output when the linger time-out was last started.
     std::size_t linger_queued_ = 0;
     time_point lingers_since_;
@@ -82,10 +109,22 @@
     std::unique_ptr<io_watcher> watcher;
     std::vector<std::shared_ptr<http1_connection>> connections;
     std::size_t active = 0;
+    std::uint64_t next_number = 0;
     bool draining = false;
+    std::unique_ptr<request_memory> memory; ///< null if it is not limited
+    std::unique_ptr<timer> review_timer;
 
     void accept_connections();
     void remove(const http1_connection* connection);
+
+    /// Closes a connection for a new one. @return false if none can be closed
+    bool close_one_connection();
+    /// Answers 503 on a connection beyond the limit, without reading.
+    void refuse_connection(int descriptor);
+    void limit_memory();
+    void release_memory(std::uint64_t connection);
+    void review_memory();
+    void note(client_limit_action action) const;
 };
 
 } // namespace bamboogate::net
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "http1_connection.hpp"
 
@@ -95,7 +96,8 @@
 
 http1_connection::http1_connection(http1_server::impl& server)
     : server_(server), reader_(server.settings.limits),
-      timer_(server.loop, [this] { on_timeout(); })
+      timer_(server.loop, [this] { on_timeout(); }),
+      number_(server.next_number++)
 {}
 
 void http1_connection::start(int descriptor)
@@ -155,32 +157,50 @@
     if (phase_ == phase::closed) {
         return;
     }
-    pending_.append(bytes);
     if (phase_ == phase::handling) {
+        hold_next_requests(bytes);
         if (pending_.size() > max_pending_bytes) {
             stream_->pause_input(true);
         }
         return;
     }
-    read_requests();
+    if (!pending_.empty()) {
+        pending_.append(bytes);
+        bytes = {};
+    }
+    read_requests(bytes);
 }
 
-void http1_connection::read_requests()
+void http1_connection::read_requests(std::string_view bytes)
 {
-    if (pending_.empty()) {
+    const std::string_view input = pending_.empty() ? bytes : pending_;
+    if (input.empty()) {
         return;
     }
     if (phase_ == phase::idle) {
         phase_ = phase::head;
+        request_since_ = server_.loop.now();
         continue_sent_ = false;
         timer_.start_once(server_.settings.header_timeout);
     }
-    const auto consumed = reader_.read(pending_);
+    const auto consumed = reader_.read(input);
     if (!consumed) {
         refuse(consumed.error());
         return;
     }
-    pending_.erase(0, consumed.value());
+    // A copy, as `input` may be a part of `pending_`.
+    pending_ = std::string(input.substr(consumed.value()));
+    if (server_.memory) {
+        server_.memory->note_progress(number_, consumed.value(),
+                                      server_.loop.now());
+    }
+    if (admit()) {
+        proceed();
+    }
+}
+
+void http1_connection::proceed()
+{
     if (phase_ == phase::head && reader_.has_head()) {
         phase_ = phase::body;
         // The whole body must arrive within the idle time-out.
@@ -199,6 +219,9 @@
 {
     timer_.stop();
     phase_ = phase::handling;
+    if (server_.memory) {
+        server_.memory->note_complete(number_);
+    }
     http1_request request = reader_.take();
     keep_alive_ = request.keep_alive;
     head_request_ = request.method == "HEAD";
@@ -251,8 +274,12 @@
     } else if (problem.code == errc::limit_exceeded) {
         status = problem.detail == "body" ? 413 : 431;
     }
+    refuse(status, {});
+}
+
+void http1_connection::refuse(unsigned status, header_list headers)
+{
     keep_alive_ = false;
-    header_list headers;
     headers.add("Content-Length", "0");
     headers.add("Connection", "close");
     const std::string head =
@@ -342,7 +369,8 @@
 {
     --server_.active;
     responder_.reset();
-    if (close_announced_) {
+    release_memory();
+    if (close_announced_ || drops_next_requests_) {
         linger(server_close::answered);
         return;
     }
@@ -361,7 +389,7 @@
     server_.loop.post([weak] {
         const auto self = weak.lock();
         if (self && self->phase_ == phase::idle) {
-            self->read_requests();
+            self->read_requests({});
         }
     });
 }
@@ -371,7 +399,10 @@
     phase_ = phase::lingering;
     close_cause_ = cause;
     lingers_since_ = server_.loop.now();
-    pending_.clear();
+    waits_for_room_ = false;
+    std::string().swap(pending_);
+    reader_.reset();
+    release_memory();
     stream_->pause_input(false);
     stream_->shutdown_output();
     linger_queued_ = stream_->queued_bytes();
@@ -411,6 +442,7 @@
     }
     phase_ = phase::closed;
     timer_.stop();
+    release_memory();
     stream_.reset();
     server_.remove(this);
 }
@@ -421,8 +453,18 @@
         const int fd =
             accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
+            // The listener stays ready, so that the loop would not rest.
+            const bool full = errno == EMFILE || errno == ENFILE;
+            if (full && close_one_connection()) {
+                continue;
+            }
             return;
         }
+        if (connections.size() >= settings.max_connections &&
+            !close_one_connection()) {
+            refuse_connection(fd);
+            continue;
+        }
         set_no_delay(fd);
         connections.push_back(std::make_shared<http1_connection>(*this));
         connections.back()->start(fd);
@@ -453,6 +495,7 @@
     BOOST_OUTCOME_TRY(listener, listen_on(settings.listen_address));
     auto state = std::make_unique<impl>(
         impl{loop, std::move(settings), std::move(function)});
+    state->limit_memory();
     state->listener = listener;
     state->watcher = std::make_unique<io_watcher>(
         loop, listener,
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -18,6 +18,9 @@
 constexpr duration stopping_retry_after = std::chrono::milliseconds(20);
 /// Time in which the answers at the end of a planned stop are written.
 constexpr duration last_answers_time = std::chrono::milliseconds(150);
+/// Retry delay sent to callers whose request has no room in memory, or whose
+/// connection is one too many; another gate may serve them sooner.
+constexpr duration full_retry_after = std::chrono::milliseconds(250);
 /// KV cache capacity assumed for an upstream whose service declares no engine.
 constexpr std::uint64_t default_kv_capacity_tokens = 100000;
 
@@ -32,6 +35,7 @@
                        options settings)
     : loop_(loop), protocol_(std::move(protocol)),
       settings_(std::move(settings)), metrics_(registry_),
+      client_limits_(registry_),
       response_buffers_(settings_.response_buffer_bytes), client_(loop, {}),
       directory_(
           {.own_domain = settings_.control.failure_domain, .registry = {}}),
@@ -141,14 +145,21 @@
 
 result<void> relay_gate::start()
 {
+    net::http1_server::options server_options{
+        .listen_address = settings_.caller_address,
+        .refusal_fields = protocol_.retry_after(full_retry_after),
+        .on_client_limit =
+            [this](net::client_limit_action action) {
+                client_limits_.note(action);
+            },
+        .on_discarded_input =
+            [this](const net::discarded_input& input) {
+                on_discarded_input(input);
+            }};
+    apply(settings_.callers, server_options);
     BOOST_OUTCOME_TRY(server,
                       net::http1_server::start(
-                          loop_,
-                          {.listen_address = settings_.caller_address,
-                           .on_discarded_input =
-                               [this](const net::discarded_input& input) {
-                                   on_discarded_input(input);
-                               }},
+                          loop_, std::move(server_options),
                           [this](net::http1_request request,
                                  const net::http1_responder_ptr& responder) {
                               on_request(std::move(request), responder);
@@ -517,6 +528,7 @@
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
     quarantine_.expire(loop_.now());
+    client_limits_.report(loop_.now(), *server_);
     retries_.set_gates(feed_.gates());
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -27,6 +27,9 @@
 retryBudgetRatio = 0.5
 retryWindowS = 12
 budgetSlack = 90
+[limits]
+memoryMb = 96
+maxFds = 1000
 )";
 
 } // namespace
@@ -50,6 +53,24 @@
     CHECK(node.retry_ratio == doctest::Approx(0.5));
     CHECK(node.retry_window == 12s);
     CHECK(node.retry_slack == doctest::Approx(90));
+    CHECK(node.limits.memory_bytes == 96u << 20);
+    CHECK(node.limits.descriptors == 800);
+    const auto limits = relay::gate_client_limits(node.limits);
+    CHECK(limits.request_bytes == 32u << 20);
+    CHECK(limits.connections == 350);
+}
+
+// Guards against limits on clients of a vm whose settings name none.
+TEST_CASE("settings_without_limits_leave_clients_unlimited")
+{
+    const std::string text = sample_settings;
+    const auto read = read_settings(text.substr(0, text.find("[limits]")));
+    REQUIRE(read);
+    net::http1_server::options server;
+    const auto unlimited = server.max_connections;
+    apply(relay::gate_client_limits(read.value().limits), server);
+    CHECK(server.max_connections == unlimited);
+    CHECK(server.memory.total_bytes == unlimited);
 }
 
 // Guards against a process that starts with incomplete settings.
