Give the rollout tests two upstreams of the new version

Cause: with one upstream of the version on trial, a repeat that was wrongly on trial again went to the old version all the same, because the failed upstream is excluded: removing the check of the first attempt failed no test. Change: two upstreams of the new version for both services; the lost stream is repeated after a 500.

--- a/tests/platform/rollout_gate_test.cpp
+++ b/tests/platform/rollout_gate_test.cpp
@@ -82,8 +82,8 @@
     }
 };
 
-/// Several gates, two replicas of which the first leads, and an upstream of
-/// each version for both services.
+/// Several gates, two replicas of which the first leads, and for both services
+/// an upstream of the old version and two of the new one.
 struct rollout_fixture
 {
     net::event_loop loop;
@@ -91,10 +91,12 @@
     std::vector<std::unique_ptr<relay::relay_gate>> gates;
     net::http1_client client{loop, {}};
     fake_upstream old_engine{loop, "e1"};
-    fake_upstream new_engine{loop, "e2"};
+    fake_upstream new_engine1{loop, "e2"};
+    fake_upstream new_engine2{loop, "e3"};
     fake_upstream old_service{loop, "s1"};
-    fake_upstream new_service{loop, "s2"};
-    unsigned new_status = 200; ///< of the answers of `new_service`
+    fake_upstream new_service1{loop, "s2"};
+    fake_upstream new_service2{loop, "s3"};
+    unsigned new_status = 200; ///< of the answers of the new version
     std::map<const fake_upstream*, std::size_t> answered;
     int attempts = 0;
 
@@ -103,9 +105,11 @@
         for (int i = 0; i < 2; ++i) {
             replicas.push_back(std::make_unique<rollout_replica>(loop));
             announce(old_engine, "gen", "v1", *replicas[i]);
-            announce(new_engine, "gen", "v2", *replicas[i]);
+            announce(new_engine1, "gen", "v2", *replicas[i]);
+            announce(new_engine2, "gen", "v2", *replicas[i]);
             announce(old_service, "book", "v1", *replicas[i]);
-            announce(new_service, "book", "v2", *replicas[i]);
+            announce(new_service1, "book", "v2", *replicas[i]);
+            announce(new_service2, "book", "v2", *replicas[i]);
         }
         set_leader(0);
         for (std::size_t i = 0; i < gate_count; ++i) {
@@ -210,14 +214,18 @@
     }
     void answer_all()
     {
-        for (auto* each : {&old_service, &new_service}) {
+        for (auto* each : {&old_service, &new_service1, &new_service2}) {
             auto& done = answered[each];
             while (done < each->received.size()) {
                 each->answer(done++, "ok",
-                             each == &new_service ? new_status : 200);
+                             each == &old_service ? 200 : new_status);
             }
         }
     }
+    [[nodiscard]] std::size_t new_requests() const
+    {
+        return new_service1.received.size() + new_service2.received.size();
+    }
     /// Sends short requests to all gates in turn, and expects that callers
     /// notice nothing.
     void serve(int requests)
@@ -249,12 +257,12 @@
     const double share = rollout::trial_share(limits);
     set_phase("book", rollout_phase::trial, share);
     serve(requests);
-    const auto on_trial = static_cast<double>(new_service.received.size());
+    const auto on_trial = static_cast<double>(new_requests());
     CHECK(on_trial <= share * requests + limits.slack / 4.0);
     CHECK(on_trial >= share * requests - gate_count);
     set_phase("book", rollout_phase::rolled_back, share);
     serve(requests / 4);
-    CHECK(static_cast<double>(new_service.received.size()) == on_trial);
+    CHECK(static_cast<double>(new_requests()) == on_trial);
 }
 
 // Guards against a rollout whose new leader begins without the evidence of the
@@ -266,8 +274,7 @@
     const auto complete = [&](const rollout_replica& replica) {
         return replica.reported(software_version("v1")) ==
                    old_service.received.size() &&
-               replica.reported(software_version("v2")) ==
-                   new_service.received.size();
+               replica.reported(software_version("v2")) == new_requests();
     };
     CHECK(run_until(
         loop, [&] { return complete(*replicas[0]); }, 1s));
@@ -275,7 +282,7 @@
     set_leader(1);
     CHECK(run_until(
         loop, [&] { return complete(*replicas[1]); }, 1s));
-    CHECK(new_service.received.size() >= 18);
+    CHECK(new_requests() >= 18);
 }
 
 // Guards against a gate that is cut off and would never learn of a rollback.
@@ -283,12 +290,12 @@
 {
     set_phase("book", rollout_phase::trial, 0.5);
     serve(40);
-    CHECK(new_service.received.size() >= 18);
+    CHECK(new_requests() >= 18);
     replicas.clear();
     run_for(rollout::trial_selector::options().lease + 50ms);
-    const auto before = new_service.received.size();
+    const auto before = new_requests();
     serve(40);
-    CHECK(new_service.received.size() == before);
+    CHECK(new_requests() == before);
 }
 
 // Guards against callers that meet the faults of the version on trial twice,
@@ -299,7 +306,7 @@
     new_status = 500;
     set_phase("book", rollout_phase::trial, 1.0);
     serve(20);
-    CHECK(new_service.received.size() == 20);
+    CHECK(new_requests() == 20);
     CHECK(old_service.received.size() == 20);
     CHECK(run_until(
         loop,
@@ -316,25 +323,31 @@
     }
 }
 
-// Guards against a stream that is lost on the version on trial and repeated
-// there, or continued from a copy of the other version.
+// Guards against a stream that is repeated on the version on trial after a
+// failure there, and against a copy on an engine of the other version.
 TEST_CASE_FIXTURE(rollout_fixture,
                   "stream_on_trial_is_repeated_on_the_old_version")
 {
     set_phase("gen", rollout_phase::trial, 1.0);
     const auto stream = send_request(0, "/gen/x");
-    REQUIRE(run_until(loop, [&] { return new_engine.received.size() == 1; }));
-    CHECK(new_engine.header(0, "X-Kv-Backup").empty());
-    new_engine.begin_stream(0);
-    new_engine.event(0, 1);
-    REQUIRE(run_until(loop, [&] { return stream->body.size() > 1; }));
-    new_engine.received[0].responder->abort();
+    const auto received = [&] {
+        return new_engine1.received.size() + new_engine2.received.size();
+    };
+    REQUIRE(run_until(loop, [&] { return received() == 1; }));
+    const bool first = !new_engine1.received.empty();
+    fake_upstream& used = first ? new_engine1 : new_engine2;
+    fake_upstream& other = first ? new_engine2 : new_engine1;
+    CHECK(used.header(0, "X-Kv-Backup") ==
+          other.server->bound_address().text());
+    used.answer(0, "failed", 500);
     REQUIRE(run_until(loop, [&] { return old_engine.received.size() == 1; }));
-    CHECK(new_engine.received.size() == 1);
+    CHECK(old_engine.header(0, "X-Kv-Backup").empty());
     old_engine.begin_stream(0);
-    old_engine.event(0, 2);
+    old_engine.event(0, 1);
     old_engine.received[0].responder->finish();
     CHECK(run_until(loop, [&] { return stream->complete; }));
+    CHECK(stream->status() == 200);
+    CHECK(received() == 1);
 }
 
 // Guards against a gate with an old view that sends streams to a version that
@@ -353,5 +366,6 @@
     run_for(50ms);
     const auto second = send_request(0, "/gen/x");
     REQUIRE(run_until(loop, [&] { return old_engine.received.size() == 2; }));
-    CHECK(new_engine.received.empty());
+    CHECK(new_engine1.received.empty());
+    CHECK(new_engine2.received.empty());
 }
