--- a/tests/platform/client_crowd_test.cpp
+++ b/tests/platform/client_crowd_test.cpp
@@ -352,7 +352,7 @@
     CHECK(call_until_served(gate->caller_address(), "POST", "/w/large",
                             std::string(body_limit, 'x')));
     auto document = configuration();
-    document.replace(document.find("3"), 1, "4");
+    document.replace(document.find('3'), 1, "4");
     document.resize(control_body_limit, ' ');
     CHECK(call_until_served(replicas[0]->control_address(), "POST",
                             "/Config.Replace", document));
