Test bodies that a client sends in parts

Cause: bodies of more than 64 KiB are sent in parts from shared memory; only the status of such a request was checked. Change: two cases: a body of 3 MiB arrives unchanged and is released, and a server that responds before the end of a body gets no further request on that connection.

--- a/tests/net/http1_test.cpp
+++ b/tests/net/http1_test.cpp
@@ -350,14 +350,19 @@
     bool complete = false;
     bool accept = true;
 
-    std::unique_ptr<http1_client::exchange> get(const address& server)
+    std::unique_ptr<http1_client::exchange>
+    get(const address& server,
+        std::shared_ptr<const std::string> shared_body = nullptr)
     {
         failure.reset();
         complete = false;
         body.clear();
         return client.start(
             server,
-            {.method = "GET", .target = "/x", .headers = {{"Host", "h"}}},
+            {.method = "GET",
+             .target = "/x",
+             .headers = {{"Host", "h"}},
+             .shared_body = std::move(shared_body)},
             {.on_head =
                  [this](const http1_response_head& head) {
                      if (!accept) {
@@ -519,3 +524,35 @@
     CHECK(run_until(
         loop, [&] { return disconnects == 1; }, 1s));
 }
+
+// Guards against a body that is damaged or held on while it is sent in parts.
+TEST_CASE_FIXTURE(client_fixture, "client_shared_body_arrives_unchanged")
+{
+    server->change_limits({}, 5s, 5s);
+    auto text = std::make_shared<std::string>(3u << 20, 'x');
+    for (std::size_t i = 0; i < text->size(); i += 1000) {
+        (*text)[i] = static_cast<char>('a' + i / 1000 % 26);
+    }
+    auto exchange = get(server->bound_address(), text);
+    REQUIRE(wait_for_requests(1));
+    CHECK(requests[0].body == *text);
+    responders[0]->respond(200, {}, {});
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    exchange.reset();
+    CHECK(text.use_count() == 1);
+}
+
+// Guards against the rest of a body that a server takes for the next request,
+// because it responded before it had read the whole body.
+TEST_CASE_FIXTURE(client_fixture,
+                  "client_response_before_the_body_ends_the_connection")
+{
+    raw_server peer(loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    false);
+    const auto first = get(peer.bound_address(),
+                           std::make_shared<std::string>(32u << 20, 'x'));
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    const auto second = get(peer.bound_address());
+    REQUIRE(run_until(loop, [&] { return complete; }));
+    CHECK(peer.connections == 2);
+}
