--- a/lib/include/bamboogate/relay/configuration_store.hpp
+++ b/lib/include/bamboogate/relay/configuration_store.hpp
@@ -3,6 +3,7 @@
 
 #include <bamboogate/consensus/replicated_state.hpp>
 #include <bamboogate/relay/messages.hpp>
+#include <bamboogate/relay/rollout_store.hpp>
 
 #include <functional>
 #include <memory>
@@ -12,8 +13,9 @@
 namespace bamboogate::relay {
 
 /// Replicated state that holds the configuration: the committed document with
-/// the highest version. Documents with a lower or equal version are ignored.
-/// Must be called from the replica's loop thread only.
+/// the highest version, and the rollouts beside it. Documents with a lower or
+/// equal version are ignored. Must be called from the replica's loop thread
+/// only.
 class configuration_store : public consensus::replicated_state
 {
 public:
@@ -27,11 +29,13 @@
     encode_command(const store_configuration& change);
 
     /// @brief Applies a committed command; malformed ones are ignored.
-    /// @return the version in effect after the command, in decimal
+    /// @return the version in effect after the command, in decimal; after a
+    ///     command of a rollout see `rollout_store::apply`
     std::string apply(const consensus::log_position& position,
                       std::string_view command) override;
     [[nodiscard]] std::string snapshot() const override;
-    /// @brief Loads a snapshot, unless its version is not higher.
+    /// @brief Loads a snapshot, except for what is not newer. Snapshots of
+    ///     earlier builds contain no rollouts.
     /// @return an error if the snapshot cannot be decoded
     result<void> restore(std::string_view snapshot) override;
 
@@ -42,6 +46,11 @@
         return current_;
     }
 
+    /// @brief The rollouts, whose commands and snapshots pass through this
+    ///     store.
+    [[nodiscard]] const rollout_store& rollouts() const { return rollouts_; }
+    [[nodiscard]] rollout_store& rollouts() { return rollouts_; }
+
     /// @brief Sets the function that is called after each change of the
     ///     document.
     void on_change(observer function) { observer_ = std::move(function); }
@@ -50,6 +59,7 @@
     void replace(configuration_document document);
 
     std::shared_ptr<const configuration_document> current_;
+    rollout_store rollouts_;
     observer observer_;
 };
 
--- a/lib/source/relay/configuration_store.cpp
+++ b/lib/source/relay/configuration_store.cpp
@@ -9,6 +9,10 @@
 // The largest document that an operator may send, plus encoding overhead.
 constexpr parse_limits document_limits{.max_bytes = 16u << 20, .max_depth = 8};
 
+// Absent from a snapshot without rollouts, which then equals those of builds
+// without them; such builds ignore the field.
+constexpr const char* rollouts_field = "rollouts";
+
 } // namespace
 
 configuration_store::configuration_store()
@@ -21,10 +25,13 @@
     return encode_cbor(json(change));
 }
 
-std::string configuration_store::apply(const consensus::log_position&,
+std::string configuration_store::apply(const consensus::log_position& position,
                                        std::string_view command)
 {
     const auto document = decode_cbor(command, document_limits);
+    if (document && rollout_store::is_command(document.value())) {
+        return rollouts_.apply(position, document.value());
+    }
     if (document) {
         auto change = from_document<store_configuration>(document.value());
         if (change && change.value().version > current_->version) {
@@ -37,7 +44,11 @@
 
 std::string configuration_store::snapshot() const
 {
-    return encode_cbor(json(*current_));
+    json out = *current_;
+    if (!rollouts_.records().empty()) {
+        out[rollouts_field] = rollouts_.snapshot();
+    }
+    return encode_cbor(out);
 }
 
 result<void> configuration_store::restore(std::string_view snapshot)
@@ -48,6 +59,9 @@
     if (restored.version > current_->version) {
         replace(std::move(restored));
     }
+    if (document.contains(rollouts_field)) {
+        return rollouts_.restore(document[rollouts_field]);
+    }
     return outcome::success();
 }
 
