Begin, direct and read rollouts on the control replicas

Change: order rules (rollout/order_rules), rollout_director with the evidence of all gates, the decisions and the leases, begin_rollout and read_rollout through the leader, the operators' calls, the page /rollouts, gauges, log events 1200 to 1203 and the settings of the exposure limits.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -10,7 +10,9 @@
 #include <bamboogate/relay/membership_plan.hpp>
 #include <bamboogate/relay/placement_server.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/rollout_director.hpp>
 #include <bamboogate/relay/suspicion_limiter.hpp>
+#include <bamboogate/rollout/order_rules.hpp>
 
 #include <filesystem>
 #include <functional>
@@ -52,6 +54,8 @@
         /// Interval at which the gates are told which upstreams have announced
         /// themselves again. Gates remove upstreams after 30 s without.
         duration refresh_interval = std::chrono::seconds(10);
+        /// Limits of the exposure of callers to the version of a rollout.
+        rollout::exposure_limits exposure = {};
     };
 
     using version_callback = std::function<void(result<std::uint64_t>)>;
@@ -88,6 +92,33 @@
     ///     `storage_full` or `storage_failed` if its disk refuses writes
     void read_configuration(document_callback callback);
 
+    using rollout_callback =
+        std::function<void(result<rollout::rollout_record>)>;
+
+    /// @brief Begins a rollout, locally or through the leader. An order that
+    ///     was accepted is accepted again for some time, see
+    ///     `rollout::judge_order`.
+    /// @param callback receives the rollout that the order has begun;
+    ///     `invalid_argument` if it can't be served, `conflict` while another
+    ///     rollout of the service is in progress; after any other error the
+    ///     outcome is unknown and the call should be repeated
+    void begin_rollout(const rollout::rollout_order& order,
+                       rollout_callback callback);
+
+    /// @brief Reads the last rollout of a service.
+    /// @param callback receives `not_found` if the service never had one,
+    ///     `no_quorum` if this replica cannot prove that its record is the
+    ///     newest, `storage_full` or `storage_failed` if its disk refuses
+    ///     writes
+    void read_rollout(const service_id& service,
+                      const rollout_callback& callback);
+
+    /// @brief The last rollouts of all services as this replica knows them.
+    [[nodiscard]] std::vector<rollout_status> rollouts() const
+    {
+        return director_.statuses();
+    }
+
     using acknowledge_callback = std::function<void(result<void>)>;
 
     /// @brief Records an announcement and forwards it to replicas and gates.
@@ -139,8 +170,10 @@
 
 private:
     struct pending_store;
+    struct pending_order;
 
     void register_handlers();
+    void register_rollout_handlers();
     void on_peer_state(const net::peer_info& peer, bool up);
     void tick();
     void update_membership();
@@ -155,6 +188,14 @@
     void store_through_leader(const std::shared_ptr<pending_store>& job);
     void acknowledge_when_replicated(std::uint64_t version, time_point deadline,
                                      version_callback callback);
+    void order_through_leader(const std::shared_ptr<pending_order>& job);
+    void order_locally(const rollout::rollout_order& order,
+                       rollout_callback callback);
+    /// Passes on the service's last rollout, once it would survive.
+    void acknowledge_rollout(const service_id& service,
+                             rollout_callback callback);
+    void on_rollout(const rollout::rollout_record& record);
+    [[nodiscard]] rollout_director::hooks rollout_hooks();
     /// All upstreams and departures, for a new subscriber or replica.
     [[nodiscard]] announcement_update known_upstreams() const;
     void on_subscribe(const net::peer_info& peer,
@@ -175,6 +216,8 @@
     /// Sends the quarantines in effect, and the evidence for further ones, to a
     /// new subscriber or replica.
     void send_quarantines(const node_id& peer);
+    /// Sends the last rollouts to a new subscriber.
+    void send_rollouts(const node_id& gate);
     /// Sends the unchanged announcements since the last call to the replicas
     /// and, at `refresh_interval`, to the gates.
     void send_refreshes();
@@ -196,6 +239,7 @@
     std::unique_ptr<consensus::replica> replica_;
     instance_registry registry_;
     placement_server placements_;
+    rollout_director director_;
     engine_watcher watcher_;
     std::set<service_id> engine_services_;
     std::map<upstream_id, time_point> last_forwarded_;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -144,6 +144,21 @@
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
+inline constexpr log_event rollout_begun{
+    1200, severity::info, "relay_rollout_begun",
+    "A rollout was committed by a majority of the control replicas; the target "
+    "version begins its trial."};
+inline constexpr log_event rollout_phase_changed{
+    1201, severity::info, "relay_rollout_phase_changed",
+    "The phase of a rollout was committed, with the reason; the replica that "
+    "decided adds the counts of its evidence."};
+inline constexpr log_event rollout_order_refused{
+    1202, severity::warning, "relay_rollout_order_refused",
+    "An operator's order of a rollout was refused: it can't be served, or "
+    "another rollout of the service is in progress."};
+inline constexpr log_event rollout_answered{
+    1203, severity::info, "relay_rollout_answered",
+    "An operator's call to begin or read a rollout was answered."};
 
 } // namespace bamboogate::relay::log_events
 
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -7,6 +7,7 @@
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
+#include <bamboogate/rollout/rollout.hpp>
 
 #include <functional>
 #include <map>
@@ -32,6 +33,9 @@
     /// @brief Updates the engine profiles from a configuration.
     void on_configuration(const configuration& current);
 
+    /// @brief Follows the last rollout of a service.
+    void on_rollout(const rollout::rollout_record& record);
+
     /// @brief Suspends a suspected upstream: it receives no streams for some
     ///     time.
     void on_suspicion(const upstream_id& id);
@@ -97,6 +101,8 @@
     void reset();
 
     [[nodiscard]] std::size_t running() const;
+    /// @return streams that run on an upstream
+    [[nodiscard]] std::size_t running_on(const upstream_id& id) const;
     [[nodiscard]] std::size_t waiting() const;
 
 private:
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -33,6 +33,8 @@
       registry_({}),
       placements_(loop, hub_, registry_,
                   [this] { return replica_ && replica_->is_leader(); }),
+      director_(loop, registry_, {.exposure = settings_.exposure},
+                rollout_hooks()),
       watcher_(loop, protocol_, {},
                {.on_unresponsive =
                     [this](const upstream_id& id) {
@@ -73,6 +75,8 @@
         [this](const std::shared_ptr<const configuration_document>& document) {
             on_configuration(document);
         });
+    store_.rollouts().on_change(
+        [this](const rollout::rollout_record& record) { on_rollout(record); });
     BOOST_OUTCOME_TRY(bound, hub_.listen(settings_.link_address));
     std::vector<node_id> initial;
     const bool self_is_seed =
@@ -88,6 +92,7 @@
         add_replica(seed.text());
     }
     register_handlers();
+    register_rollout_handlers();
     BOOST_OUTCOME_TRY(
         replica, consensus::replica::start(
                      loop_, hub_, store_,
@@ -108,6 +113,7 @@
         } else {
             placements_.reset();
         }
+        director_.on_leadership(leading);
         publish_view(true);
     });
     tick_timer_.start_periodic(tick_interval);
@@ -312,6 +318,7 @@
         {{"version", document->version}, {"bytes", document->text.size()}});
     if (const auto current = protocol_.read_configuration(document->text)) {
         placements_.on_configuration(current.value());
+        director_.declare_services(current.value().service_ids());
         engine_services_.clear();
         registry_.declare_services(current.value().service_ids());
         for (const auto& each : current.value().services) {
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -61,6 +61,7 @@
     hub_.send(peer.node, view());
     hub_.send(peer.node, known_upstreams());
     send_quarantines(peer.node);
+    send_rollouts(peer.node);
 }
 
 void control_node::on_announcement(const announcement& announced,
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -295,6 +295,17 @@
     return gates;
 }
 
+std::size_t placement_server::running_on(const upstream_id& id) const
+{
+    std::size_t count = 0;
+    for (const auto& [service, scheduler] : schedulers_) {
+        count += scheduler.planner().runs(id);
+    }
+    return count;
+}
+
+void placement_server::on_rollout(const rollout::rollout_record&) {}
+
 void placement_server::reset()
 {
     schedulers_.clear();
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -27,6 +27,8 @@
 retryBudgetRatio = 0.5
 retryWindowS = 12
 budgetSlack = 90
+exposureShare = 0.2
+exposureSlack = 30
 )";
 
 } // namespace
@@ -50,6 +52,8 @@
     CHECK(node.retry_ratio == doctest::Approx(0.5));
     CHECK(node.retry_window == 12s);
     CHECK(node.retry_slack == doctest::Approx(90));
+    CHECK(node.exposure_share == doctest::Approx(0.2));
+    CHECK(node.exposure_slack == doctest::Approx(30));
 }
 
 // Guards against a process that starts with incomplete settings.
