--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/rollout_records.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
+#include <bamboogate/rollout/rollout.hpp>
 
 #include <functional>
 #include <map>
@@ -33,6 +34,9 @@
     /// @brief Updates the engine profiles from a configuration.
     void on_configuration(const configuration& current);
 
+    /// @brief Follows the last rollout of a service.
+    void on_rollout(const rollout::rollout_record& record);
+
     /// @brief Suspends a suspected upstream: it receives no streams for some
     ///     time.
     void on_suspicion(const upstream_id& id);
@@ -71,10 +75,6 @@
         on_suspicion_changed_ = std::move(function);
     }
 
-    /// @brief Places streams by the newest rollout of a service from now on.
-    ///     Kept while this replica does not lead.
-    void on_rollout(const rollout::rollout_record& record);
-
     /// @brief This replica became the leader. Placement is delayed until the
     ///     engines' caches are known, so that a retried stream goes to the
     ///     engine that caches its prompt. The delay is bounded.
@@ -102,6 +102,8 @@
     void reset();
 
     [[nodiscard]] std::size_t running() const;
+    /// @return streams that run on an upstream
+    [[nodiscard]] std::size_t running_on(const upstream_id& id) const;
     [[nodiscard]] std::size_t waiting() const;
 
 private:
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -59,6 +59,9 @@
     }
     gates_.insert_or_assign(peer.node, subscription.reads_refreshes);
     hub_.send(peer.node, view());
+    // Before the upstreams, so that a new gate does not take those of a version
+    // on trial for ordinary ones.
+    send_rollouts(peer.node);
     hub_.send(peer.node, known_upstreams());
     send_quarantines(peer.node);
 }
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -27,6 +27,8 @@
 retryBudgetRatio = 0.5
 retryWindowS = 12
 budgetSlack = 90
+exposureShare = 0.2
+exposureSlack = 30
 [limits]
 memoryMb = 96
 maxFds = 1000
@@ -53,6 +55,8 @@
     CHECK(node.retry_ratio == doctest::Approx(0.5));
     CHECK(node.retry_window == 12s);
     CHECK(node.retry_slack == doctest::Approx(90));
+    CHECK(node.exposure_share == doctest::Approx(0.2));
+    CHECK(node.exposure_slack == doctest::Approx(30));
     CHECK(node.limits.memory_bytes == 96u << 20);
     CHECK(node.limits.descriptors == 800);
     const auto limits = relay::gate_client_limits(node.limits);
