Test a gate whose callers never read

Cause: nothing bounds what a gate holds for callers that ask for long streams and never read, except 4 MiB for one connection.

--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -72,6 +72,9 @@
     }
     out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
            "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
+    if (settings_.memory_mb > 0) {
+        out << fmt::format("[limits]\nmemoryMb = {}\n", settings_.memory_mb);
+    }
     out.close();
     std::filesystem::rename(written, file(".toml"));
 }
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -32,6 +32,7 @@
         std::vector<std::string> seeds; ///< IP addresses of three replicas
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, log and data
+        unsigned memory_mb = 0;         ///< `limits.memoryMb`; not stated if 0
     };
 
     machine(options settings, violations& problems);
@@ -75,6 +76,7 @@
     }
     [[nodiscard]] bool started() const { return started_; }
     [[nodiscard]] double resident_kib() const;
+    [[nodiscard]] bool running() { return process_.running(); }
 
     [[nodiscard]] net::address caller_address() const
     {
