Pause streams for callers that read slowly, and bound answers in sum

Cause: a gate read its engines as fast as they sent, so each caller that did not read held up to 4 MiB, without a bound for all; whole answers were counted only until they were handed to the connection; requests sent ahead on one connection queued answers without a bound; the output queue kept sent bytes as long as it was never empty. Change: reader_pacing decides without I/O when a stream's engine is read no further, and which callers are disconnected when the budget for answers, a quarter of limits.memoryMb, is used up or a caller reads nothing for limits.unreadAnswerMs (60 s). answer_room applies it. http1_client pauses and resumes reading and fails requests that a server does not take for 15 s. Silence during a pause does not count against the engine, and a stream that ends right after a pause is resumed, not taken as complete. A connection reads its next request when at most 64 KiB are unread; time-outs of idle and closing connections wait for callers that still read.

--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -45,6 +45,9 @@
         /// are discarded before the request's own response. A server in trouble
         /// may send them without end.
         std::size_t max_discarded_bytes = 1u << 20;
+        /// A server that accepts no byte of an unsent request for this long
+        /// fails the exchange with `connection_lost`.
+        duration send_timeout = std::chrono::seconds(15);
     };
 
     struct callbacks
@@ -72,6 +75,14 @@
         ///     for the event loop. The callbacks may destroy the exchange.
         void read_arrived();
 
+        /// @brief Stops reading from the connection, so that the server cannot
+        ///     send more than the socket buffers hold. Input that was read
+        ///     before is still passed to the callbacks; a lost connection is
+        ///     noticed after `resume_reading`.
+        void pause_reading();
+        /// @brief Reads again; the callbacks are called from the event loop.
+        void resume_reading();
+
         /// @brief True once a byte of the request was passed to the socket.
         [[nodiscard]] bool request_sent() const;
 
@@ -112,6 +123,8 @@
     /// @brief Number of connections opened since the start.
     [[nodiscard]] std::uint64_t connections_made() const;
     [[nodiscard]] std::size_t idle_connections() const;
+    /// @brief Bytes of requests that servers have not accepted yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
 
 private:
     struct impl;
--- a/lib/include/bamboogate/net/http1_server.hpp
+++ b/lib/include/bamboogate/net/http1_server.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bamboogate::net {
 
@@ -48,6 +49,18 @@
     /// @brief Output bytes that the socket has not accepted yet.
     [[nodiscard]] std::size_t queued_bytes() const;
 
+    /// @brief Calls the function once, from the event loop, when the client has
+    ///     read so much that at most `bytes` are unsent. Replaces an earlier
+    ///     call.
+    /// @pre more than `bytes` are unsent
+    void when_output_below(std::size_t bytes, std::function<void()> function);
+
+    /// @brief True if `http1_server::disconnect` ended the exchange.
+    [[nodiscard]] bool disconnected_by_server() const
+    {
+        return disconnected_by_server_;
+    }
+
 private:
     friend class http1_connection;
     std::weak_ptr<http1_connection> connection_;
@@ -55,6 +68,7 @@
     bool begun_ = false;
     bool ended_ = false;
     bool client_disconnected_ = false;
+    bool disconnected_by_server_ = false;
 };
 
 using http1_responder_ptr = std::shared_ptr<http1_responder>;
@@ -78,6 +92,14 @@
     duration after_close; ///< from the close to the first input after it
 };
 
+/// Output of one connection that its client has not read.
+struct unread_output
+{
+    std::uint64_t connection; ///< for `http1_server::disconnect`
+    std::size_t bytes;
+    time_point unread_since; ///< when the client last read, or could begin to
+};
+
 /// HTTP/1.1 server on sockets that it owns. Unlike `http_server`, it detects a
 /// client that disconnects while its request is pending, and its limits can be
 /// changed at run time. Not thread safe.
@@ -94,9 +116,11 @@
         /// time from the end of a request head to the end of its body.
         duration idle_timeout = std::chrono::seconds(15);
         /// Time for the client to close after the last byte was sent, so that a
-        /// reset does not discard the response. While a response is still being
-        /// sent, the longest time without progress.
+        /// reset does not discard the response.
         duration linger_timeout = std::chrono::seconds(1);
+        /// While the end of a response is unsent, the longest time in which the
+        /// client reads nothing. Until then the connection is not idle.
+        duration unread_timeout = std::chrono::seconds(15);
         /// A client with more unsent output than this is disconnected.
         std::size_t max_queued_bytes = 4u << 20;
         /// Called once for each connection with such input; may be empty.
@@ -133,6 +157,17 @@
     [[nodiscard]] std::size_t active_requests() const;
     [[nodiscard]] std::size_t connections() const;
 
+    /// @brief Bytes of responses that clients have not read, of all
+    ///     connections.
+    [[nodiscard]] std::size_t unread_bytes() const;
+    /// @brief The connections with such bytes.
+    [[nodiscard]] std::vector<unread_output> unread_outputs() const;
+    /// @brief Closes a connection without the rest of its output, so that the
+    ///     client detects a truncated response. The disconnect observer of a
+    ///     response in progress is called. Has no effect if the connection has
+    ///     ended.
+    void disconnect(std::uint64_t connection);
+
 private:
     friend class http1_connection;
     struct impl;
--- a/lib/include/bamboogate/net/tcp_stream.hpp
+++ b/lib/include/bamboogate/net/tcp_stream.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,8 +34,11 @@
     };
 
     /// @param descriptor connected or connecting socket; the stream owns it
+    /// @param output_sum unsent bytes of all streams that share it, kept up to
+    ///     date by them; may be null
     tcp_stream(event_loop& loop, int descriptor, bool connecting,
-               callbacks handlers);
+               callbacks handlers,
+               std::shared_ptr<std::size_t> output_sum = nullptr);
     ~tcp_stream();
     tcp_stream(const tcp_stream&) = delete;
     tcp_stream& operator=(const tcp_stream&) = delete;
@@ -53,7 +57,16 @@
     /// @brief Pauses or resumes reading, to apply back-pressure.
     void pause_input(bool paused);
 
+    /// @brief Calls the function once, from the event loop, when at most
+    ///     `bytes` of the output are unsent. Replaces an earlier call.
+    /// @pre more than `bytes` are unsent
+    void when_output_below(std::size_t bytes, std::function<void()> function);
+
+    /// @brief Bytes of the output that the socket has not accepted.
     [[nodiscard]] std::size_t queued_bytes() const;
+    /// @brief Since when the socket has accepted no byte of the unsent output;
+    ///     nothing if all was sent.
+    [[nodiscard]] std::optional<time_point> blocked_since() const;
     [[nodiscard]] bool connected() const;
     /// @brief True once any byte was passed to the socket.
     [[nodiscard]] bool any_bytes_sent() const;
--- a/lib/include/bamboogate/relay/buffer_budget.hpp
+++ b/lib/include/bamboogate/relay/buffer_budget.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_RELAY_BUFFER_BUDGET_HPP
 
 #include <cstddef>
+#include <utility>
 
 namespace bamboogate::relay {
 
@@ -53,6 +54,13 @@
         bytes_ += bytes;
         return true;
     }
+    /// @brief Releases its bytes and takes those of another reservation of the
+    ///     same budget, which is empty afterwards.
+    void take_over(buffer_reservation& other)
+    {
+        release();
+        bytes_ = std::exchange(other.bytes_, 0);
+    }
     void release()
     {
         budget_.give_back(bytes_);
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -4,7 +4,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/net/http1_server.hpp>
-#include <bamboogate/relay/buffer_budget.hpp>
+#include <bamboogate/relay/answer_room.hpp>
 #include <bamboogate/relay/configuration.hpp>
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/gate_quarantine.hpp>
@@ -44,7 +44,7 @@
     stream_placer& placer;
     gate_quarantine& quarantine;
     gate_metrics& metrics;
-    buffer_budget& response_buffers;
+    answer_room& answers;
     response_times& times; ///< of plain services
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -34,6 +34,19 @@
               "bamboogate_relay_discarded_inputs_total",
               "Connections on which a caller sent more after the gate had "
               "closed them.")),
+          paused_readings(registry.add_counter(
+              "bamboogate_relay_reading_pauses_total",
+              "Pauses in reading a stream's engine, because its caller reads "
+              "slowly.")),
+          given_up_callers(registry.add_counter(
+              "bamboogate_relay_readers_given_up_total",
+              "Callers that were disconnected because they did not read.")),
+          unread_bytes(registry.add_gauge(
+              "bamboogate_relay_unread_answer_bytes",
+              "Bytes of answers that callers have not read.")),
+          unsent_bytes(registry.add_gauge(
+              "bamboogate_relay_unsent_request_bytes",
+              "Bytes of requests that upstreams have not accepted.")),
           latency(registry.add_histogram(
               "bamboogate_relay_latency_seconds",
               "From the request to the whole answer, or the first event.")),
@@ -51,6 +64,10 @@
     observability::counter& resumed;
     observability::counter& caller_left;
     observability::counter& discarded_inputs;
+    observability::counter& paused_readings;
+    observability::counter& given_up_callers;
+    observability::gauge& unread_bytes;
+    observability::gauge& unsent_bytes;
     observability::log_histogram& latency;
     observability::log_histogram& pause;
 };
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -141,6 +141,18 @@
     1043, severity::warning, "relay_input_discarded",
     "A caller sent more on a connection that the gate had closed; its request "
     "was neither read nor answered."};
+inline constexpr log_event reading_paused{
+    1240, severity::info, "relay_reading_paused",
+    "A stream's engine is read no further, because the caller reads slowly; "
+    "the unread bytes are recorded."};
+inline constexpr log_event reading_resumed{
+    1241, severity::info, "relay_reading_resumed",
+    "A stream's engine is read again, because its caller has read; the time "
+    "of the pause is recorded."};
+inline constexpr log_event reader_given_up{
+    1242, severity::warning, "relay_reader_given_up",
+    "A caller that does not read its answer was disconnected: for longer than "
+    "the limit, or because the memory for answers was used up."};
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -38,9 +38,11 @@
         duration accept_after_stop = std::chrono::seconds(3);
         /// Longest duration of a planned stop.
         duration stop_limit = std::chrono::milliseconds(7800);
-        /// Bytes of upstreams' responses that all requests buffer together. A
-        /// third of the memory of the smallest gates in use.
-        std::size_t response_buffer_bytes = 28u << 20;
+        /// Memory for answers, and the limits of callers that read slowly.
+        reader_pacing::options readers;
+        /// An attempt whose upstream accepts no byte of its unsent request for
+        /// this long fails.
+        duration send_timeout = std::chrono::seconds(15);
     };
 
     relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -117,7 +119,7 @@
     options settings_;
     observability::metric_registry registry_;
     gate_metrics metrics_;
-    buffer_budget response_buffers_;
+    answer_room answers_;
     response_times response_times_;
     net::http1_client client_;
     upstream_directory directory_;
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -55,6 +55,8 @@
     std::map<std::string, std::vector<std::shared_ptr<http1_client_connection>>>
         idle;
     std::uint64_t connections_made = 0;
+    std::shared_ptr<std::size_t> unsent_bytes =
+        std::make_shared<std::size_t>(0);
 
     impl(event_loop& l, options o) : loop(l), settings(o) {}
 
@@ -101,11 +103,15 @@
     std::size_t body_bytes = 0;
     std::size_t discarded_bytes = 0;
     timer connect_timer;
-
-    impl(event_loop& loop, callbacks c)
-        : handlers(std::move(c)), connect_timer(loop, [this] {
-              fail_exchange(errc::connection_failed, false);
-          })
+    event_loop& loop;
+    duration send_timeout{};
+    timer send_timer; ///< while a part of the request is unsent
+
+    impl(event_loop& l, callbacks c)
+        : handlers(std::move(c)),
+          connect_timer(
+              l, [this] { fail_exchange(errc::connection_failed, false); }),
+          loop(l), send_timer(l, [this] { check_sending(); })
     {}
 
     void new_reader()
@@ -142,6 +148,23 @@
         connect_timer.stop();
         sent = true;
         connection->stream->write(output);
+        check_sending();
+    }
+
+    void check_sending()
+    {
+        const auto since = connection && connection->stream
+                               ? connection->stream->blocked_since()
+                               : std::nullopt;
+        if (!since) {
+            return;
+        }
+        const duration left = *since + send_timeout - loop.now();
+        if (left <= duration::zero()) {
+            fail_exchange(errc::connection_lost, false);
+            return;
+        }
+        send_timer.start_once(left);
     }
 
     void on_data(std::string_view bytes)
@@ -199,6 +222,7 @@
     {
         const auto self = shared_from_this();
         ended = true;
+        send_timer.stop();
         const bool reusable = clean && reuse_allowed && reader->keep_alive() &&
                               !reader->ends_with_connection() &&
                               connection->stream &&
@@ -222,6 +246,7 @@
         }
         ended = true;
         connect_timer.stop();
+        send_timer.stop();
         const http1_failure failure{.code = code,
                                     .request_sent = sent,
                                     .on_reused_connection = reused,
@@ -301,6 +326,7 @@
         return;
     }
     connection->owner.reset();
+    connection->stream->pause_input(false);
     connection->idle_until = now + allowed;
     list.push_back(std::move(connection));
 }
@@ -314,6 +340,7 @@
     impl_->ended = true;
     impl_->handlers = {};
     impl_->connect_timer.stop();
+    impl_->send_timer.stop();
     if (impl_->connection) {
         impl_->connection->stream.reset();
     }
@@ -328,6 +355,20 @@
     }
 }
 
+void http1_client::exchange::pause_reading()
+{
+    if (impl_->connection && impl_->connection->stream) {
+        impl_->connection->stream->pause_input(true);
+    }
+}
+
+void http1_client::exchange::resume_reading()
+{
+    if (impl_->connection && impl_->connection->stream) {
+        impl_->connection->stream->pause_input(false);
+    }
+}
+
 bool http1_client::exchange::request_sent() const
 {
     return impl_->sent;
@@ -355,6 +396,7 @@
     state->max_body_bytes =
         message.max_body_bytes.value_or(state->max_body_bytes);
     state->max_discarded_bytes = impl_->settings.max_discarded_bytes;
+    state->send_timeout = impl_->settings.send_timeout;
     state->new_reader();
     state->output = serialize_request_head(
         message.method, message.target, message.headers, message.body.size());
@@ -383,7 +425,8 @@
     }
     ++impl_->connections_made;
     connection->stream = std::make_unique<tcp_stream>(
-        impl_->loop, descriptor.value(), true, handlers_for(connection));
+        impl_->loop, descriptor.value(), true, handlers_for(connection),
+        impl_->unsent_bytes);
     state->connect_timer.start_once(impl_->settings.connect_timeout);
     return std::make_unique<exchange>(state);
 }
@@ -398,6 +441,11 @@
     return impl_->connections_made;
 }
 
+std::size_t http1_client::unsent_bytes() const
+{
+    return *impl_->unsent_bytes;
+}
+
 std::size_t http1_client::idle_connections() const
 {
     std::size_t count = 0;
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -4,6 +4,8 @@
 #include <bamboogate/net/http1_server.hpp>
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace bamboogate::net {
@@ -27,6 +29,11 @@
     void finish();
     void abort();
     [[nodiscard]] std::size_t queued_bytes() const;
+    void when_output_below(std::size_t bytes, std::function<void()> function);
+    [[nodiscard]] std::optional<unread_output> unread() const;
+    [[nodiscard]] std::uint64_t number() const { return number_; }
+    /// Closes the connection of a client that doesn't read.
+    void disconnect();
 
 private:
     enum class phase : std::uint8_t
@@ -48,6 +55,8 @@
     void end_exchange();
     void begin_idle();
     void linger(server_close cause);
+    /// Continues after a response, once the client has read enough of it.
+    void read_next_request();
     void on_linger_timeout();
     void note_discarded_input();
     void close();
@@ -60,6 +69,8 @@
     phase phase_ = phase::idle;
     time_point idle_since_;
     duration idle_allowed_{};
+    bool unread_at_timeout_ = false; ///< idle only since it was read
+    std::uint64_t number_;
     /// Unsent output when the linger time-out was last started.
     std::size_t linger_queued_ = 0;
     time_point lingers_since_;
@@ -82,6 +93,9 @@
     std::unique_ptr<io_watcher> watcher;
     std::vector<std::shared_ptr<http1_connection>> connections;
     std::size_t active = 0;
+    std::uint64_t next_number = 0;
+    std::shared_ptr<std::size_t> unread_bytes =
+        std::make_shared<std::size_t>(0);
     bool draining = false;
 
     void accept_connections();
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -12,6 +12,8 @@
 
 /// Input of pipelined requests that a connection buffers while it handles one.
 constexpr std::size_t max_pending_bytes = 64u << 10;
+/// Unsent output with which a connection reads its next request.
+constexpr std::size_t max_unsent_bytes = 64u << 10;
 
 } // namespace
 
@@ -95,7 +97,8 @@
 
 http1_connection::http1_connection(http1_server::impl& server)
     : server_(server), reader_(server.settings.limits),
-      timer_(server.loop, [this] { on_timeout(); })
+      timer_(server.loop, [this] { on_timeout(); }),
+      number_(server.next_number++)
 {}
 
 void http1_connection::start(int descriptor)
@@ -116,7 +119,8 @@
                                           self->on_end();
                                       }
                                   },
-                              .on_drained = nullptr});
+                              .on_drained = nullptr},
+        server_.unread_bytes);
     begin_idle();
 }
 
@@ -237,6 +241,18 @@
         return;
     }
     if (phase_ == phase::idle) {
+        if (const auto since = stream_->blocked_since()) {
+            const duration left =
+                *since + server_.settings.unread_timeout - server_.loop.now();
+            if (left > duration::zero()) {
+                unread_at_timeout_ = true;
+                timer_.start_once(std::min(left, idle_allowed_));
+                return;
+            }
+        } else if (std::exchange(unread_at_timeout_, false)) {
+            begin_idle();
+            return;
+        }
         linger(server_close::idle);
     } else if (phase_ == phase::head || phase_ == phase::body) {
         refuse({errc::deadline_exceeded, "request"});
@@ -347,6 +363,26 @@
         return;
     }
     begin_idle();
+    if (stream_->queued_bytes() <= max_unsent_bytes) {
+        read_next_request();
+        return;
+    }
+    // Otherwise a client that sends requests and reads no response would let
+    // the output grow without end.
+    stream_->pause_input(true);
+    const std::weak_ptr<http1_connection> weak = weak_from_this();
+    stream_->when_output_below(max_unsent_bytes, [weak] {
+        if (const auto self = weak.lock()) {
+            self->read_next_request();
+        }
+    });
+}
+
+void http1_connection::read_next_request()
+{
+    if (phase_ != phase::idle) {
+        return;
+    }
     stream_->pause_input(false);
     if (server_.draining && pending_.empty()) {
         linger(server_close::draining);
@@ -378,17 +414,6 @@
     timer_.start_once(server_.settings.linger_timeout);
 }
 
-void http1_connection::on_linger_timeout()
-{
-    const std::size_t queued = stream_->queued_bytes();
-    if (queued >= linger_queued_) {
-        close();
-        return;
-    }
-    linger_queued_ = queued;
-    timer_.start_once(server_.settings.linger_timeout);
-}
-
 void http1_connection::note_discarded_input()
 {
     if (std::exchange(input_discarded_, true) ||
--- a/lib/source/net/tcp_stream.cpp
+++ b/lib/source/net/tcp_stream.cpp
@@ -7,12 +7,15 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace bamboogate::net {
 
 namespace {
 
 constexpr std::size_t read_chunk_bytes = 16u << 10;
+/// Bytes that the output queue may occupy beyond its unsent ones.
+constexpr std::size_t max_spare_bytes = 16u << 10;
 
 } // namespace
 
@@ -28,11 +31,17 @@
     bool any_bytes_sent = false;
     std::string output;
     std::size_t offset = 0;
+    std::shared_ptr<std::size_t> output_sum;
+    std::size_t summed_bytes = 0; ///< that `output_sum` includes
+    time_point last_accepted;     ///< when the socket accepted output
+    std::size_t low_water = 0;
+    std::function<void()> on_low_water;
     io_watcher watcher;
 
-    impl(event_loop& l, int fd, bool is_connecting, callbacks c)
+    impl(event_loop& l, int fd, bool is_connecting, callbacks c,
+         std::shared_ptr<std::size_t> sum)
         : loop(l), descriptor(fd), handlers(std::move(c)),
-          connecting(is_connecting),
+          connecting(is_connecting), output_sum(std::move(sum)),
           watcher(l, fd, [this](io_event events) { on_ready(events); })
     {}
 
@@ -46,6 +55,50 @@
         closed = true;
         watcher.await(io_event::none);
         ::close(descriptor);
+        drop_output();
+    }
+
+    [[nodiscard]] std::size_t queued() const { return output.size() - offset; }
+
+    void update_sum()
+    {
+        if (output_sum) {
+            *output_sum += queued() - summed_bytes;
+            summed_bytes = queued();
+        }
+    }
+
+    void drop_output()
+    {
+        output = {};
+        offset = 0;
+        update_sum();
+    }
+
+    /// Releases the memory of sent bytes, also while a slow peer never lets the
+    /// queue become empty.
+    void trim_output()
+    {
+        if (queued() == 0) {
+            output.clear();
+            offset = 0;
+            if (output.capacity() > max_spare_bytes) {
+                output.shrink_to_fit();
+            }
+        } else if (offset > max_spare_bytes && offset > queued()) {
+            output.erase(0, offset);
+            offset = 0;
+            output.shrink_to_fit();
+        }
+        update_sum();
+    }
+
+    void notify_low_water()
+    {
+        if (on_low_water && queued() <= low_water) {
+            const auto function = std::exchange(on_low_water, nullptr);
+            function();
+        }
     }
 
     void update_interest()
@@ -82,6 +135,9 @@
         }
         if (has(events, io_event::write)) {
             flush(true);
+            if (!closed) {
+                notify_low_water();
+            }
         }
         if (!closed && has(events, io_event::read)) {
             read_input();
@@ -154,13 +210,13 @@
             const auto count = ::send(descriptor, output.data() + offset,
                                       output.size() - offset, MSG_NOSIGNAL);
             if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+                trim_output();
                 return;
             }
             if (count < 0) {
                 // The end is reported from the event loop, never from inside a
                 // call of the owner.
-                output.clear();
-                offset = 0;
+                drop_output();
                 const std::weak_ptr<impl> weak = shared_from_this();
                 loop.post([weak] {
                     if (const auto self = weak.lock()) {
@@ -170,10 +226,10 @@
                 return;
             }
             any_bytes_sent = true;
+            last_accepted = loop.now();
             offset += static_cast<std::size_t>(count);
         }
-        output.clear();
-        offset = 0;
+        trim_output();
         if (output_ended) {
             ::shutdown(descriptor, SHUT_WR);
         }
@@ -185,9 +241,10 @@
 };
 
 tcp_stream::tcp_stream(event_loop& loop, int descriptor, bool connecting,
-                       callbacks handlers)
+                       callbacks handlers,
+                       std::shared_ptr<std::size_t> output_sum)
     : impl_(std::make_shared<impl>(loop, descriptor, connecting,
-                                   std::move(handlers)))
+                                   std::move(handlers), std::move(output_sum)))
 {
     impl_->update_interest();
 }
@@ -195,6 +252,7 @@
 tcp_stream::~tcp_stream()
 {
     impl_->handlers = {};
+    impl_->on_low_water = nullptr;
     impl_->close();
 }
 
@@ -203,11 +261,23 @@
     if (impl_->closed || impl_->output_ended) {
         return;
     }
+    if (impl_->queued() == 0) {
+        impl_->last_accepted = impl_->loop.now();
+    }
     impl_->output.append(bytes);
+    impl_->update_sum();
     if (!impl_->connecting) {
         impl_->flush(false);
     }
     impl_->update_interest();
+    if (impl_->on_low_water && impl_->queued() <= impl_->low_water) {
+        const std::weak_ptr<impl> weak = impl_;
+        impl_->loop.post([weak] {
+            if (const auto self = weak.lock()) {
+                self->notify_low_water();
+            }
+        });
+    }
 }
 
 void tcp_stream::shutdown_output()
@@ -233,9 +303,24 @@
     impl_->update_interest();
 }
 
+void tcp_stream::when_output_below(std::size_t bytes,
+                                   std::function<void()> function)
+{
+    impl_->low_water = bytes;
+    impl_->on_low_water = std::move(function);
+}
+
 std::size_t tcp_stream::queued_bytes() const
 {
-    return impl_->output.size() - impl_->offset;
+    return impl_->queued();
+}
+
+std::optional<time_point> tcp_stream::blocked_since() const
+{
+    if (impl_->queued() == 0) {
+        return std::nullopt;
+    }
+    return impl_->last_accepted;
 }
 
 bool tcp_stream::connected() const
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -51,13 +51,17 @@
         if (!self || self->ended_) {
             return;
         }
-        self->context_.metrics.caller_left.add();
-        log(events::caller_left,
-            {{"request", self->id()},
-             {"after_ms",
-              to_milliseconds(self->context_.loop.now() - self->started_)}});
+        const bool given_up =
+            self->accepted_.responder->disconnected_by_server();
+        if (!given_up) {
+            self->context_.metrics.caller_left.add();
+            log(events::caller_left,
+                {{"request", self->id()},
+                 {"after_ms", to_milliseconds(self->context_.loop.now() -
+                                              self->started_)}});
+        }
         self->cancel_attempts();
-        self->end("caller_left", 0);
+        self->end(given_up ? "reader_given_up" : "caller_left", 0);
     });
     context_.retries.record_request(accepted_.service, context_.loop.now());
     begin();
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -35,7 +35,8 @@
 plain_exchange::plain_exchange(gate_context& context, accepted_request accepted,
                                std::function<void()> on_end)
     : exchange(context, std::move(accepted), std::move(on_end)),
-      buffered_(context.response_buffers)
+      buffered_(context.answers.arriving()),
+      fallback_buffered_(context.answers.arriving())
 {}
 
 void plain_exchange::begin()
@@ -106,8 +107,13 @@
 
 void plain_exchange::on_body(std::string_view part)
 {
-    if (!buffered_.reserve(part.size())) {
-        const auto self = shared_from_this();
+    const auto self = shared_from_this();
+    const bool reserved = context_.answers.reserve(buffered_, part.size());
+    // The caller of this request may be one of those that were disconnected.
+    if (ended_) {
+        return;
+    }
+    if (!reserved) {
         on_failure({.code = errc::limit_exceeded, .request_sent = true});
         return;
     }
@@ -135,7 +141,8 @@
         return;
     }
     if (!success && head_.status >= 500 && may_run_again()) {
-        fallback_ = fallback_response{head_, body_};
+        fallback_ = fallback_response{head_, std::move(body_)};
+        fallback_buffered_.take_over(buffered_);
         on_outcome_unknown(fmt::format("failed_{}", head_.status));
         return;
     }
@@ -152,6 +159,9 @@
     context_.metrics.latency.record(to_seconds(latency));
     context_.times.record(accepted_.service, latency, context_.loop.now());
     accepted_.responder->respond(head_.status, std::move(headers), body_);
+    body_ = {};
+    buffered_.release();
+    context_.answers.note_output();
     end("answered", head_.status);
 }
 
@@ -253,6 +263,7 @@
     if (fallback_) {
         head_ = std::move(fallback_->head);
         body_ = std::move(fallback_->body);
+        buffered_.take_over(fallback_buffered_);
         forward_response();
         return;
     }
--- a/lib/source/relay/plain_exchange.hpp
+++ b/lib/source/relay/plain_exchange.hpp
@@ -61,6 +61,7 @@
         std::string body;
     };
     std::optional<fallback_response> fallback_;
+    buffer_reservation fallback_buffered_; ///< for the body of `fallback_`
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -32,7 +32,8 @@
                        options settings)
     : loop_(loop), protocol_(std::move(protocol)),
       settings_(std::move(settings)), metrics_(registry_),
-      response_buffers_(settings_.response_buffer_bytes), client_(loop, {}),
+      answers_(loop, settings_.readers, metrics_),
+      client_(loop, {.send_timeout = settings_.send_timeout}),
       directory_(
           {.own_domain = settings_.control.failure_domain, .registry = {}}),
       retries_(settings_.retries),
@@ -101,7 +102,7 @@
           .placer = placer_,
           .quarantine = quarantine_,
           .metrics = metrics_,
-          .response_buffers = response_buffers_,
+          .answers = answers_,
           .times = response_times_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
@@ -145,6 +146,7 @@
                       net::http1_server::start(
                           loop_,
                           {.listen_address = settings_.caller_address,
+                           .unread_timeout = settings_.readers.unread_limit,
                            .on_discarded_input =
                                [this](const net::discarded_input& input) {
                                    on_discarded_input(input);
@@ -154,6 +156,7 @@
                               on_request(std::move(request), responder);
                           }));
     server_ = std::move(server);
+    answers_.attach(*server_);
     tick_timer_.start_periodic(tick_interval);
     return outcome::success();
 }
@@ -516,6 +519,7 @@
             {{"upstream", id.value()}, {"state", "forgotten"}});
     }
     quarantine_.expire(loop_.now());
+    answers_.check();
     retries_.set_gates(feed_.gates());
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
@@ -577,6 +581,8 @@
 
 std::string relay_gate::metrics_text()
 {
+    metrics_.unread_bytes.set(static_cast<double>(answers_.unread_bytes()));
+    metrics_.unsent_bytes.set(static_cast<double>(client_.unsent_bytes()));
     return registry_.prometheus_text();
 }
 
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -130,6 +130,7 @@
     head_ = {};
     answer_ = {};
     event_seen_ = false;
+    reading_paused_ = false;
     ++attempts_;
     attempt_started_ = context_.loop.now();
     log_attempt(from_copy_ ? "stream_from_copy" : "stream", *engine, attempts_);
@@ -254,6 +255,8 @@
     }
     accepted_.responder->write(event.text);
     last_event_ = event.id;
+    context_.answers.note_output();
+    pace_reading();
 }
 
 void stream_exchange::note_event()
@@ -282,7 +285,9 @@
     }
     last_event_at_ = now;
     detector_.on_token(now);
-    arm_silence_timer();
+    if (!reading_paused_) {
+        arm_silence_timer();
+    }
 }
 
 void stream_exchange::arm_silence_timer()
@@ -300,7 +305,7 @@
 
 void stream_exchange::on_silence()
 {
-    if (ended_ || !attempt_) {
+    if (ended_ || !attempt_ || reading_paused_) {
         return;
     }
     const auto self = shared_from_this();
@@ -353,6 +358,10 @@
         const bool ended_by_connection =
             !head_.headers.find("Content-Length") &&
             !head_.headers.find("Transfer-Encoding");
+        if (ended_by_connection && may_be_cut_while_unread()) {
+            on_attempt_lost("cut_while_unread", true);
+            return;
+        }
         // The loss of the engine would look the same.
         if (ended_by_connection && !event_seen_) {
             on_connection_broken("closed_before_first_event");
@@ -438,6 +447,10 @@
 void stream_exchange::on_failure(const net::http1_failure& failure)
 {
     attempt_.reset();
+    if (may_be_cut_while_unread() && failure.code == errc::connection_lost) {
+        on_attempt_lost("cut_while_unread", true);
+        return;
+    }
     context_.directory.health(engine_).note_failure(context_.loop.now());
     const bool engine_may_be_gone = failure.code != errc::malformed_input &&
                                     failure.code != errc::limit_exceeded;
@@ -592,8 +605,9 @@
     }
     const auto self = shared_from_this();
     attempt_->read_arrived();
-    const bool silent = event_seen_ && context_.loop.now() - last_event_at_ >=
-                                           confirming_silence;
+    const bool silent =
+        event_seen_ && !reading_paused_ &&
+        context_.loop.now() - last_event_at_ >= confirming_silence;
     if (ended_ || !attempt_ || !copy_.usable() || !silent) {
         return;
     }
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -84,6 +84,13 @@
                          bool retry_taken = false);
     void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
+    /// Reads the engine no further if the caller has too much unread output,
+    /// until it has read.
+    void pace_reading();
+    void resume_reading();
+    /// True shortly after a pause in which an engine may have cut the stream
+    /// off because it remained unread. That is no failure of the engine.
+    [[nodiscard]] bool may_be_cut_while_unread() const;
     /// Updates metrics, copy and silence detection after an event.
     void note_event();
     void arm_silence_timer();
@@ -116,7 +123,10 @@
     time_point attempt_started_;
     time_point last_event_at_;
     bool resuming_ = false;
-    unsigned silent_losses_ = 0; ///< attempts lost to silence between events
+    bool reading_paused_ = false; ///< of this attempt
+    time_point reading_paused_at_;
+    time_point reading_resumed_at_; ///< after a long pause
+    unsigned silent_losses_ = 0;    ///< attempts lost to silence between events
     unsigned unusable_placements_ = 0;
     bool checking_engine_ = false;     ///< of a lost attempt
     unsigned breaks_before_start_ = 0; ///< attempts lost with their connection
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -22,6 +22,9 @@
 ready = "127.0.3.4:5102"
 [faultTolerance]
 machines = 2
+[limits]
+memoryMb = 88
+unreadAnswerMs = 20000
 [bounds]
 graceS = 8
 retryBudgetRatio = 0.5
@@ -50,6 +53,9 @@
     CHECK(node.retry_ratio == doctest::Approx(0.5));
     CHECK(node.retry_window == 12s);
     CHECK(node.retry_slack == doctest::Approx(90));
+    CHECK(node.answer_bytes() == 22u << 20);
+    CHECK(node.unread_limit == 20s);
+    CHECK(node.stream_buffer_bytes == 256u << 10);
 }
 
 // Guards against a process that starts with incomplete settings.
--- a/tests/platform/unread_answer_test.cpp
+++ b/tests/platform/unread_answer_test.cpp
@@ -193,7 +193,7 @@
     std::vector<std::unique_ptr<slow_client>> callers;
     for (std::size_t i = 0; i < crowd; ++i) {
         callers.push_back(std::make_unique<slow_client>(
-            loop, gate->caller_address(), stream_request(i)));
+            loop, gate->caller_address(), stream_request(i), 4096));
     }
     CHECK(run_until(
         loop, [&] { return engine.received.size() >= crowd / 2; }, 10s));
--- a/tests/support/slow_client.hpp
+++ b/tests/support/slow_client.hpp
@@ -16,15 +16,18 @@
 class slow_client
 {
 public:
+    /// @param receive_buffer in bytes, so that the kernel holds little of what
+    ///     is not read; 0 for the default
     slow_client(net::event_loop& loop, const net::address& server,
-                std::string request)
+                std::string request, int receive_buffer = 0)
         : descriptor_(net::start_connect(server).value()),
           unsent_(std::move(request)),
           watcher_(loop, descriptor_, [this](net::io_event e) { on_ready(e); })
     {
-        // So that the kernel holds little of what is not read.
-        const int bytes = 4096;
-        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        if (receive_buffer > 0) {
+            ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                         sizeof receive_buffer);
+        }
         watcher_.await(net::io_event::write);
     }
     ~slow_client()
@@ -55,7 +58,7 @@
                                            : net::io_event::write);
         }
         if (net::has(events, net::io_event::read)) {
-            char buffer[16384];
+            char buffer[65536];
             const auto count = ::recv(descriptor_, buffer, sizeof buffer, 0);
             if (count > 0) {
                 received_.append(buffer, static_cast<std::size_t>(count));
