--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -40,6 +40,19 @@
           evidence_reports(registry.add_counter(
               "bamboogate_relay_rollout_evidence_total",
               "Reports of a rollout's evidence sent to the leader.")),
+          paused_readings(registry.add_counter(
+              "bamboogate_relay_reading_pauses_total",
+              "Pauses in reading a stream's engine, because its caller reads "
+              "slowly.")),
+          given_up_callers(registry.add_counter(
+              "bamboogate_relay_readers_given_up_total",
+              "Callers that were disconnected because they did not read.")),
+          unread_bytes(registry.add_gauge(
+              "bamboogate_relay_unread_answer_bytes",
+              "Bytes of answers that callers have not read.")),
+          unsent_bytes(registry.add_gauge(
+              "bamboogate_relay_unsent_request_bytes",
+              "Bytes of requests that upstreams have not accepted.")),
           latency(registry.add_histogram(
               "bamboogate_relay_latency_seconds",
               "From the request to the whole answer, or the first event.")),
@@ -59,6 +72,10 @@
     observability::counter& discarded_inputs;
     observability::counter& trial_requests;
     observability::counter& evidence_reports;
+    observability::counter& paused_readings;
+    observability::counter& given_up_callers;
+    observability::gauge& unread_bytes;
+    observability::gauge& unsent_bytes;
     observability::log_histogram& latency;
     observability::log_histogram& pause;
 };
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -59,6 +59,8 @@
     std::map<std::string, std::vector<std::shared_ptr<http1_client_connection>>>
         idle;
     std::uint64_t connections_made = 0;
+    std::shared_ptr<std::size_t> unsent_bytes =
+        std::make_shared<std::size_t>(0);
 
     impl(event_loop& l, options o) : loop(l), settings(o) {}
 
@@ -108,11 +110,15 @@
     std::size_t body_bytes = 0;
     std::size_t discarded_bytes = 0;
     timer connect_timer;
-
-    impl(event_loop& loop, callbacks c)
-        : handlers(std::move(c)), connect_timer(loop, [this] {
-              fail_exchange(errc::connection_failed, false);
-          })
+    event_loop& loop;
+    duration send_timeout{};
+    timer send_timer; ///< while a part of the request is unsent
+
+    impl(event_loop& l, callbacks c)
+        : handlers(std::move(c)),
+          connect_timer(
+              l, [this] { fail_exchange(errc::connection_failed, false); }),
+          loop(l), send_timer(l, [this] { check_sending(); })
     {}
 
     void new_reader()
@@ -150,6 +156,7 @@
         sent = true;
         connection->stream->write(std::exchange(output, {}));
         send_body();
+        check_sending();
     }
 
     [[nodiscard]] bool body_sent() const
@@ -170,6 +177,22 @@
         }
     }
 
+    void check_sending()
+    {
+        const auto since = connection && connection->stream
+                               ? connection->stream->blocked_since()
+                               : std::nullopt;
+        if (!since) {
+            return;
+        }
+        const duration left = *since + send_timeout - loop.now();
+        if (left <= duration::zero()) {
+            fail_exchange(errc::connection_lost, false);
+            return;
+        }
+        send_timer.start_once(left);
+    }
+
     void on_data(std::string_view bytes)
     {
         const auto self = shared_from_this();
@@ -231,6 +254,7 @@
             clean && body_sent() && reuse_allowed && reader->keep_alive() &&
             !reader->ends_with_connection() && connection->stream &&
             connection->stream->queued_bytes() == 0;
+        send_timer.stop();
         auto used = std::move(connection);
         if (const auto pool = client.lock(); pool && reusable) {
             pool->keep(std::move(used), response_headers);
@@ -250,6 +274,7 @@
         }
         ended = true;
         connect_timer.stop();
+        send_timer.stop();
         const http1_failure failure{.code = code,
                                     .request_sent = sent,
                                     .on_reused_connection = reused,
@@ -311,6 +336,7 @@
                     const auto owner = self ? self->owner.lock() : nullptr;
                     if (owner && owner->connection == self) {
                         owner->send_body();
+                        owner->check_sending();
                     }
                 }};
 }
@@ -336,6 +362,7 @@
         return;
     }
     connection->owner.reset();
+    connection->stream->pause_input(false);
     connection->idle_until = now + allowed;
     list.push_back(std::move(connection));
 }
@@ -349,6 +376,7 @@
     impl_->ended = true;
     impl_->handlers = {};
     impl_->connect_timer.stop();
+    impl_->send_timer.stop();
     if (impl_->connection) {
         impl_->connection->stream.reset();
     }
@@ -363,6 +391,20 @@
     }
 }
 
+void http1_client::exchange::pause_reading()
+{
+    if (impl_->connection && impl_->connection->stream) {
+        impl_->connection->stream->pause_input(true);
+    }
+}
+
+void http1_client::exchange::resume_reading()
+{
+    if (impl_->connection && impl_->connection->stream) {
+        impl_->connection->stream->pause_input(false);
+    }
+}
+
 bool http1_client::exchange::request_sent() const
 {
     return impl_->sent;
@@ -390,6 +432,7 @@
     state->max_body_bytes =
         message.max_body_bytes.value_or(state->max_body_bytes);
     state->max_discarded_bytes = impl_->settings.max_discarded_bytes;
+    state->send_timeout = impl_->settings.send_timeout;
     state->new_reader();
     const std::string_view body = message.shared_body
                                       ? std::string_view(*message.shared_body)
@@ -425,7 +468,8 @@
     }
     ++impl_->connections_made;
     connection->stream = std::make_unique<tcp_stream>(
-        impl_->loop, descriptor.value(), true, handlers_for(connection));
+        impl_->loop, descriptor.value(), true, handlers_for(connection),
+        impl_->unsent_bytes);
     state->connect_timer.start_once(impl_->settings.connect_timeout);
     return std::make_unique<exchange>(state);
 }
@@ -440,6 +484,11 @@
     return impl_->connections_made;
 }
 
+std::size_t http1_client::unsent_bytes() const
+{
+    return *impl_->unsent_bytes;
+}
+
 std::size_t http1_client::idle_connections() const
 {
     std::size_t count = 0;
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -5,6 +5,8 @@
 #include <bamboogate/net/http1_server.hpp>
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace bamboogate::net {
@@ -28,6 +30,10 @@
     void finish();
     void abort();
     [[nodiscard]] std::size_t queued_bytes() const;
+    void when_output_below(std::size_t bytes, std::function<void()> function);
+    [[nodiscard]] std::optional<unread_output> unread() const;
+    /// Closes the connection of a client that doesn't read.
+    void disconnect();
 
     [[nodiscard]] std::uint64_t number() const { return number_; }
     [[nodiscard]] connection_state state() const;
@@ -71,6 +77,8 @@
     void end_exchange();
     void begin_idle();
     void linger(server_close cause);
+    /// Continues after a response, once the client has read enough of it.
+    void read_next_request();
     void on_linger_timeout();
     void note_discarded_input();
     void close();
@@ -87,6 +95,7 @@
     time_point request_since_;    ///< first byte of the request
     bool waits_for_room_ = false; ///< reading is paused meanwhile
     bool drops_next_requests_ = false;
+    bool unread_at_timeout_ = false; ///< idle only since it was read
     /// Unsent output when the linger time-out was last started.
     std::size_t linger_queued_ = 0;
     time_point lingers_since_;
@@ -110,6 +119,8 @@
     std::vector<std::shared_ptr<http1_connection>> connections;
     std::size_t active = 0;
     std::uint64_t next_number = 0;
+    std::shared_ptr<std::size_t> unread_bytes =
+        std::make_shared<std::size_t>(0);
     bool draining = false;
     std::unique_ptr<request_memory> memory; ///< null if it is not limited
     std::unique_ptr<timer> review_timer;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -43,8 +43,8 @@
                        options settings)
     : loop_(loop), protocol_(std::move(protocol)),
       settings_(std::move(settings)), metrics_(registry_),
-      client_limits_(registry_),
-      response_buffers_(settings_.response_buffer_bytes), client_(loop, {}),
+      client_limits_(registry_), answers_(loop, settings_.readers, metrics_),
+      client_(loop, {.send_timeout = settings_.send_timeout}),
       directory_(
           {.own_domain = settings_.control.failure_domain, .registry = {}}),
       retries_(settings_.retries),
@@ -121,7 +121,7 @@
           .quarantine = quarantine_,
           .rollouts = rollouts_,
           .metrics = metrics_,
-          .response_buffers = response_buffers_,
+          .answers = answers_,
           .times = response_times_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
@@ -164,6 +164,7 @@
 {
     net::http1_server::options server_options{
         .listen_address = settings_.caller_address,
+        .unread_timeout = settings_.readers.unread_limit,
         .refusal_fields = protocol_.retry_after(full_retry_after),
         .on_client_limit =
             [this](net::client_limit_action action) {
@@ -182,6 +183,7 @@
                               on_request(std::move(request), responder);
                           }));
     server_ = std::move(server);
+    answers_.attach(*server_);
     tick_timer_.start_periodic(tick_interval);
     return outcome::success();
 }
@@ -551,6 +553,7 @@
     }
     quarantine_.expire(loop_.now());
     client_limits_.report(loop_.now(), *server_);
+    answers_.check();
     retries_.set_gates(feed_.gates());
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
@@ -612,6 +615,8 @@
 
 std::string relay_gate::metrics_text()
 {
+    metrics_.unread_bytes.set(static_cast<double>(answers_.unread_bytes()));
+    metrics_.unsent_bytes.set(static_cast<double>(client_.unsent_bytes()));
     return registry_.prometheus_text();
 }
 
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -32,6 +32,7 @@
 [limits]
 memoryMb = 96
 maxFds = 1000
+unreadAnswerMs = 20000
 )";
 
 } // namespace
@@ -59,6 +60,9 @@
     CHECK(node.exposure_slack == doctest::Approx(30));
     CHECK(node.limits.memory_bytes == 96u << 20);
     CHECK(node.limits.descriptors == 800);
+    CHECK(node.answer_bytes() == 24u << 20);
+    CHECK(node.unread_limit == 20s);
+    CHECK(node.stream_buffer_bytes == 256u << 10);
     const auto limits = relay::gate_client_limits(node.limits);
     CHECK(limits.request_bytes == 32u << 20);
     CHECK(limits.connections == 350);
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -84,6 +84,7 @@
     [[nodiscard]] bool started() const { return started_; }
     [[nodiscard]] double resident_kib() const;
     [[nodiscard]] pid_t process_id() const { return process_.id(); }
+    [[nodiscard]] bool running() { return process_.running(); }
 
     [[nodiscard]] net::address caller_address() const
     {
