Test the page of rollouts

Cause: the page on the metrics address had been compiled but not run. Change: a case reads it after a rollback and checks share, reason and evidence.

--- a/tests/platform/rollout_control_test.cpp
+++ b/tests/platform/rollout_control_test.cpp
@@ -1,6 +1,7 @@
 // Orders of rollouts and their course with real control replicas; a link hub
 // plays a gate that reports evidence.
 #include "platform/support/relay_fixture.hpp"
+#include "rollout_api.hpp"
 
 using namespace bamboogate;
 using namespace bamboogate::tests;
@@ -281,3 +282,30 @@
     // The new leader may take over late, and waits for evidence.
     CHECK(loop.now() < deadline + 1500ms);
 }
+
+// Guards against an operators' page that lacks the evidence or the reason of an
+// end.
+TEST_CASE_FIXTURE(rollout_fixture, "rollout_page_shows_evidence_and_reason")
+{
+    observe();
+    failing_share = 0.5;
+    REQUIRE(begin(0, "v2", 60) == 200);
+    CHECK(reaches(0, rollout_phase::rolled_back));
+    const auto* node = nodes[leader()].get();
+    const auto page = net::http1_server::start(
+        loop, {.listen_address = {"127.0.0.1", 0}},
+        [node](const net::http1_request& request,
+               const net::http1_responder_ptr& responder) {
+            CHECK(platform::handle_rollout_request(*node, request, responder));
+        });
+    REQUIRE(page);
+    const auto reply = call(page.value()->bound_address(), "GET", "/rollouts",
+                            {{"Host", "c"}});
+    REQUIRE(wait([&] { return reply->ended(); }));
+    const json shown = json::parse(reply->body).at("rollouts").at(0);
+    CHECK(shown.at("phase") == "rolled_back");
+    CHECK(shown.at("trial_share") == doctest::Approx(0.05));
+    CHECK(shown.at("reason") == "more failures on all routes");
+    CHECK(shown.at("evidence").at("verdict") == "faulty");
+    CHECK(shown.at("evidence").at("target_failures") > 0);
+}
