--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -41,6 +41,8 @@
         duration stop_limit = std::chrono::milliseconds(7800);
         /// Of all callers together.
         client_limits callers = {};
+        /// `rollout::exposure_limits::slack`, of which trials use a part.
+        double trial_slack = rollout::exposure_limits().slack;
         /// Memory for answers, and the limits of callers that read slowly.
         reader_pacing::options readers;
         /// An attempt whose upstream accepts no byte of its unsent request for
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -110,7 +110,8 @@
                                each->on_quarantine(service);
                            }
                        }}),
-      rollouts_({.position = position_of(settings_.control.self)}),
+      rollouts_({.position = position_of(settings_.control.self),
+                 .slack = settings_.trial_slack}),
       context_{
           .loop = loop,
           .upstream_client = client_,
