--- a/lib/source/rollout/progress.cpp
+++ b/lib/source/rollout/progress.cpp
@@ -66,7 +66,7 @@
 rollout_step next_step(const rollout_situation& situation,
                        const exposure_limits& limits)
 {
-    const rollout_step no_change{situation.phase, {}};
+    rollout_step no_change{situation.phase, {}};
     const judgement& evidence = situation.evidence;
     if (!situation.service_declared) {
         return {rollout_phase::rolled_back,
