Log long turns of the event loop and why links end

The hypotheses on late configurations could not be told apart: no line said how long the handling of one poll took, why a link ended, or which configuration decided a request that was sent on.

- control_link_down has the cause and the time since the last input
- relay_configuration_applied has the time since the version was offered, relay_attempt_started the configuration that decided it

--- a/lib/include/bamboogate/net/event_loop.hpp
+++ b/lib/include/bamboogate/net/event_loop.hpp
@@ -38,6 +38,21 @@
     ///     lifetime of the loop.
     void on_signal(int signal, std::function<void()> handler);
 
+    /// Turns of the loop since the start. A turn is the handling of the events
+    /// of one poll; messages that arrive meanwhile wait for its end.
+    struct turn_totals
+    {
+        std::uint64_t turns = 0;
+        duration longest{};
+    };
+
+    /// @brief Calls the observer after each turn that took at least the
+    ///     threshold. Replaces an earlier observer.
+    void on_long_turn(duration threshold,
+                      std::function<void(duration)> observer);
+
+    [[nodiscard]] turn_totals turns() const noexcept;
+
     /// @brief Reads the monotonic clock.
     [[nodiscard]] time_point now() const noexcept
     {
--- a/lib/include/bamboogate/net/link.hpp
+++ b/lib/include/bamboogate/net/link.hpp
@@ -68,6 +68,8 @@
     {
         return output_.size() - output_offset_;
     }
+    /// @brief When the link last received bytes, at first when it was created.
+    [[nodiscard]] time_point last_input() const noexcept { return last_input_; }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return sent_; }
     [[nodiscard]] std::uint64_t bytes_received() const noexcept
     {
@@ -116,6 +118,9 @@
     timer liveness_timer_;
 };
 
+/// @brief The name of a reason in logs.
+[[nodiscard]] std::string_view name_of(link::close_reason reason) noexcept;
+
 } // namespace bamboogate::net
 
 #endif
--- a/lib/include/bamboogate/net/link_hub.hpp
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -38,6 +38,13 @@
     failure_domain_id failure_domain;
 };
 
+/// How the last link to a peer ended.
+struct link_end
+{
+    std::string_view cause;
+    duration silent; ///< since the last input
+};
+
 /// All authenticated links of a process to its peers.
 ///
 /// Both ends prove knowledge of the shared secret by an HMAC-SHA256 over both
@@ -182,6 +189,11 @@
     /// @brief Adds an observer of peers that become reachable or unreachable.
     void on_peer_state(std::function<void(const peer_info&, bool up)> handler);
 
+    /// @brief Adds an observer of the end of the last link to a peer. Called
+    ///     before the observers of `on_peer_state`.
+    void on_peer_lost(
+        std::function<void(const peer_info&, const link_end&)> handler);
+
     [[nodiscard]] bool is_up(const node_id& peer) const;
 
     /// @brief Peers with a link that is up, by node id.
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -152,6 +152,11 @@
     {
         return registry_;
     }
+    /// @brief The streams that this replica places while it leads.
+    [[nodiscard]] const placement_server& placements() const
+    {
+        return placements_;
+    }
     [[nodiscard]] net::link_hub::traffic traffic() const
     {
         return hub_.totals();
@@ -261,9 +266,6 @@
     bool stopping_ = false;
 };
 
-/// @brief Logs the traffic of a hub by message type.
-void log_link_traffic(const net::link_hub::traffic& totals);
-
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -166,6 +166,10 @@
 inline constexpr log_event log_lines_dropped{
     1040, severity::warning, "log_lines_dropped",
     "Log lines were dropped, because the reader of the log was too slow."};
+inline constexpr log_event loop_turn_long{
+    1044, severity::warning, "loop_turn_long",
+    "The process handled the events of one poll for longer than its peers "
+    "should wait; messages that arrived meanwhile were read late."};
 inline constexpr log_event rollout_begun{
     1200, severity::info, "relay_rollout_begun",
     "A rollout was committed by a majority of the control replicas; the target "
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -105,6 +105,8 @@
     /// @return streams that run on an upstream
     [[nodiscard]] std::size_t running_on(const upstream_id& id) const;
     [[nodiscard]] std::size_t waiting() const;
+    /// @return how often waiting streams were decided on
+    [[nodiscard]] std::uint64_t decisions() const { return decisions_; }
 
 private:
     struct pending
@@ -158,6 +160,7 @@
     std::map<request_id, pending> pending_;
     std::map<request_id, std::pair<node_id, service_id>> owners_;
     time_point caches_awaited_until_{};
+    std::uint64_t decisions_ = 0;
     net::timer decide_timer_;
 };
 
--- a/lib/source/net/event_loop.cpp
+++ b/lib/source/net/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,16 +24,41 @@
 
 namespace {
 
-/// Records when the loop last looked at its sockets. The loop's user data.
+/// Records when the loop last looked at its sockets and how long it handled
+/// their events. The loop's user data.
 struct poll_clock
 {
-    ev_check watcher{};
+    ev_check after_poll{};
+    ev_prepare before_poll{};
     time_point polled_at = monotonic_clock::now();
+    bool polled = false;
+    event_loop::turn_totals totals;
+    duration long_turn = duration::max();
+    std::function<void(duration)> on_long_turn;
 
     static void on_polled(struct ::ev_loop*, ev_check* watcher, int)
     {
-        static_cast<poll_clock*>(watcher->data)->polled_at =
-            monotonic_clock::now();
+        auto* self = static_cast<poll_clock*>(watcher->data);
+        self->polled_at = monotonic_clock::now();
+        self->polled = true;
+    }
+
+    static void on_poll_due(struct ::ev_loop*, ev_prepare* watcher, int)
+    {
+        static_cast<poll_clock*>(watcher->data)->end_turn();
+    }
+
+    void end_turn()
+    {
+        if (!std::exchange(polled, false)) {
+            return;
+        }
+        const duration taken = monotonic_clock::now() - polled_at;
+        ++totals.turns;
+        totals.longest = std::max(totals.longest, taken);
+        if (taken >= long_turn && on_long_turn) {
+            on_long_turn(taken);
+        }
     }
 };
 
@@ -73,10 +99,14 @@
     impl_->wake.data = impl_.get();
     ev_async_start(impl_->loop, &impl_->wake);
     ev_unref(impl_->loop);
-    ev_check_init(&impl_->polls.watcher, &poll_clock::on_polled);
-    ev_set_priority(&impl_->polls.watcher, EV_MAXPRI);
-    impl_->polls.watcher.data = &impl_->polls;
-    ev_check_start(impl_->loop, &impl_->polls.watcher);
+    ev_check_init(&impl_->polls.after_poll, &poll_clock::on_polled);
+    ev_set_priority(&impl_->polls.after_poll, EV_MAXPRI);
+    impl_->polls.after_poll.data = &impl_->polls;
+    ev_check_start(impl_->loop, &impl_->polls.after_poll);
+    ev_unref(impl_->loop);
+    ev_prepare_init(&impl_->polls.before_poll, &poll_clock::on_poll_due);
+    impl_->polls.before_poll.data = &impl_->polls;
+    ev_prepare_start(impl_->loop, &impl_->polls.before_poll);
     ev_unref(impl_->loop);
     ev_set_userdata(impl_->loop, &impl_->polls);
 }
@@ -90,7 +120,9 @@
     ev_ref(impl_->loop);
     ev_async_stop(impl_->loop, &impl_->wake);
     ev_ref(impl_->loop);
-    ev_check_stop(impl_->loop, &impl_->polls.watcher);
+    ev_check_stop(impl_->loop, &impl_->polls.after_poll);
+    ev_ref(impl_->loop);
+    ev_prepare_stop(impl_->loop, &impl_->polls.before_poll);
     ev_loop_destroy(impl_->loop);
 }
 
@@ -126,6 +158,18 @@
     impl_->signals.push_back(std::move(entry));
 }
 
+void event_loop::on_long_turn(duration threshold,
+                              std::function<void(duration)> observer)
+{
+    impl_->polls.long_turn = threshold;
+    impl_->polls.on_long_turn = std::move(observer);
+}
+
+event_loop::turn_totals event_loop::turns() const noexcept
+{
+    return impl_->polls.totals;
+}
+
 struct ::ev_loop* event_loop::native() noexcept
 {
     return impl_->loop;
--- a/lib/source/net/link.cpp
+++ b/lib/source/net/link.cpp
@@ -52,6 +52,25 @@
 
 } // namespace
 
+std::string_view name_of(link::close_reason reason) noexcept
+{
+    switch (reason) {
+    case link::close_reason::peer_closed:
+        return "peer_closed";
+    case link::close_reason::heartbeat_timeout:
+        return "heartbeat_timeout";
+    case link::close_reason::refused:
+        return "refused";
+    case link::close_reason::queue_full:
+        return "queue_full";
+    case link::close_reason::dropped:
+        return "dropped";
+    case link::close_reason::not_connected:
+        return "not_connected";
+    }
+    return "";
+}
+
 link::link(event_loop& loop, const link_hub::options& settings, side own_side,
            int descriptor, callbacks handlers)
     : loop_(loop), settings_(settings), side_(own_side),
--- a/lib/source/net/link_hub.cpp
+++ b/lib/source/net/link_hub.cpp
@@ -48,6 +48,8 @@
     std::unordered_map<std::uint64_t, pending_call> calls;
     std::uint64_t next_call = 1;
     std::vector<std::function<void(const peer_info&, bool)>> observers;
+    std::vector<std::function<void(const peer_info&, const link_end&)>>
+        lost_observers;
     /// Messages of all links; bytes and counters of closed links only.
     traffic closed_totals;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -138,7 +140,7 @@
             reason == link::close_reason::heartbeat_timeout ? 1 : 0;
         closed_totals.links_refused +=
             reason == link::close_reason::refused ? 1 : 0;
-        remove_from_peer(connection);
+        remove_from_peer(connection, reason);
         fail_calls(connection);
         if (const auto found = targets.find(connecting_to);
             found != targets.end() && found->second.current == connection) {
@@ -156,7 +158,7 @@
         });
     }
 
-    void remove_from_peer(link* connection)
+    void remove_from_peer(link* connection, link::close_reason reason)
     {
         const peer_info peer = connection->peer();
         const auto found = by_peer.find(peer.node);
@@ -168,6 +170,11 @@
             return;
         }
         by_peer.erase(found);
+        const link_end end{name_of(reason),
+                           loop.now() - connection->last_input()};
+        for (const auto& observer : lost_observers) {
+            observer(peer, end);
+        }
         notify(peer, false);
     }
 
@@ -329,6 +336,7 @@
 {
     *impl_->alive = false;
     impl_->observers.clear();
+    impl_->lost_observers.clear();
     impl_->targets.clear();
     impl_->links.clear();
     if (impl_->listener >= 0) {
@@ -389,6 +397,12 @@
     impl_->observers.push_back(std::move(handler));
 }
 
+void link_hub::on_peer_lost(
+    std::function<void(const peer_info&, const link_end&)> handler)
+{
+    impl_->lost_observers.push_back(std::move(handler));
+}
+
 bool link_hub::is_up(const node_id& peer) const
 {
     return impl_->by_peer.contains(peer);
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/control_feed.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/process_log.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -34,6 +35,7 @@
                    }),
       fetch_timer_(loop, [this] { fetch(); })
 {
+    hub_.on_peer_lost(&log_link_lost);
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
         on_peer_state(peer, up);
     });
@@ -98,9 +100,8 @@
 
 void control_feed::on_peer_state(const net::peer_info& peer, bool up)
 {
-    log(up ? events::control_link_up : events::control_link_down,
-        {{"peer", peer.node.value()}, {"domain", peer.failure_domain.value()}});
     if (up) {
+        log_link_established(peer);
         home_.on_link_up(peer.node, peer.failure_domain, loop_.now());
         first_link_up_at_ = first_link_up_at_.value_or(loop_.now());
     } else {
@@ -275,6 +276,7 @@
         log(events::configuration_applied,
             {{"version", version_},
              {"from", from.value()},
+             {"offered_ms", to_milliseconds(loop_.now() - target_since_)},
              {"routes", document.value().routes.size()},
              {"services", document.value().services.size()},
              {"accounts", document.value().accounts.size()}});
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/control_node.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/process_log.hpp>
 
 #include <fmt/format.h>
 
@@ -122,6 +123,7 @@
 
 void control_node::register_handlers()
 {
+    hub_.on_peer_lost(&log_link_lost);
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
         on_peer_state(peer, up);
     });
@@ -225,14 +227,13 @@
 
 void control_node::on_peer_state(const net::peer_info& peer, bool up)
 {
-    log(up ? events::control_link_up : events::control_link_down,
-        {{"peer", peer.node.value()}, {"domain", peer.failure_domain.value()}});
     if (!up) {
         gates_.erase(peer.node);
         gates_of_replicas_.erase(peer.node);
         placements_.remove_gate(peer.node);
         return;
     }
+    log_link_established(peer);
     hub_.send(peer.node, view());
     if (known_replicas_.contains(peer.node.value())) {
         // A restarted replica knows no upstream, departure or quarantine.
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -304,17 +304,4 @@
     }
 }
 
-void log_link_traffic(const net::link_hub::traffic& totals)
-{
-    std::string types;
-    for (const auto& [type, sent] : totals.sent_by_type) {
-        types += fmt::format("{}{}:{}/{}", types.empty() ? "" : " ", type,
-                             sent.messages, sent.bytes);
-    }
-    log(events::link_traffic, {{"sent_bytes", totals.bytes_sent},
-                               {"received_bytes", totals.bytes_received},
-                               {"messages", totals.messages_sent},
-                               {"by_type", types}});
-}
-
 } // namespace bamboogate::relay
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -178,7 +178,8 @@
          {"where", upstream.announced.address.text()},
          {"heard_ms_ago",
           to_milliseconds(context_.loop.now() - upstream.last_seen)},
-         {"left_ms", to_milliseconds(time_left())}});
+         {"left_ms", to_milliseconds(time_left())},
+         {"configuration", accepted_.table->source().version}});
     const software_version& version = upstream.announced.version;
     if (context_.rollouts.on_trial(accepted_.service, version)) {
         context_.metrics.trial_requests.add();
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -446,6 +446,7 @@
     if (loop_.now() < caches_awaited_until_) {
         return;
     }
+    ++decisions_;
     stream_scheduler& scheduler = schedulers_[service];
     refresh(service, scheduler);
     const auto decisions = scheduler.decide(loop_.now(), quarantines_[service]);
