Decide on waiting streams once for all reports of a turn

Cause: the leader decided on all waiting streams for each placement request and each report about a running stream. With 110 streams waiting for 120 full engines, the messages of one read took 1.3 s; its heartbeats were late, another replica was elected, all gates reported their streams to it, and it stalled in the same way: an election every 1.5 s, also after the load had ended.

Change: messages only mark their service, a timer decides once for all of them, and a decision is followed by a pause of three times its length, so deciding takes a quarter of the leader's time at most. In calm it is made in the next turn.

--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -135,8 +135,12 @@
     /// Sets the versions that the rollout of the service allows.
     void update_versions(const service_id& service,
                          stream_scheduler& scheduler) const;
+    /// Decides soon on the waiting streams of a service, once for all messages
+    /// that arrive until then.
+    void request_decision(const service_id& service);
+    void decide_due();
     void decide(const service_id& service);
-    void decide_all();
+    void reevaluate();
     void send_reply(const request_id& id, result<place_reply> reply);
 
     net::event_loop& loop_;
@@ -161,7 +165,10 @@
     std::map<request_id, std::pair<node_id, service_id>> owners_;
     time_point caches_awaited_until_{};
     std::uint64_t decisions_ = 0;
-    net::timer decide_timer_;
+    net::timer reevaluation_timer_;
+    net::timer decision_timer_;
+    std::set<service_id> undecided_;
+    time_point next_decision_{};
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -17,7 +17,11 @@
 
 /// Interval at which waiting demands are re-evaluated, to refuse those that can
 /// no longer start in time.
-constexpr duration decide_interval = std::chrono::milliseconds(100);
+constexpr duration reevaluation_interval = std::chrono::milliseconds(100);
+/// Pause after a decision, as a multiple of the time that it took: deciding
+/// takes a quarter of the leader's time at most, and its heartbeats, reports
+/// and changes of the configuration get the rest.
+constexpr int decision_pause_factor = 3;
 /// A suspected engine receives no streams until its next announcement. The
 /// suspension ends after this time even without one, because the connection
 /// that carries the announcements may be the only one that is lost.
@@ -38,7 +42,8 @@
                                    const instance_registry& registry,
                                    std::function<bool()> is_leader)
     : loop_(loop), registry_(registry), is_leader_(std::move(is_leader)),
-      decide_timer_(loop, [this] { decide_all(); })
+      reevaluation_timer_(loop, [this] { reevaluate(); }),
+      decision_timer_(loop, [this] { decide_due(); })
 {
     hub.serve<place_request, place_reply>(
         [this](const net::peer_info& peer, const place_request& request,
@@ -64,7 +69,7 @@
         [this](const net::peer_info&, const suspect_answered& answered) {
             on_suspect_answered(answered);
         });
-    decide_timer_.start_periodic(decide_interval);
+    reevaluation_timer_.start_periodic(reevaluation_interval);
 }
 
 void placement_server::on_configuration(const configuration& current)
@@ -172,7 +177,7 @@
         }
     }
     if (!decided.empty()) {
-        decide(report.service);
+        request_decision(report.service);
     }
 }
 
@@ -238,7 +243,7 @@
 void placement_server::on_caches_known()
 {
     caches_awaited_until_ = {};
-    decide_all();
+    reevaluate();
 }
 
 void placement_server::on_cache(const upstream_id& id,
@@ -341,7 +346,7 @@
     pending_[request.id] = {request.service, peer.node, std::move(reply)};
     owners_[request.id] = {peer.node, request.service};
     schedulers_[request.service].submit(std::move(demand));
-    decide(request.service);
+    request_decision(request.service);
 }
 
 copy_reply placement_server::on_copy_request(const copy_request& request)
@@ -394,7 +399,7 @@
         break;
     }
     if (scheduler.waiting() > 0) {
-        decide(update.service);
+        request_decision(update.service);
     }
 }
 
@@ -482,17 +487,32 @@
     }
 }
 
-void placement_server::decide_all()
+void placement_server::request_decision(const service_id& service)
+{
+    undecided_.insert(service);
+    if (!decision_timer_.active()) {
+        decision_timer_.start_once(
+            std::max(next_decision_ - loop_.now(), duration::zero()));
+    }
+}
+
+void placement_server::decide_due()
+{
+    const time_point begin = loop_.now();
+    for (const auto& service : std::exchange(undecided_, {})) {
+        decide(service);
+    }
+    const time_point end = loop_.now();
+    next_decision_ = end + decision_pause_factor * (end - begin);
+}
+
+void placement_server::reevaluate()
 {
-    std::vector<service_id> services;
     for (const auto& [service, scheduler] : schedulers_) {
         if (scheduler.waiting() > 0) {
-            services.push_back(service);
+            request_decision(service);
         }
     }
-    for (const auto& service : services) {
-        decide(service);
-    }
     const time_point now = loop_.now();
     for (auto& [service, quarantine] : quarantines_) {
         quarantine.expire(now);
