Handle links before requests, requests in bounded shares of a turn

In the users' evidence one gate needed 2.90 s after slow machines and four times the load.

Cause: the event loop handled all sockets that one poll had found before it looked again, in the reverse order of their readiness. A configuration takes three messages to a gate, each waited for all callers and upstreams, and so did heartbeats. A replica likewise read votes and the log behind the messages and links of the gates.

Change: loop_priority. Links of gates and links between replicas are handled right after each poll, then their time-outs and what was posted; other sockets in the order of their readiness for 20 ms a turn, the rest in the next turns; a time-out waits for the sockets that were ready before it. A link whose input waits for its turn is not silent. The server accepts 16 connections at once.

Evidence: with the share set to one hour, control_timer_waits_for_a_part..., link_hub_input_that_waits_for_its_turn_keeps_the_link (links closed as silent) and configuration_is_applied_in_time_while_callers_press (not within 2 s) fail; they pass with 20 ms.

--- a/lib/include/bamboogate/net/event_loop.hpp
+++ b/lib/include/bamboogate/net/event_loop.hpp
@@ -11,6 +11,16 @@
 
 namespace bamboogate::net {
 
+/// Order of handling within a turn of the loop. What is `control` is handled
+/// first, in every turn, so it must be little work: links between processes
+/// that carry heartbeats, configurations and the replicated log. The rest is
+/// handled in the order of its arrival, for a bounded time per turn.
+enum class loop_priority : std::uint8_t
+{
+    normal,
+    control,
+};
+
 /// The event loop of a process, based on libev. All members must be called from
 /// the thread that runs the loop.
 class event_loop
@@ -30,8 +40,9 @@
     /// @brief Makes `run` return after the current event.
     void stop();
 
-    /// @brief Runs a function in the next iteration of the loop. Functions run
-    ///     in the order in which they were posted.
+    /// @brief Runs a function in the next iteration of the loop, before its
+    ///     sockets of normal priority. Functions run in the order in which they
+    ///     were posted.
     void post(std::function<void()> function);
 
     /// @brief Calls the handler when the process receives the signal, for the
@@ -68,13 +79,15 @@
 };
 
 /// A timer that calls its function once or periodically. Input that arrived
-/// before it expired is handled first, also when the process stood still.
-/// Destruction stops it. Not thread safe.
+/// before it expired is handled first, also when the process stood still; for a
+/// timer of control, only input of control. Destruction stops it. Not thread
+/// safe.
 class timer
 {
 public:
     /// @param loop must outlive the timer
-    timer(event_loop& loop, std::function<void()> function);
+    timer(event_loop& loop, std::function<void()> function,
+          loop_priority priority = loop_priority::normal);
     ~timer();
     timer(const timer&) = delete;
     timer& operator=(const timer&) = delete;
@@ -116,7 +129,8 @@
 {
 public:
     io_watcher(event_loop& loop, int descriptor,
-               std::function<void(io_event)> function);
+               std::function<void(io_event)> function,
+               loop_priority priority = loop_priority::normal);
     ~io_watcher();
     io_watcher(const io_watcher&) = delete;
     io_watcher& operator=(const io_watcher&) = delete;
@@ -124,6 +138,12 @@
     /// @brief Replaces the set of awaited events; `none` stops watching.
     void await(io_event events);
 
+    /// @brief Takes effect the next time that the descriptor is ready.
+    void change_priority(loop_priority priority);
+
+    /// @brief True if the descriptor was found ready and waits for its turn.
+    [[nodiscard]] bool waits() const noexcept;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/lib/include/bamboogate/net/link.hpp
+++ b/lib/include/bamboogate/net/link.hpp
@@ -46,8 +46,9 @@
     };
 
     /// @param descriptor a connected or connecting socket; the link owns it
+    /// @param priority until the peer is known
     link(event_loop& loop, const link_hub::options& settings, side own_side,
-         int descriptor, callbacks handlers);
+         int descriptor, loop_priority priority, callbacks handlers);
     ~link();
     link(const link&) = delete;
     link& operator=(const link&) = delete;
--- a/lib/include/bamboogate/net/link_hub.hpp
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -71,6 +71,9 @@
         /// A link with more queued output than this is closed: the peer does
         /// not read.
         std::size_t max_queued_bytes = 64u << 20;
+        /// Selects the peers whose links are handled before the other sockets
+        /// of the loop, see `loop_priority`. Unset: none.
+        std::function<bool(const node_id&)> is_control;
     };
 
     /// Messages and their encoded bytes, without the framing of the link.
--- a/lib/source/net/http1_connection.hpp
+++ b/lib/source/net/http1_connection.hpp
@@ -125,7 +125,7 @@
     std::unique_ptr<request_memory> memory; ///< null if it is not limited
     std::unique_ptr<timer> review_timer;
 
-    void accept_connections();
+    void accept_connections(std::size_t limit);
     void remove(const http1_connection* connection);
 
     /// Closes a connection for a new one. @return false if none can be closed
--- a/lib/source/net/http1_server.cpp
+++ b/lib/source/net/http1_server.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 
 #include "http1_connection.hpp"
 
@@ -15,6 +16,8 @@
 constexpr std::size_t max_pending_bytes = 64u << 10;
 /// Unsent output with which a connection reads its next request.
 constexpr std::size_t max_unsent_bytes = 64u << 10;
+/// Connections accepted before other sockets have their turn.
+constexpr std::size_t max_accepted_at_once = 16;
 
 } // namespace
 
@@ -471,9 +474,9 @@
     server_.remove(this);
 }
 
-void http1_server::impl::accept_connections()
+void http1_server::impl::accept_connections(std::size_t limit)
 {
-    for (;;) {
+    for (std::size_t i = 0; i < limit; ++i) {
         const int fd =
             accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
@@ -522,8 +525,9 @@
     state->limit_memory();
     state->listener = listener;
     state->watcher = std::make_unique<io_watcher>(
-        loop, listener,
-        [raw = state.get()](io_event) { raw->accept_connections(); });
+        loop, listener, [raw = state.get()](io_event) {
+            raw->accept_connections(max_accepted_at_once);
+        });
     state->watcher->await(io_event::read);
     return std::unique_ptr<http1_server>(new http1_server(std::move(state)));
 }
@@ -542,7 +546,7 @@
     if (impl_->listener < 0) {
         return;
     }
-    impl_->accept_connections();
+    impl_->accept_connections(std::numeric_limits<std::size_t>::max());
     impl_->watcher.reset();
     ::close(std::exchange(impl_->listener, -1));
 }
--- a/lib/source/net/link.cpp
+++ b/lib/source/net/link.cpp
@@ -72,7 +72,7 @@
 }
 
 link::link(event_loop& loop, const link_hub::options& settings, side own_side,
-           int descriptor, callbacks handlers)
+           int descriptor, loop_priority priority, callbacks handlers)
     : loop_(loop), settings_(settings), side_(own_side),
       descriptor_(descriptor), handlers_(std::move(handlers)),
       own_hello_(make_hello(settings.identity)), last_input_(loop.now()),
@@ -85,8 +85,10 @@
               .on_open = [this] { send_hello(); },
               .on_message = [this](std::string_view f) { on_frame(f); },
               .on_close = [this] { close(close_reason::peer_closed); }}),
-      watcher_(loop, descriptor, [this](io_event e) { on_ready(e); }),
-      liveness_timer_(loop, [this] { check_liveness(); })
+      watcher_(
+          loop, descriptor, [this](io_event e) { on_ready(e); }, priority),
+      liveness_timer_(
+          loop, [this] { check_liveness(); }, loop_priority::control)
 {
     codec_.start();
     watcher_.await(io_event::read_write);
@@ -239,6 +241,9 @@
         return;
     }
     state_ = state::up;
+    if (settings_.is_control && settings_.is_control(peer_.node)) {
+        watcher_.change_priority(loop_priority::control);
+    }
     handlers_.on_up();
 }
 
@@ -283,14 +288,17 @@
 void link::check_liveness()
 {
     const time_point now = loop_.now();
+    // What has arrived and waits for its turn is a sign of life.
+    const bool input_waits = watcher_.waits();
     // The first bytes are sent as soon as the connection is established; until
     // then `last_input_` is the time of the start.
     const bool connecting = side_ == side::dialer && sent_ == 0;
-    if (connecting && now - last_input_ >= settings_.connect_timeout) {
+    if (!input_waits && connecting &&
+        now - last_input_ >= settings_.connect_timeout) {
         close(close_reason::not_connected);
         return;
     }
-    if (now - last_input_ > settings_.heartbeat_timeout) {
+    if (!input_waits && now - last_input_ > settings_.heartbeat_timeout) {
         close(close_reason::heartbeat_timeout);
         return;
     }
--- a/lib/source/net/link_hub.cpp
+++ b/lib/source/net/link_hub.cpp
@@ -62,6 +62,9 @@
         auto slot = std::make_shared<link*>(nullptr);
         auto created = std::make_unique<link>(
             loop, settings, side, descriptor,
+            settings.is_control && settings.is_control(connecting_to)
+                ? loop_priority::control
+                : loop_priority::normal,
             link::callbacks{
                 .on_up = [this, slot] { on_up(*slot); },
                 .on_message =
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -25,15 +25,19 @@
       hub_(loop, {.identity = {settings_.self, settings_.incarnation,
                                settings_.failure_domain},
                   .shared_secret = settings_.shared_secret,
-                  .heartbeat_interval = std::chrono::milliseconds(400)}),
+                  .heartbeat_interval = std::chrono::milliseconds(400),
+                  .is_control = [](const node_id&) { return true; }}),
       home_({.own_domain = settings_.failure_domain}),
-      links_timer_(loop,
-                   [this] {
-                       update_links();
-                       close_surplus_links();
-                       fetch();
-                   }),
-      fetch_timer_(loop, [this] { fetch(); })
+      links_timer_(
+          loop,
+          [this] {
+              update_links();
+              close_surplus_links();
+              fetch();
+          },
+          net::loop_priority::control),
+      fetch_timer_(
+          loop, [this] { fetch(); }, net::loop_priority::control)
 {
     hub_.on_peer_lost(&log_link_lost);
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -30,7 +30,12 @@
       hub_(loop, {.identity = {self_, settings_.incarnation,
                                settings_.failure_domain},
                   .shared_secret = settings_.shared_secret,
-                  .heartbeat_interval = std::chrono::milliseconds(400)}),
+                  .heartbeat_interval = std::chrono::milliseconds(400),
+                  // The links of the gates carry much more.
+                  .is_control =
+                      [this](const node_id& peer) {
+                          return known_replicas_.contains(peer.value());
+                      }}),
       registry_({}),
       placements_(loop, hub_, registry_,
                   [this] { return replica_ && replica_->is_leader(); }),
--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -4,9 +4,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "support/loop_runner.hpp"
 
@@ -108,3 +112,122 @@
     CHECK(order.empty());
     CHECK_FALSE(expired.active());
 }
+
+namespace {
+
+/// Sockets that are always ready, whose handlers take a while.
+struct busy_sockets_fixture : event_loop_fixture
+{
+    // One poll returns 64 sockets at most.
+    static constexpr int count = 60;
+    static constexpr duration handling = 5ms;
+
+    std::array<std::array<int, 2>, count> others{};
+    std::vector<std::unique_ptr<io_watcher>> watchers;
+    std::vector<int> handled = std::vector<int>(count, 0);
+    int calls = 0;
+    std::function<void()> on_call;
+
+    busy_sockets_fixture()
+    {
+        for (int i = 0; i < count; ++i) {
+            auto& pair = others[static_cast<std::size_t>(i)];
+            REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
+            REQUIRE(::send(pair[1], "x", 1, 0) == 1);
+            watchers.push_back(std::make_unique<io_watcher>(
+                loop, pair[0], [this, i](io_event) {
+                    ++handled[static_cast<std::size_t>(i)];
+                    ++calls;
+                    if (on_call) {
+                        on_call();
+                    }
+                    std::this_thread::sleep_for(handling);
+                }));
+            watchers.back()->await(io_event::read);
+        }
+    }
+    ~busy_sockets_fixture()
+    {
+        watchers.clear();
+        for (const auto& pair : others) {
+            ::close(pair[0]);
+            ::close(pair[1]);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against links that are read only after all callers' sockets.
+TEST_CASE_FIXTURE(busy_sockets_fixture,
+                  "control_input_waits_for_a_part_of_the_ready_sockets_only")
+{
+    int calls_before = -1;
+    io_watcher control(
+        loop, sockets[0],
+        [&](io_event) {
+            char byte = 0;
+            CHECK(::recv(sockets[0], &byte, 1, 0) == 1);
+            calls_before = calls;
+        },
+        loop_priority::control);
+    control.await(io_event::read);
+    on_call = [&] {
+        if (calls == 1) {
+            CHECK(::send(sockets[1], "x", 1, 0) == 1);
+        }
+    };
+    REQUIRE(tests::run_until(loop, [&] { return calls_before >= 0; }));
+    CHECK(calls_before < 10);
+}
+
+// Guards against heartbeats that are sent only after all callers' sockets.
+TEST_CASE_FIXTURE(busy_sockets_fixture,
+                  "control_timer_waits_for_a_part_of_the_ready_sockets_only")
+{
+    int calls_before = -1;
+    timer control(
+        loop, [&] { calls_before = calls; }, loop_priority::control);
+    control.start_once(1ms);
+    REQUIRE(tests::run_until(loop, [&] { return calls_before >= 0; }));
+    CHECK(calls_before < 20);
+}
+
+// Guards against ready sockets that are passed over while others are handled
+// again and again.
+TEST_CASE_FIXTURE(busy_sockets_fixture,
+                  "ready_sockets_are_handled_in_the_order_of_their_arrival")
+{
+    REQUIRE(tests::run_until(loop, [&] { return calls >= 2 * count; }));
+    const auto [fewest, most] =
+        std::minmax_element(handled.begin(), handled.end());
+    CHECK(*most - *fewest <= 1);
+}
+
+// Guards against a time-out that wins against input that arrived before it and
+// still waits for its turn.
+TEST_CASE_FIXTURE(busy_sockets_fixture,
+                  "timer_waits_for_all_sockets_that_were_ready_before_it")
+{
+    timer expired(loop, [&] { order += 't'; });
+    expired.start_once(1ms);
+    REQUIRE(tests::run_until(loop, [&] { return !order.empty(); }));
+    CHECK(std::count(handled.begin(), handled.end(), 0) == 0);
+}
+
+// Guards against a handler that is called after its watcher has ended or awaits
+// nothing any more, because its socket was found ready before.
+TEST_CASE_FIXTURE(busy_sockets_fixture, "ended_watcher_is_not_called")
+{
+    REQUIRE(tests::run_until(loop, [&] { return calls > 0; }));
+    const auto waiting = static_cast<std::size_t>(
+        std::find(handled.begin(), handled.end(), 0) - handled.begin());
+    REQUIRE(waiting + 1 < handled.size());
+    watchers[waiting].reset();
+    watchers[waiting + 1]->await(io_event::none);
+    const int other = handled[waiting + 1];
+    const int end = calls + 2 * count;
+    REQUIRE(tests::run_until(loop, [&] { return calls >= end; }));
+    CHECK(handled[waiting] == 0);
+    CHECK(handled[waiting + 1] == other);
+}
--- a/tests/net/link_hub_test.cpp
+++ b/tests/net/link_hub_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/loop_runner.hpp"
@@ -195,3 +196,39 @@
     }
     ::close(listener);
 }
+
+// Guards against a link that is closed as silent although its peer has sent and
+// the process was too busy to read.
+TEST_CASE_FIXTURE(link_fixture,
+                  "link_hub_input_that_waits_for_its_turn_keeps_the_link")
+{
+    auto a = make_hub("a");
+    auto b = make_hub("b");
+    const auto endpoint = b->listen({"127.0.0.1", 0});
+    REQUIRE(endpoint);
+    a->add_peer(node_id("b"), endpoint.value());
+    REQUIRE(run_until(
+        [&] { return a->is_up(node_id("b")) && b->is_up(node_id("a")); }));
+    // One round over the busy sockets takes longer than the time-out of 150 ms.
+    std::vector<std::array<int, 2>> pairs(100);
+    std::vector<std::unique_ptr<io_watcher>> busy;
+    int calls = 0;
+    for (auto& pair : pairs) {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
+        REQUIRE(::send(pair[1], "x", 1, 0) == 1);
+        busy.push_back(
+            std::make_unique<io_watcher>(loop, pair[0], [&](io_event) {
+                ++calls;
+                std::this_thread::sleep_for(5ms);
+            }));
+        busy.back()->await(io_event::read);
+    }
+    REQUIRE(run_until([&] { return calls > 400; }));
+    CHECK(a->totals().links_closed_silent == 0);
+    CHECK(b->totals().links_closed_silent == 0);
+    busy.clear();
+    for (const auto& pair : pairs) {
+        ::close(pair[0]);
+        ::close(pair[1]);
+    }
+}
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -2,6 +2,12 @@
 // one another. The replicas are played by link hubs.
 #include <bamboogate/relay/control_feed.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
 #include "platform/support/relay_fixture.hpp"
 
 using namespace bamboogate;
@@ -25,7 +31,8 @@
         : hub(loop, {.identity = {node_id(address.text()),
                                   {1},
                                   failure_domain_id(domain)},
-                     .shared_secret = secret("s")})
+                     .shared_secret = secret("s"),
+                     .is_control = [](const node_id&) { return true; }})
     {
         hub.serve<relay::fetch_configuration, relay::configuration_document>(
             [this](const net::peer_info&, relay::fetch_configuration,
@@ -170,3 +177,32 @@
     CHECK(run_until(
         loop, [&] { return applied.back() == 6; }, 1500ms));
 }
+
+// Guards against a gate that applies a configuration only after its callers'
+// requests, for each of the messages that bring it.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "configuration_is_applied_in_time_while_callers_press")
+{
+    settle();
+    std::vector<std::array<int, 2>> callers(400);
+    std::vector<std::unique_ptr<net::io_watcher>> requests;
+    for (auto& pair : callers) {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
+        REQUIRE(::send(pair[1], "x", 1, 0) == 1);
+        requests.push_back(
+            std::make_unique<net::io_watcher>(loop, pair[0], [](net::io_event) {
+                std::this_thread::sleep_for(5ms);
+            }));
+        requests.back()->await(net::io_event::read);
+    }
+    near.version = 6;
+    near.send_view();
+    // The platform's bound on an acknowledged configuration is 2 s.
+    CHECK(run_until(
+        loop, [&] { return applied.back() == 6; }, 2s));
+    requests.clear();
+    for (const auto& pair : callers) {
+        ::close(pair[0]);
+        ::close(pair[1]);
+    }
+}
