Press the programs with streams in the soak

Without faults it now also checks that each change is acknowledged within 4 s and that 2.5 s later no gate refuses the version's key.

--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -27,6 +27,11 @@
                               "only changes and signals to read the settings; "
                               "every request has to succeed",
                               command);
+        TCLAP::ValueArg<unsigned> pressing(
+            "", "press",
+            "streams a second that callers send in addition; implies "
+            "--no-faults, and requests may be refused",
+            false, 0, "number", command);
         TCLAP::ValueArg<std::string> folder(
             "", "folder", "where settings, logs and data of the runs go", false,
             (std::filesystem::temp_directory_path() /
@@ -48,7 +53,8 @@
                  .gates = gates.getValue(),
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
-                 .faults = !calm.getValue(),
+                 .faults = !calm.getValue() && pressing.getValue() == 0,
+                 .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
                  .folder = run_folder});
             const bool passed = soak.run();
--- a/tests/platform/soak/operators.cpp
+++ b/tests/platform/soak/operators.cpp
@@ -23,6 +23,7 @@
     bool invalid = false;
     unsigned version = 0; ///< version sent, or acknowledged before a read
     bool answered = false;
+    time_point begun;
     time_point sent;
     unsigned status = 0;
     std::string body;
@@ -51,6 +52,7 @@
     version_ += 1 + static_cast<unsigned>(random_() % 3);
     request->version = version_;
     request->invalid = random_() % invalid_share == 0;
+    request->begun = loop_.now();
     calls_.push_back(request);
     send(request);
 }
@@ -102,12 +104,26 @@
                                      fmt::format("version {} status {}",
                                                  raw->version, raw->status));
                  } else if (!raw->read && raw->status == 200) {
-                     acknowledged_ = std::max(acknowledged_, raw->version);
+                     on_acknowledged(*raw);
                  }
              },
          .on_failure = [](const net::http1_failure&) {}});
 }
 
+void operators::on_acknowledged(const call& request)
+{
+    const duration taken = loop_.now() - request.begun;
+    if (taken > settings_.acknowledgement_limit) {
+        violations_.add("changes are acknowledged in time",
+                        fmt::format("version {} after {:.0f} ms",
+                                    request.version, to_milliseconds(taken)));
+    }
+    acknowledged_ = std::max(acknowledged_, request.version);
+    if (settings_.on_acknowledged) {
+        settings_.on_acknowledged(request.version);
+    }
+}
+
 void operators::check_read(const call& request)
 {
     ++reads_;
--- a/tests/platform/soak/operators.hpp
+++ b/tests/platform/soak/operators.hpp
@@ -24,6 +24,9 @@
         std::vector<net::address> control_addresses;
         /// The document of a version.
         std::function<std::string(unsigned)> document;
+        /// A valid change that is not acknowledged in this time is a violation.
+        duration acknowledgement_limit = duration::max();
+        std::function<void(unsigned version)> on_acknowledged;
     };
 
     operators(net::event_loop& loop, violations& problems, unsigned seed,
@@ -53,6 +56,7 @@
 
     void send(const std::shared_ptr<call>& request);
     void check_read(const call& request);
+    void on_acknowledged(const call& request);
 
     net::event_loop& loop_;
     violations& violations_;
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -99,11 +99,29 @@
                              .paths = {{request_kind::stream, "/gen/"},
                                        {request_kind::booking, "/book/"},
                                        {request_kind::lookup, "/look/"}}});
+    if (!settings_.faults) {
+        std::vector<net::address> gates;
+        for (const auto& each : gates_) {
+            gates.push_back(each.program->caller_address());
+        }
+        versions_ = std::make_unique<version_checks>(
+            loop_, violations_,
+            version_checks::options{.gates = std::move(gates),
+                                    .host = "h.example",
+                                    .path = "/look/x"});
+    }
+    operators::options operator_options{
+        .control_addresses = control_addresses,
+        .document = [this](unsigned v) { return document(v); }};
+    if (versions_) {
+        // `ackMs`; with faults the control plane may be down for longer.
+        operator_options.acknowledgement_limit = 4s;
+        operator_options.on_acknowledged = [this](unsigned version) {
+            versions_->acknowledged(version);
+        };
+    }
     operators_ = std::make_unique<operators>(
-        loop_, violations_, settings_.seed + 3,
-        operators::options{
-            .control_addresses = control_addresses,
-            .document = [this](unsigned v) { return document(v); }});
+        loop_, violations_, settings_.seed + 3, std::move(operator_options));
 }
 
 soak::~soak() = default;
@@ -124,6 +142,12 @@
                {"headerTimeoutMs", 2500},
                {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
+    // More versions than there are changes within the time of a check.
+    constexpr unsigned kept_keys = 200;
+    for (unsigned v = version > kept_keys ? version - kept_keys : 1;
+         v <= version; ++v) {
+        out["tenants"][0]["apiKeys"].push_back(key_of_version(v));
+    }
     out["routes"] = {
         {{"name", "gen"},
          {"host", "h.example"},
@@ -254,9 +278,14 @@
                                    : request_kind::lookup,
                         must_succeed_);
     }
+    if (presses_ && now >= next_pressing_stream_) {
+        next_pressing_stream_ =
+            now + duration(1s) / static_cast<int>(settings_.pressing_streams);
+        callers_->start(request_kind::stream, false);
+    }
     if (sends_changes_ && now >= next_change_) {
-        next_change_ =
-            now + (settings_.faults ? change_interval : quick_change_interval);
+        const bool quick = !settings_.faults && !settings_.pressing_streams;
+        next_change_ = now + (quick ? quick_change_interval : change_interval);
         constexpr std::size_t max_open_changes = 8;
         if (operators_->open_changes() < max_open_changes) {
             operators_->change();
@@ -287,6 +316,9 @@
     }
     callers_->step();
     operators_->step();
+    if (versions_) {
+        versions_->step();
+    }
 }
 
 void soak::run_for(duration time)
@@ -335,12 +367,15 @@
     run_for(1s);
     reloads_ = true;
     injects_faults_ = settings_.faults;
-    must_succeed_ = !settings_.faults;
+    presses_ = settings_.pressing_streams > 0;
+    must_succeed_ = !settings_.faults && !presses_;
     run_for(settings_.fault_time);
     reloads_ = false;
     if (settings_.faults) {
         end_faults();
         run_for(recovery_time);
+    } else if (std::exchange(presses_, false)) {
+        run_for(recovery_time);
     }
     must_succeed_ = true;
     const unsigned acknowledged_before = operators_->acknowledged();
@@ -356,6 +391,10 @@
            loop_.now() < limit) {
         run_for(100ms);
     }
+    if (versions_ && operators_->open_changes() > 0) {
+        violations_.add("changes are acknowledged in time",
+                        "some never were");
+    }
     const unsigned acknowledged = operators_->acknowledged();
     operators_->read();
     run_for(1s);
@@ -387,6 +426,10 @@
     line += fmt::format(
         "; {} leaves passed on, {} pauses stated, {} settings read again",
         statements_.leaves(), statements_.pauses(), reloads_sent_);
+    if (versions_) {
+        line += fmt::format("; {} checks of versions in force",
+                            versions_->confirmed());
+    }
     violations_.print("result", line);
     for (const auto& [guarantee, count] : violations_.counts()) {
         violations_.print("violated", fmt::format("{} x {}", count, guarantee));
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -15,6 +15,7 @@
 #include "fleet.hpp"
 #include "operators.hpp"
 #include "statement_checks.hpp"
+#include "version_checks.hpp"
 #include "violations.hpp"
 
 namespace bamboogate::tests {
@@ -38,6 +39,9 @@
         /// to read the settings are all that happens, so that every request has
         /// to succeed.
         bool faults = true;
+        /// Streams a second that callers send in addition, more than the
+        /// engines can run. Only without faults; requests may be refused then.
+        unsigned pressing_streams = 0;
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, logs and data
     };
@@ -111,8 +115,10 @@
     std::vector<std::unique_ptr<backend>> backends_;
     std::unique_ptr<caller_pool> callers_;
     std::unique_ptr<operators> operators_;
+    std::unique_ptr<version_checks> versions_; ///< null with faults
     std::vector<scheduled_action> schedule_;
     time_point next_request_;
+    time_point next_pressing_stream_;
     time_point next_poll_;
     time_point next_change_;
     time_point next_read_;
@@ -123,6 +129,7 @@
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
+    bool presses_ = false;
     bool reloads_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
