--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -392,8 +392,7 @@
         run_for(100ms);
     }
     if (versions_ && operators_->open_changes() > 0) {
-        violations_.add("changes are acknowledged in time",
-                        "some never were");
+        violations_.add("changes are acknowledged in time", "some never were");
     }
     const unsigned acknowledged = operators_->acknowledged();
     operators_->read();
