Count a timer as active until its function is called

A timer that has expired in a turn but was not called yet counted as inactive, so an owner that asks active() before it starts the timer restarted it and put it off, in the worst case in every turn. The decisions on waiting streams and other timers ask so. Found while reading the change of the leader's decisions; not seen in a play.

expired_timer_is_active_until_it_fires failed before. net and relay tests pass.

--- a/lib/source/net/event_loop.cpp
+++ b/lib/source/net/event_loop.cpp
@@ -323,6 +323,13 @@
         ev_timer_start(loop, &deferred);
     }
 
+    /// Pending: expired in this turn and not called yet.
+    [[nodiscard]] bool active() const
+    {
+        return ev_is_active(&watcher) || ev_is_pending(&watcher) ||
+               ev_is_active(&deferred) || ev_is_pending(&deferred);
+    }
+
     void stop()
     {
         ev_timer_stop(loop, &watcher);
@@ -383,7 +390,7 @@
 
 bool timer::active() const noexcept
 {
-    return ev_is_active(&impl_->watcher) || ev_is_active(&impl_->deferred);
+    return impl_->active();
 }
 
 struct io_watcher::impl final : ready_socket
--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -91,6 +91,25 @@
     ::close(others[1]);
 }
 
+// Guards against owners that restart a timer in every turn, because it seems to
+// have ended, and so never see it fire.
+TEST_CASE_FIXTURE(event_loop_fixture, "expired_timer_is_active_until_it_fires")
+{
+    timer expired(loop, [&] { order += expired.active() ? 'a' : 't'; });
+    io_watcher input(loop, sockets[0], [&](io_event) {
+        char byte = 0;
+        CHECK(::recv(sockets[0], &byte, 1, 0) == 1);
+        order += expired.active() ? 'i' : '-';
+    });
+    input.await(io_event::read);
+    expired.start_once(5ms);
+    loop.run_once();
+    std::this_thread::sleep_for(10ms);
+    REQUIRE(::send(sockets[1], "x", 1, 0) == 1);
+    REQUIRE(tests::run_until(loop, [&] { return order.size() == 2; }));
+    CHECK(order == "it");
+}
+
 // Guards against a deferred timer that fires although it was stopped.
 TEST_CASE_FIXTURE(event_loop_fixture,
                   "deferred_timer_that_is_stopped_is_silent")
