Keep a stream at the software version that began it

Cause: the version was compared only while a service had a rollout, so a stream that lost its engine, or whose copy was elsewhere, went on at any version; and a gate could not know the version of a stream that a caller resumes, because the name of its first attempt was not read and nothing kept the version.

A begun stream is placed, copied and resumed at its version only. The replicated log lists the versions in use, so that a service with one version resumes every stream, also after all processes were restarted.

gate_rollouts_copy_of_another_version_is_not_used asked for the opposite in its first check, that without a rollout a copy of another version is used; the rule is new, and the check is turned round.

--- a/lib/include/bamboogate/relay/configuration_store.hpp
+++ b/lib/include/bamboogate/relay/configuration_store.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/consensus/replicated_state.hpp>
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/rollout_store.hpp>
+#include <bamboogate/relay/version_history.hpp>
 
 #include <functional>
 #include <memory>
@@ -13,9 +14,9 @@
 namespace bamboogate::relay {
 
 /// Replicated state that holds the configuration: the committed document with
-/// the highest version, and the rollouts beside it. Documents with a lower or
-/// equal version are ignored. Must be called from the replica's loop thread
-/// only.
+/// the highest version, and beside it the rollouts and the software versions in
+/// use. Documents with a lower or equal version are ignored. Must be called
+/// from the replica's loop thread only.
 class configuration_store : public consensus::replicated_state
 {
 public:
@@ -35,7 +36,7 @@
                       std::string_view command) override;
     [[nodiscard]] std::string snapshot() const override;
     /// @brief Loads a snapshot, except for what is not newer. Snapshots of
-    ///     earlier builds contain no rollouts.
+    ///     earlier builds contain no rollouts or software versions.
     /// @return an error if the snapshot cannot be decoded
     result<void> restore(std::string_view snapshot) override;
 
@@ -51,6 +52,10 @@
     [[nodiscard]] const rollout_store& rollouts() const { return rollouts_; }
     [[nodiscard]] rollout_store& rollouts() { return rollouts_; }
 
+    /// @brief The software versions in use, whose commands and snapshots pass
+    ///     through this store.
+    [[nodiscard]] const version_history& versions() const { return versions_; }
+
     /// @brief Sets the function that is called after each change of the
     ///     document.
     void on_change(observer function) { observer_ = std::move(function); }
@@ -60,6 +65,7 @@
 
     std::shared_ptr<const configuration_document> current_;
     rollout_store rollouts_;
+    version_history versions_;
     observer observer_;
 };
 
--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,10 @@
     ///     Dropped without a leader.
     void report_answered(const suspect_answered& answered);
 
+    /// @brief Reports the origins of streams to the leader, or without one to
+    ///     the home replica. Dropped while no link is up.
+    void report_origins(std::span<const origin_batch> batches);
+
     /// @brief Sends the evidence of a rollout to the leader.
     /// @return false if there is no link to a leader
     [[nodiscard]] bool report_evidence(const rollout_evidence& evidence);
@@ -102,6 +107,8 @@
     [[nodiscard]] net::link_hub& hub() { return hub_; }
     /// @brief The leader of the control replicas; empty if unknown.
     [[nodiscard]] const node_id& leader() const { return leader_; }
+    /// @brief The replica that this gate is subscribed to; empty if none.
+    [[nodiscard]] const node_id& home() const { return home_.current(); }
 
 private:
     void add_replica(const std::string& node);
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -179,6 +179,7 @@
 
     void register_handlers();
     void register_rollout_handlers();
+    void register_version_handlers();
     void on_peer_state(const net::peer_info& peer, bool up);
     void tick();
     void update_membership();
@@ -200,6 +201,12 @@
     void acknowledge_rollout(const service_id& service,
                              rollout_callback callback);
     void on_rollout(const rollout::rollout_record& record);
+    /// Sends the origins of new streams to the other replicas.
+    void send_new_origins();
+    /// As the leader, keeps the recorded versions in step with the upstreams.
+    void record_versions();
+    /// Proposes to record a version, or to remove it.
+    void change_version(const stream_origin& origin, bool add);
     [[nodiscard]] rollout_director::hooks rollout_hooks();
     /// All upstreams and departures, for a new subscriber or replica.
     [[nodiscard]] announcement_update known_upstreams() const;
@@ -262,7 +269,11 @@
     std::string published_view_;
     time_point published_at_;
     time_point last_join_;
+    /// Recorded versions without an upstream, and since when.
+    std::map<stream_origin, time_point> unused_versions_;
+    std::set<stream_origin> proposed_versions_; ///< not committed yet
     net::timer tick_timer_;
+    net::timer origin_timer_;
     bool stopping_ = false;
 };
 
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -9,6 +9,7 @@
 #include <bamboogate/relay/gate_metrics.hpp>
 #include <bamboogate/relay/gate_quarantine.hpp>
 #include <bamboogate/relay/gate_rollouts.hpp>
+#include <bamboogate/relay/origin_messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/response_times.hpp>
 #include <bamboogate/relay/retry_limiter.hpp>
@@ -47,7 +48,8 @@
     gate_rollouts& rollouts;
     gate_metrics& metrics;
     answer_room& answers;
-    response_times& times; ///< of plain services
+    response_times& times;         ///< of plain services
+    const stream_origins& origins; ///< of the streams that began at this gate
     /// Reports that a connection to the upstream broke or stalled, so that
     /// other users of the upstream are informed.
     std::function<void(const upstream_id&)> report_suspicion;
@@ -59,6 +61,15 @@
     std::function<void(const upstream_id&, std::uint64_t started_at,
                        const response_description&)>
         on_statement;
+    /// Records the origin of a stream before its first event is passed on. If
+    /// the gate has placed it without the leader, the replicas are told.
+    std::function<void(std::uint64_t stream, const stream_origin&,
+                       bool placed_by_leader)>
+        record_origin;
+    /// Asks the home replica for the origin of a stream.
+    std::function<void(const find_origin&,
+                       std::function<void(result<origin_reply>)>)>
+        find_origin;
     /// Returns the planner of a service.
     std::function<stream_planner&(const service_id&)> planner;
     /// Returns the engine profile of a service; null for plain services.
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -192,6 +192,14 @@
     1211, severity::info, "relay_rollout_applied",
     "The gate applied a newer record of a service's rollout; its phase decides "
     "which versions get later attempts."};
+inline constexpr log_event version_recorded{
+    1260, severity::info, "relay_version_recorded",
+    "The leader recorded that engines of a software version may begin streams, "
+    "or that no stream of the version is left to resume."};
+inline constexpr log_event origin_missing{
+    1261, severity::warning, "relay_origin_missing",
+    "A caller resumes a stream, but the software version that began it is not "
+    "known yet, is unknown, or has no engine left."};
 
 } // namespace bamboogate::relay::log_events
 
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_RELAY_MESSAGES_HPP
 
 #include <bamboogate/core/json.hpp>
+#include <bamboogate/relay/origin_messages.hpp>
 #include <bamboogate/relay/prompt_quarantine.hpp>
 #include <bamboogate/relay/protocol.hpp>
 
@@ -190,12 +191,16 @@
     /// Takes part in the trial of a version, see `rollout::trial_selector`.
     /// Earlier builds don't send it.
     bool trial = false;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_request, service, id,
-                                                account, rank, urgent,
-                                                prompt_tokens, output_tokens,
-                                                prompt, excluded, resuming,
-                                                start_within_ms, shared_parts,
-                                                trial)
+    /// Identifies the stream over all attempts of its caller, see
+    /// `request_description::stream`. Earlier builds don't send this and the
+    /// next two.
+    request_id stream;
+    bool version_known = false; ///< of the stream's origin
+    software_version version;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(
+        place_request, service, id, account, rank, urgent, prompt_tokens,
+        output_tokens, prompt, excluded, resuming, start_within_ms,
+        shared_parts, trial, stream, version_known, version)
 };
 
 /// @brief Converts the copy holder in a message, where empty means none.
@@ -213,9 +218,11 @@
     upstream_id copy_holder;         ///< empty: no copy
     std::int64_t retry_after_ms = 0; ///< if refused
     bool quarantined = false; ///< refused because it would crash its engine
+    std::uint8_t origin = 0;  ///< value of `origin_state`, for a resumed stream
+    software_version version; ///< of the origin, if it is known
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_reply, engine,
                                                 copy_holder, retry_after_ms,
-                                                quarantined)
+                                                quarantined, origin, version)
 };
 
 /// Gate to leader: requests another copy holder for a running stream.
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -7,7 +7,9 @@
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/rollout_records.hpp>
+#include <bamboogate/relay/stream_origins.hpp>
 #include <bamboogate/relay/stream_scheduler.hpp>
+#include <bamboogate/relay/version_history.hpp>
 #include <bamboogate/rollout/rollout.hpp>
 
 #include <functional>
@@ -37,6 +39,21 @@
     /// @brief Follows the last rollout of a service.
     void on_rollout(const rollout::rollout_record& record);
 
+    /// @brief Uses the replicated history of versions: engines of a version
+    ///     that it doesn't contain get no streams, and the origin of an unknown
+    ///     stream is the only version that it contains.
+    /// @param history must outlive the server
+    void follow(const version_history& history) { history_ = &history; }
+
+    /// @brief The origins of the streams that were placed, kept while this
+    ///     replica does not lead.
+    [[nodiscard]] stream_origins& origins() { return origins_; }
+
+    /// @brief What this replica knows of the origin of a stream that its caller
+    ///     resumes.
+    [[nodiscard]] origin_reply origin_of(const service_id& service,
+                                         std::uint64_t stream) const;
+
     /// @brief Suspends a suspected upstream: it receives no streams for some
     ///     time.
     void on_suspicion(const upstream_id& id);
@@ -113,6 +130,8 @@
     {
         service_id service;
         node_id gate;
+        std::uint64_t stream = 0; ///< see `stream_key`
+        std::optional<software_version> begun_at;
         std::function<void(result<place_reply>)> reply;
     };
 
@@ -135,6 +154,11 @@
     /// Sets the versions that the rollout of the service allows.
     void update_versions(const service_id& service,
                          stream_scheduler& scheduler) const;
+    /// True if the history shows that streams of the version may exist.
+    [[nodiscard]] bool is_recorded(const service_id& service,
+                                   const software_version& version) const;
+    void note_origin(std::uint64_t stream, const service_id& service,
+                     const upstream_id& engine);
     /// Decides soon on the waiting streams of a service, once for all messages
     /// that arrive until then.
     void request_decision(const service_id& service);
@@ -153,6 +177,9 @@
     std::function<void(const quarantine_update&)> on_quarantine_;
     std::function<void(const suspicion_update&)> on_suspicion_changed_;
     rollout_records rollouts_;
+    const version_history* history_ = nullptr;
+    stream_origins origins_;
+    time_point leader_since_{};
     std::map<upstream_id, time_point> suspected_at_;
     struct pause
     {
--- a/lib/include/bamboogate/relay/protocol.hpp
+++ b/lib/include/bamboogate/relay/protocol.hpp
@@ -34,6 +34,15 @@
     /// The parts before the last one, which requests may share.
     std::vector<std::string> shared_parts = {};
     std::string key; ///< API key of the client account; empty if none
+    /// The attempt that brought the first event of the stream that the caller
+    /// resumes; empty if it names none.
+    request_id resumes = {};
+
+    /// @brief The attempt that identifies the stream over all its attempts.
+    [[nodiscard]] const request_id& stream() const
+    {
+        return resume_after && !resumes.empty() ? resumes : attempt;
+    }
 };
 
 /// Identifies a KV cache copy to the engine that resumes from it.
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -142,6 +142,7 @@
         probe_observers_;
     gate_quarantine quarantine_;
     gate_rollouts rollouts_;
+    stream_origins origins_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
     /// Observes connections of the server, so it has to outlive the server.
--- a/lib/include/bamboogate/relay/stream_placer.hpp
+++ b/lib/include/bamboogate/relay/stream_placer.hpp
@@ -37,6 +37,13 @@
     void request_copy_holder(const copy_request& request, duration limit,
                              std::function<void(result<copy_reply>)> callback);
 
+    /// @brief Asks a replica for the origin of a stream, for example the home
+    ///     replica if there is no leader.
+    /// @param limit time to wait for the reply
+    void find_origin(const node_id& replica, const relay::find_origin& request,
+                     duration limit,
+                     std::function<void(result<origin_reply>)> callback);
+
     /// @brief Reports a state change to the leader. A lost message is
     ///     compensated when the leader changes or the run ends.
     void send_update(const run_update& update);
--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -25,8 +25,6 @@
     unsigned slots = 0;
     bool usable = true;  ///< ready and not suspended
     double slowdown = 1; ///< time per unit of work relative to a typical engine
-    /// Empty if unknown, or if the service never had a rollout: then all
-    /// engines count as alike.
     software_version version = {};
 };
 
@@ -45,6 +43,13 @@
     bool suspect = false;
     /// Versions of the engines that it may be placed on.
     rollout::version_filter versions = {};
+    /// Set for a stream that has begun: it may go on only at this version.
+    std::optional<software_version> begun_at = {};
+
+    [[nodiscard]] bool may_run_at(const software_version& version) const
+    {
+        return begun_at ? *begun_at == version : versions.admits(version);
+    }
 };
 
 /// The engine of a stream and the holder of its KV cache copy.
--- a/lib/include/bamboogate/relay/stream_scheduler.hpp
+++ b/lib/include/bamboogate/relay/stream_scheduler.hpp
@@ -40,6 +40,8 @@
     std::optional<placement> target; ///< unset: refused
     duration retry_after{};
     bool quarantined = false; ///< refused because it would crash its engine
+    /// Refused because no engine of the version that began it is left.
+    bool abandoned = false;
     std::string prompt;
     bool prompt_cached = false; ///< the engine is expected to cache it
 };
@@ -102,6 +104,13 @@
         trial_target_ = std::move(trial_target);
     }
 
+    /// @brief Sets the versions of the engines at which streams that have begun
+    ///     may go on. Those of other versions are refused at once.
+    void set_continuing_versions(std::set<software_version> versions)
+    {
+        continuing_versions_ = std::move(versions);
+    }
+
     /// @brief Removes a run that has ended or a demand that is withdrawn.
     void end(const request_id& id);
 
@@ -137,14 +146,19 @@
         demand_list::iterator demand;
     };
     class unplaced_runs;
+    /// By the version at which runs have begun.
+    using unplaced_by_version =
+        std::map<std::optional<software_version>, unplaced_runs>;
     class waiting_prompts;
 
     [[nodiscard]] demand_order order_of(const stream_demand& demand) const;
     /// Chooses an engine with free capacity for the demand, which takes part
     /// in a trial only at the first call.
     [[nodiscard]] std::optional<placement>
-    choose_engine(stream_demand& demand, unplaced_runs& unplaced,
+    choose_engine(stream_demand& demand, unplaced_by_version& unplaced,
                   time_point now) const;
+    /// @return whether the demand has begun at a version without engines
+    [[nodiscard]] bool is_abandoned(const stream_demand& demand) const;
     /// Refuses the demands that can no longer start in time.
     void refuse_late(time_point now, std::vector<stream_decision>& out);
     /// @return whether the engine is expected to cache the prompt
@@ -164,6 +178,7 @@
     duration pause_{};
     rollout::version_filter versions_;
     std::optional<software_version> trial_target_;
+    std::set<software_version> continuing_versions_;
     demand_list waiting_;
     std::map<request_id, running_stream> running_;
     std::map<client_account_id, std::uint64_t> tokens_by_account_;
--- a/lib/include/bamboogate/rollout/rollout.hpp
+++ b/lib/include/bamboogate/rollout/rollout.hpp
@@ -106,6 +106,13 @@
         return {};
     }
 
+    /// @brief Whether a stream that the version has begun may go on there: not
+    ///     at versions that the rollout has ended.
+    [[nodiscard]] bool may_continue(const software_version& version) const
+    {
+        return in_progress() || general_filter().admits(version);
+    }
+
     /// @brief The versions for work that was chosen for the trial.
     [[nodiscard]] version_filter trial_filter() const
     {
--- a/lib/source/relay/configuration_store.cpp
+++ b/lib/source/relay/configuration_store.cpp
@@ -9,9 +9,11 @@
 // The largest document that an operator may send, plus encoding overhead.
 constexpr parse_limits document_limits{.max_bytes = 16u << 20, .max_depth = 8};
 
-// Absent from a snapshot without rollouts, which then equals those of builds
-// without them; such builds ignore the field.
+/// Absent from a snapshot without rollouts, which then equals those of builds
+/// without them; such builds ignore the field.
 constexpr const char* rollouts_field = "rollouts";
+/// Likewise for software versions.
+constexpr const char* versions_field = "software_versions";
 
 } // namespace
 
@@ -32,7 +34,9 @@
     if (document && rollout_store::is_command(document.value())) {
         return rollouts_.apply(position, document.value());
     }
-    if (document) {
+    if (document && version_history::is_command(document.value())) {
+        versions_.apply(document.value());
+    } else if (document) {
         auto change = from_document<store_configuration>(document.value());
         if (change && change.value().version > current_->version) {
             replace({.version = change.value().version,
@@ -48,6 +52,9 @@
     if (!rollouts_.records().empty()) {
         out[rollouts_field] = rollouts_.snapshot();
     }
+    if (!versions_.versions().empty()) {
+        out[versions_field] = versions_.snapshot();
+    }
     return encode_cbor(out);
 }
 
@@ -60,7 +67,10 @@
         replace(std::move(restored));
     }
     if (document.contains(rollouts_field)) {
-        return rollouts_.restore(document[rollouts_field]);
+        BOOST_OUTCOME_TRY(rollouts_.restore(document[rollouts_field]));
+    }
+    if (document.contains(versions_field)) {
+        BOOST_OUTCOME_TRY(versions_.restore(document[versions_field]));
     }
     return outcome::success();
 }
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -311,6 +311,12 @@
     hub_.send(leader_, answered);
 }
 
+void control_feed::report_origins(std::span<const origin_batch> batches)
+{
+    send_origins(hub_, hub_.is_up(leader_) ? leader_ : home_.current(),
+                 batches);
+}
+
 bool control_feed::report_evidence(const rollout_evidence& evidence)
 {
     return hub_.send(leader_, evidence);
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -58,8 +58,11 @@
                             placements_.on_caches_known();
                         }
                     }}),
-      tick_timer_(loop, [this] { tick(); })
-{}
+      tick_timer_(loop, [this] { tick(); }),
+      origin_timer_(loop, [this] { send_new_origins(); })
+{
+    placements_.follow(store_.versions());
+}
 
 control_node::~control_node() = default;
 
@@ -99,6 +102,7 @@
     }
     register_handlers();
     register_rollout_handlers();
+    register_version_handlers();
     BOOST_OUTCOME_TRY(
         replica, consensus::replica::start(
                      loop_, hub_, store_,
@@ -119,6 +123,7 @@
         } else {
             placements_.reset();
         }
+        record_versions();
         director_.on_leadership(leading);
         publish_view(true);
     });
@@ -244,6 +249,7 @@
         // A restarted replica knows no upstream, departure or quarantine.
         hub_.send(peer.node, known_upstreams());
         send_quarantines(peer.node);
+        send_origins(hub_, peer.node, placements_.origins().all(), false);
     }
 }
 
@@ -270,6 +276,7 @@
     }
     send_refreshes();
     watch_engines();
+    record_versions();
     join_group();
     update_membership();
     publish_view(false);
@@ -334,6 +341,7 @@
         }
     }
     if (replica_) {
+        record_versions();
         publish_view(true);
     }
 }
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -153,6 +153,7 @@
     if (change == instance_registry::change::updated) {
         log_change(announced);
         send_to_gates(update);
+        record_versions();
     }
 }
 
@@ -232,6 +233,7 @@
     }
     if (!changed.heard.empty() || !changed.leaving.empty()) {
         send_to_gates(changed);
+        record_versions();
     }
 }
 
--- a/lib/source/relay/gate_rollouts.cpp
+++ b/lib/source/relay/gate_rollouts.cpp
@@ -115,13 +115,13 @@
                                const software_version& holder,
                                bool on_trial) const
 {
+    if (engine != holder) {
+        return false;
+    }
     const auto* record = records_.find(service);
     if (record == nullptr) {
         return true;
     }
-    if (engine != holder) {
-        return false;
-    }
     switch (record->current_phase()) {
     case rollout_phase::trial:
         return on_trial || holder != record->target;
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -237,7 +237,8 @@
 
 void placement_server::on_leadership_gained()
 {
-    caches_awaited_until_ = loop_.now() + max_cache_wait;
+    leader_since_ = loop_.now();
+    caches_awaited_until_ = leader_since_ + max_cache_wait;
 }
 
 void placement_server::on_caches_known()
@@ -327,6 +328,19 @@
         reply(fail(errc::not_leader));
         return;
     }
+    const std::uint64_t stream = stream_key(
+        request.account, request.stream.empty() ? request.id : request.stream);
+    std::optional<software_version> begun_at;
+    if (request.resuming && request.version_known) {
+        begun_at = request.version;
+    } else if (request.resuming) {
+        const origin_reply origin = origin_of(request.service, stream);
+        if (origin.state != static_cast<std::uint8_t>(origin_state::known)) {
+            reply(place_reply{.origin = origin.state});
+            return;
+        }
+        begun_at = origin.version;
+    }
     const time_point now = loop_.now();
     stream_demand demand{
         .run = {.id = request.id,
@@ -334,7 +348,8 @@
                 .urgent = request.urgent,
                 .prompt_tokens = request.prompt_tokens,
                 .output_tokens = request.output_tokens,
-                .prompt = request.prompt},
+                .prompt = request.prompt,
+                .begun_at = begun_at},
         .account = request.account,
         .excluded = {request.excluded.begin(), request.excluded.end()},
         .resuming = request.resuming,
@@ -343,7 +358,8 @@
             now + std::chrono::milliseconds(request.start_within_ms),
         .shared_parts = request.shared_parts,
         .trial = request.trial};
-    pending_[request.id] = {request.service, peer.node, std::move(reply)};
+    pending_[request.id] = {request.service, peer.node, stream, begun_at,
+                            std::move(reply)};
     owners_[request.id] = {peer.node, request.service};
     schedulers_[request.service].submit(std::move(demand));
     request_decision(request.service);
@@ -408,7 +424,8 @@
 {
     const time_point now = loop_.now();
     const auto profile = profiles_.find(service);
-    const bool has_rollout = rollouts_.find(service) != nullptr;
+    const auto* rollout = rollouts_.find(service);
+    std::set<software_version> continuing;
     scheduler.planner().suspend_all();
     std::optional<duration> shortest_pause;
     for (const auto& [id, each] : registry_.instances()) {
@@ -420,8 +437,9 @@
                                each.last_seen <= suspected->second &&
                                now - suspected->second < suspension;
         const auto allowed = allowed_by_pause(id, each, scheduler.planner());
-        const bool usable =
-            each.state == instance_state::ready && !suspended && allowed != 0;
+        const software_version& version = each.announced.version;
+        const bool usable = each.state == instance_state::ready && !suspended &&
+                            allowed != 0 && is_recorded(service, version);
         const std::size_t slots = allowed
                                       ? scheduler.planner().runs(id) + *allowed
                                       : each.announced.slots;
@@ -429,6 +447,9 @@
             const duration left =
                 allowed == 0 ? pauses_.at(id).until - now : duration::zero();
             shortest_pause = std::min(shortest_pause.value_or(left), left);
+            if (rollout == nullptr || rollout->may_continue(version)) {
+                continuing.insert(version);
+            }
         }
         scheduler.planner().update_engine(
             {.id = id,
@@ -438,9 +459,9 @@
                                        : default_kv_capacity_tokens,
              .slots = static_cast<unsigned>(slots),
              .usable = usable,
-             .version =
-                 has_rollout ? each.announced.version : software_version()});
+             .version = version});
     }
+    scheduler.set_continuing_versions(std::move(continuing));
     update_versions(service, scheduler);
     scheduler.engines_paused_for(
         std::max(shortest_pause.value_or(duration::zero()), duration::zero()));
@@ -458,8 +479,20 @@
     for (const auto& decision : decisions) {
         place_reply reply;
         reply.quarantined = decision.quarantined;
+        if (decision.abandoned) {
+            reply.origin = static_cast<std::uint8_t>(origin_state::abandoned);
+        }
         if (decision.target) {
             reply.engine = decision.target->engine;
+            if (const auto found = pending_.find(decision.id);
+                found != pending_.end()) {
+                note_origin(found->second.stream, service, reply.engine);
+                if (const auto& version = found->second.begun_at) {
+                    reply.origin =
+                        static_cast<std::uint8_t>(origin_state::known);
+                    reply.version = *version;
+                }
+            }
             reply.copy_holder =
                 decision.target->copy_holder.value_or(upstream_id());
         } else {
@@ -482,6 +515,7 @@
              {"waiting", scheduler.waiting()},
              {"running", scheduler.running()},
              {"quarantined", reply.quarantined},
+             {"origin", reply.origin},
              {"retry_after_ms", reply.retry_after_ms}});
         send_reply(decision.id, reply);
     }
--- a/lib/source/relay/placement_server_rollouts.cpp
+++ b/lib/source/relay/placement_server_rollouts.cpp
@@ -1,8 +1,55 @@
-// The versions of engines on which the leader places streams.
+// The versions of engines on which the leader places streams: those that a
+// rollout allows, and the one that began a stream.
 #include <bamboogate/relay/placement_server.hpp>
 
 namespace bamboogate::relay {
 
+namespace {
+
+/// Gates report the origins of their streams as soon as they are linked to a
+/// new leader. They redial lost links about every 250 ms.
+constexpr duration origin_report_time = std::chrono::milliseconds(1500);
+
+} // namespace
+
+origin_reply placement_server::origin_of(const service_id& service,
+                                         std::uint64_t stream) const
+{
+    const auto reply = [](origin_state state, software_version version = {}) {
+        return origin_reply{static_cast<std::uint8_t>(state),
+                            std::move(version)};
+    };
+    if (const auto found = origins_.find(stream)) {
+        return found->service == service
+                   ? reply(origin_state::known, found->version)
+                   : reply(origin_state::unknown);
+    }
+    const auto sole =
+        history_ != nullptr ? history_->sole_version(service) : std::nullopt;
+    if (sole) {
+        return reply(origin_state::known, *sole);
+    }
+    const bool reports_complete =
+        is_leader_() && loop_.now() - leader_since_ >= origin_report_time;
+    return reply(reports_complete ? origin_state::unknown
+                                  : origin_state::pending);
+}
+
+bool placement_server::is_recorded(const service_id& service,
+                                   const software_version& version) const
+{
+    return history_ == nullptr || history_->contains(service, version);
+}
+
+void placement_server::note_origin(std::uint64_t stream,
+                                   const service_id& service,
+                                   const upstream_id& engine)
+{
+    if (const instance* known = registry_.find(engine)) {
+        origins_.note(stream, {service, known->announced.version}, loop_.now());
+    }
+}
+
 void placement_server::on_rollout(const rollout::rollout_record& record)
 {
     if (rollouts_.apply(record) && is_leader_() &&
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -21,6 +21,8 @@
 /// Retry delay sent to callers whose request has no room in memory, or whose
 /// connection is one too many; another gate may serve them sooner.
 constexpr duration full_retry_after = std::chrono::milliseconds(250);
+/// Limit of the call that asks the home replica for the origin of a stream.
+constexpr duration find_origin_limit = std::chrono::milliseconds(300);
 /// KV cache capacity assumed for an upstream whose service declares no engine.
 constexpr std::uint64_t default_kv_capacity_tokens = 100000;
 
@@ -124,6 +126,7 @@
           .metrics = metrics_,
           .answers = answers_,
           .times = response_times_,
+          .origins = origins_,
           .report_suspicion =
               [this](const upstream_id& id) { on_loss_observed(id); },
           .probe =
@@ -136,6 +139,22 @@
                      const response_description& answer) {
                   on_statement(id, started_at, answer);
               },
+          .record_origin =
+              [this](std::uint64_t stream, const stream_origin& origin,
+                     bool placed_by_leader) {
+                  const origin_batch batch{origin, {stream}};
+                  origins_.merge(batch, stream_origins::conflict::replace,
+                                 loop_.now());
+                  if (!placed_by_leader) {
+                      feed_.report_origins({&batch, 1});
+                  }
+              },
+          .find_origin =
+              [this](const find_origin& request,
+                     std::function<void(result<origin_reply>)> on_reply) {
+                  placer_.find_origin(feed_.home(), request, find_origin_limit,
+                                      std::move(on_reply));
+              },
           .planner = [this](const service_id& service) -> stream_planner& {
               return planners_[service];
           },
@@ -514,7 +533,6 @@
     const time_point now = loop_.now();
     const relay::service* declared =
         table_ ? table_->find_service(service) : nullptr;
-    const bool has_rollout = rollouts_.find(service) != nullptr;
     stream_planner& planner = planners_[service];
     planner.suspend_all();
     for (const auto& [id, each] : directory_.registry().instances()) {
@@ -529,8 +547,7 @@
                                           : default_kv_capacity_tokens,
              .slots = each.announced.slots,
              .usable = directory_.usable(each, now),
-             .version =
-                 has_rollout ? each.announced.version : software_version()});
+             .version = each.announced.version});
     }
 }
 
@@ -539,6 +556,7 @@
     for (const auto& each : exchanges()) {
         each->report_placement();
     }
+    feed_.report_origins(origins_.all());
     rollouts_.report_again();
     report_evidence();
 }
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -82,8 +82,15 @@
                 accepted_.matched_route->name),
       copy_(context, {.service = accepted_.service,
                       .run = accepted_.description.attempt}),
+      stream_(stream_key(accepted_.account, accepted_.description.stream())),
       last_event_(accepted_.description.resume_after)
-{}
+{
+    const auto origin =
+        last_event_ ? context.origins.find(stream_) : std::nullopt;
+    if (origin && origin->service == accepted_.service) {
+        begun_at_ = origin->version;
+    }
+}
 
 void stream_exchange::begin()
 {
@@ -103,7 +110,9 @@
     const bool rolled_back =
         engine != nullptr && context_.rollouts.rolled_back(
                                  accepted_.service, engine->announced.version);
-    if (engine == nullptr || paused || rolled_back ||
+    const bool other_version = engine != nullptr && begun_at_ &&
+                               *begun_at_ != engine->announced.version;
+    if (engine == nullptr || paused || rolled_back || other_version ||
         (!source && engine->state != instance_state::ready)) {
         place_elsewhere(target.engine);
         return;
@@ -249,6 +258,7 @@
 void stream_exchange::forward(const stream_event& event)
 {
     note_event();
+    note_origin();
     if (!head_sent_) {
         head_sent_ = true;
         net::header_list headers = head_.headers;
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -40,6 +40,15 @@
     void place();
     void on_placed(const result<place_reply>& reply);
     void place_locally();
+    /// Asks the home replica for the origin of the stream, to place it without
+    /// the leader.
+    void find_origin();
+    /// The origin of a stream that the caller resumes is not known, or no
+    /// engine of its version is left: the stream is placed again while that
+    /// may change soon, and otherwise ended.
+    void on_origin_missing(origin_state state);
+    /// Records the origin before the first event of this exchange is passed on.
+    void note_origin();
     /// Whether this stream takes part in a trial, until its first attempt.
     [[nodiscard]] bool on_trial();
     /// Chooses an engine by the gate's own view, of the versions that the
@@ -120,6 +129,13 @@
         0; ///< of the current attempt, or the last one
     stream_copy copy_;
     bool from_copy_ = false;
+    std::uint64_t stream_ = 0; ///< see `stream_key`
+    /// Version that began the stream, the only one that may continue it; unset
+    /// until its first event, or until it is known for a resumed stream.
+    std::optional<software_version> begun_at_;
+    std::optional<time_point> abandoned_at_; ///< no engine of its version left
+    bool origin_recorded_ = false;
+    bool placed_by_leader_ = false;
     bool awaiting_placement_ = false;
     bool reported_to_leader_ = false;
     net::http1_response_head head_;
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -1,5 +1,7 @@
 // Placement of a stream: requests it from the leader, chooses an engine locally
 // if there is no decision, and reports the run to the leader.
+#include <bamboogate/relay/log_events.hpp>
+
 #include <algorithm>
 
 #include "stream_exchange.hpp"
@@ -21,6 +23,14 @@
 /// leader places: the gate alone cannot know whether other gates see the same.
 constexpr unsigned max_breaks_without_leader = 2;
 
+/// How long a stream waits for its origin to become known, or for an engine of
+/// its version. An election and the reports of the gates take less.
+constexpr duration max_origin_wait = std::chrono::seconds(2);
+constexpr duration origin_retry_delay = std::chrono::milliseconds(150);
+/// Retry delay sent to callers whose stream can't be resumed now. Engines that
+/// crashed announce themselves again within this time.
+constexpr duration origin_refusal_delay = std::chrono::seconds(2);
+
 /// Limits of the time after which a stream that has begun is placed again.
 constexpr duration min_placement_delay = std::chrono::milliseconds(100);
 constexpr duration max_placement_delay = std::chrono::milliseconds(500);
@@ -97,7 +107,10 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(start_within)
                 .count(),
         .shared_parts = accepted_.description.shared_parts,
-        .trial = on_trial()};
+        .trial = on_trial(),
+        .stream = accepted_.description.stream(),
+        .version_known = begun_at_.has_value(),
+        .version = begun_at_.value_or(software_version())};
     awaiting_placement_ = true;
     reported_to_leader_ = true;
     context_.placer.request_placement(
@@ -121,9 +134,13 @@
         return;
     }
     const place_reply& decision = reply.value();
+    const auto origin = static_cast<origin_state>(decision.origin);
     if (decision.engine.empty()) {
         reported_to_leader_ = false;
-        if (decision.quarantined) {
+        if (origin != origin_state::not_asked &&
+            origin != origin_state::known) {
+            on_origin_missing(origin);
+        } else if (decision.quarantined) {
             end_quarantined(std::chrono::milliseconds(decision.retry_after_ms));
         } else if (runs_ == 0 && !head_sent_) {
             refuse("engines_full",
@@ -134,6 +151,11 @@
         }
         return;
     }
+    if (origin == origin_state::known) {
+        begun_at_ = decision.version;
+    }
+    abandoned_at_.reset();
+    placed_by_leader_ = true;
     send({.engine = decision.engine,
           .copy_holder = named_holder(decision.copy_holder)},
          std::nullopt);
@@ -157,7 +179,12 @@
     context_.refresh_planner(accepted_.service);
     const time_point now = context_.loop.now();
     planned_run planned = run();
+    planned.begun_at = begun_at_;
     const auto& rollouts = context_.rollouts;
+    const auto* rollout = rollouts.find(accepted_.service);
+    if (begun_at_ && rollout != nullptr && !rollout->may_continue(*begun_at_)) {
+        return std::nullopt;
+    }
     if (on_trial()) {
         planned.versions =
             rollouts.preference(accepted_.service, true).preferred;
@@ -185,6 +212,10 @@
         respond_failure(502, "engines_crash");
         return;
     }
+    if (last_event_ && !begun_at_) {
+        find_origin();
+        return;
+    }
     const auto target = choose_engine();
     if (!target) {
         if (runs_ == 0 && !head_sent_) {
@@ -194,9 +225,66 @@
         }
         return;
     }
+    placed_by_leader_ = false;
     send(*target, std::nullopt);
 }
 
+void stream_exchange::find_origin()
+{
+    awaiting_placement_ = true;
+    context_.find_origin(
+        {.service = accepted_.service, .stream = stream_},
+        [weak = weak_from_this(), this](const result<origin_reply>& reply) {
+            const auto self = weak.lock();
+            if (!self || ended_ || !std::exchange(awaiting_placement_, false)) {
+                return;
+            }
+            const auto state =
+                reply ? static_cast<origin_state>(reply.value().state)
+                      : origin_state::pending;
+            if (state != origin_state::known) {
+                on_origin_missing(state);
+                return;
+            }
+            begun_at_ = reply.value().version;
+            place_locally();
+        });
+}
+
+void stream_exchange::on_origin_missing(origin_state state)
+{
+    const time_point now = context_.loop.now();
+    abandoned_at_ = abandoned_at_.value_or(now);
+    observability::log(
+        log_events::origin_missing,
+        {{"request", id()},
+         {"stream", accepted_.description.stream().value()},
+         {"state", static_cast<unsigned>(state)},
+         {"version", begun_at_.value_or(software_version()).value()},
+         {"waited_ms", to_milliseconds(now - *abandoned_at_)}});
+    const bool may_change = state == origin_state::pending ||
+                            (state == origin_state::abandoned && head_sent_);
+    if (may_change && now - *abandoned_at_ < max_origin_wait) {
+        placement_timer_.start_once(origin_retry_delay);
+    } else if (runs_ == 0 && !head_sent_) {
+        refuse(state == origin_state::abandoned ? "version_gone"
+                                                : "origin_unknown",
+               origin_refusal_delay);
+    } else {
+        respond_failure(502, "version_gone");
+    }
+}
+
+void stream_exchange::note_origin()
+{
+    if (std::exchange(origin_recorded_, true)) {
+        return;
+    }
+    begun_at_ = begun_at_.value_or(evidence_.version());
+    context_.record_origin(stream_, {accepted_.service, *begun_at_},
+                           placed_by_leader_);
+}
+
 void stream_exchange::end_unplaced(std::string_view cause, duration retry_after)
 {
     if (!head_sent_) {
--- a/lib/source/relay/stream_placer.cpp
+++ b/lib/source/relay/stream_placer.cpp
@@ -29,6 +29,14 @@
                                         std::move(callback));
 }
 
+void stream_placer::find_origin(
+    const node_id& replica, const relay::find_origin& request, duration limit,
+    std::function<void(result<origin_reply>)> callback)
+{
+    hub_.call<relay::find_origin, origin_reply>(replica, request, limit,
+                                                std::move(callback));
+}
+
 void stream_placer::send_update(const run_update& update)
 {
     hub_.send(leader_(), update);
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -127,7 +127,7 @@
     for (const auto& [id, engine] : engines_) {
         if (!engine.usable || excluded.contains(id) ||
             tokens > engine.kv_capacity_tokens ||
-            !run.versions.admits(engine.version)) {
+            !run.may_run_at(engine.version)) {
             continue;
         }
         const bool full = !has_run_capacity(engine, run, now);
@@ -163,7 +163,7 @@
     const auto engine = engines_.find(found->second.engine);
     const bool has_capacity =
         engine != engines_.end() && engine->second.usable &&
-        run.versions.admits(engine->second.version) &&
+        run.may_run_at(engine->second.version) &&
         load_of(engine->first).runs < engine->second.slots &&
         fits(engine->second, run.prompt_tokens + run.output_tokens,
              settings_.cached_prompt_memory_share);
--- a/lib/source/relay/stream_scheduler.cpp
+++ b/lib/source/relay/stream_scheduler.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Engines that crashed announce themselves again within this time.
+constexpr duration abandoned_retry_after = std::chrono::seconds(2);
+
 std::uint64_t total_tokens(const planned_run& run)
 {
     return run.prompt_tokens + run.output_tokens;
@@ -190,10 +193,10 @@
             demand.arrived};
 }
 
-std::optional<placement>
-stream_scheduler::choose_engine(stream_demand& demand, unplaced_runs& unplaced,
-                                time_point now) const
+std::optional<placement> stream_scheduler::choose_engine(
+    stream_demand& demand, unplaced_by_version& unplaced, time_point now) const
 {
+    unplaced_runs& unplaced_alike = unplaced[demand.run.begun_at];
     constexpr auto required = stream_planner::capacity_policy::required;
     if (std::exchange(demand.trial, false) && trial_target_) {
         demand.run.versions = {rollout::version_filter::rule::only,
@@ -204,7 +207,7 @@
         }
     }
     demand.run.versions = versions_;
-    if (unplaced.covers(demand.run) &&
+    if (unplaced_alike.covers(demand.run) &&
         !planner_.engine_with_prompt(demand.run, {}, now)) {
         return std::nullopt;
     }
@@ -214,11 +217,17 @@
         target = planner_.choose(demand.run, {}, now, required);
     }
     if (!target) {
-        unplaced.add(demand.run);
+        unplaced_alike.add(demand.run);
     }
     return target;
 }
 
+bool stream_scheduler::is_abandoned(const stream_demand& demand) const
+{
+    return demand.run.begun_at &&
+           !continuing_versions_.contains(*demand.run.begun_at);
+}
+
 bool stream_scheduler::place(const stream_demand& demand,
                              const placement& target, time_point now)
 {
@@ -247,7 +256,7 @@
         return std::tie(a.order, a.position) > std::tie(b.order, b.position);
     };
     std::make_heap(candidates.begin(), candidates.end(), later);
-    unplaced_runs unplaced;
+    unplaced_by_version unplaced;
     while (!candidates.empty()) {
         std::pop_heap(candidates.begin(), candidates.end(), later);
         const auto next = candidates.back().demand;
@@ -269,6 +278,15 @@
             waiting_.erase(next);
             continue;
         }
+        if (is_abandoned(*next)) {
+            out.push_back({.id = next->run.id,
+                           .target = std::nullopt,
+                           .retry_after = abandoned_retry_after,
+                           .abandoned = true,
+                           .prompt = next->run.prompt});
+            waiting_.erase(next);
+            continue;
+        }
         const auto suspects = quarantine.suspects(next->shared_parts);
         if (any_unstarted(suspects)) {
             blocked.splice(blocked.end(), waiting_, next);
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -61,6 +61,7 @@
     bool drops_copy_calls = false;
     int dropped_copy_calls = 0;
     int disconnected_callers = 0;
+    std::string version; ///< of its software, as announced
     std::unique_ptr<net::http1_server> server;
     net::address address; ///< while it is crashed
 
@@ -302,9 +303,9 @@
             0, "POST", "/Instances.Heartbeat/" + upstream.id,
             fmt::format(R"({{"service":"{}","address":"{}","zone":"{}",)"
                         R"("slots":8,"state":"{}","coldLeftMs":0,)"
-                        R"("seqNo":{},"born":{}}})",
+                        R"("seqNo":{},"born":{},"version":"{}"}})",
                         service, upstream.server->bound_address().text(), zone,
-                        state, sequence, started_at));
+                        state, sequence, started_at, upstream.version));
         CHECK(reply->status() == 200);
     }
     void wait_for_leader()
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -99,6 +99,24 @@
     CHECK(request.key == "key1");
 }
 
+// Guards against a stream that changes its identity with each attempt of its
+// caller, and against a name of any length that a gate would remember.
+TEST_CASE("wire_resumed_stream_is_identified_by_its_first_attempt")
+{
+    auto request = sample_request();
+    const auto stream = [&] {
+        return wire::describe_request(request).value().stream();
+    };
+    CHECK(stream() == request_id("abc"));
+    request.headers.set("Resumes", "first");
+    CHECK(stream() == request_id("first"));
+    request.headers.remove("Last-Event-Id");
+    CHECK(stream() == request_id("abc"));
+    request.headers.set("Last-Event-Id", "12");
+    request.headers.set("Resumes", std::string(300, 'x'));
+    CHECK(stream() == request_id("abc"));
+}
+
 // Guards against a deadline in the past that results from an overflow.
 TEST_CASE("wire_deadline_too_large_is_limited")
 {
--- a/tests/relay/gate_rollouts_test.cpp
+++ b/tests/relay/gate_rollouts_test.cpp
@@ -99,7 +99,8 @@
                                 bool on_trial = false) {
         return rollouts.may_resume(service, holder, holder, on_trial);
     };
-    CHECK(rollouts.may_resume(service, old_version, target, false));
+    CHECK_FALSE(rollouts.may_resume(service, old_version, target, false));
+    CHECK(may_resume(old_version));
     apply(7, rollout_phase::trial);
     CHECK_FALSE(rollouts.may_resume(service, old_version, target, true));
     CHECK(may_resume(old_version));
