Choose the service of a split route by the stream

A route that divides its requests among services chose the service by the attempt, and each attempt of a caller has another name. The name of the attempt that brought the first event now decides for all of them.

wire_resumed_stream_is_identified_by_its_first_attempt covers the name; that the gate uses it is not tested on a split route.

--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -274,7 +274,7 @@
         return;
     }
     const service_id service = route_table::pick_service(
-        *matched, hash_of(description.attempt.value()));
+        *matched, hash_of(description.stream().value()));
     if (refuses_while_stopping(*matched, service, description)) {
         reject(responder, description, 503, "stopping");
         return;
