Reserve the engines of scarce versions for streams that began there

While a version drains, its last engines have to carry every stream that goes on there. New streams took these engines by load like all others. Engines of a version that fewer than a third of the usable engines have now get new streams only if no other engine has capacity.

--- a/lib/include/bamboogate/relay/stream_planner.hpp
+++ b/lib/include/bamboogate/relay/stream_planner.hpp
@@ -26,6 +26,9 @@
     bool usable = true;  ///< ready and not suspended
     double slowdown = 1; ///< time per unit of work relative to a typical engine
     software_version version = {};
+    /// Few engines of its version are left for the streams that may go on only
+    /// there: others are placed here only if no other engine has capacity.
+    bool reserved = false;
 };
 
 /// A stream that needs an engine.
@@ -181,6 +184,10 @@
     /// @brief Number of engines of these versions that may receive work.
     [[nodiscard]] std::size_t
     usable_engines(const rollout::version_filter& versions = {}) const;
+    /// @brief Reserves the engines of versions that few usable engines have,
+    ///     see `planned_engine::reserved`. Call after the engines have been
+    ///     updated.
+    void reserve_scarce_versions();
 
 private:
     struct load
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -461,6 +461,7 @@
              .usable = usable,
              .version = version});
     }
+    scheduler.planner().reserve_scarce_versions();
     scheduler.set_continuing_versions(std::move(continuing));
     update_versions(service, scheduler);
     scheduler.engines_paused_for(
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -549,6 +549,7 @@
              .usable = directory_.usable(each, now),
              .version = each.announced.version});
     }
+    planner.reserve_scarce_versions();
 }
 
 void relay_gate::on_new_leader()
--- a/lib/source/relay/stream_planner.cpp
+++ b/lib/source/relay/stream_planner.cpp
@@ -120,10 +120,10 @@
     }
     const std::uint64_t tokens = run.prompt_tokens + run.output_tokens;
     const planned_engine* best = nullptr;
-    // Engines with capacity first. Runs that may crash an engine go apart from
-    // all others that have not begun, where the fewest streams can be lost.
-    // Then by ascending cost.
-    std::tuple<bool, bool, std::size_t, double, std::uint64_t> best_key;
+    // Engines with capacity first, reserved ones last. Runs that may crash an
+    // engine go apart from all others that have not begun, where the fewest
+    // streams can be lost. Then by ascending cost.
+    std::tuple<bool, bool, bool, std::size_t, double, std::uint64_t> best_key;
     for (const auto& [id, engine] : engines_) {
         if (!engine.usable || excluded.contains(id) ||
             tokens > engine.kv_capacity_tokens ||
@@ -135,9 +135,12 @@
             continue;
         }
         const load& current = load_of(id);
-        const std::tuple key{
-            full, current.suspects > 0, run.suspect ? current.runs : 0,
-            cost(engine, run.prompt_tokens, now), tie_break(run.id, id)};
+        const std::tuple key{full,
+                             engine.reserved && !run.begun_at,
+                             current.suspects > 0,
+                             run.suspect ? current.runs : 0,
+                             cost(engine, run.prompt_tokens, now),
+                             tie_break(run.id, id)};
         if (best == nullptr || key < best_key) {
             best = &engine;
             best_key = key;
@@ -338,6 +341,25 @@
         }));
 }
 
+void stream_planner::reserve_scarce_versions()
+{
+    // Below this share of the engines, streams of the version have too little
+    // room elsewhere when one of its engines is lost.
+    constexpr std::size_t scarce_fraction = 3;
+    std::map<software_version, std::size_t> engines;
+    std::size_t total = 0;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.usable) {
+            ++engines[engine.version];
+            ++total;
+        }
+    }
+    for (auto& [id, engine] : engines_) {
+        engine.reserved =
+            engine.usable && engines[engine.version] * scarce_fraction < total;
+    }
+}
+
 std::vector<request_id> stream_planner::runs_using(const upstream_id& id) const
 {
     std::vector<request_id> out;
--- a/tests/relay/begun_stream_placement_test.cpp
+++ b/tests/relay/begun_stream_placement_test.cpp
@@ -23,6 +23,7 @@
         for (const char* id : {"new1", "new2", "new3"}) {
             add_engine(id, v2, 2);
         }
+        scheduler.planner().reserve_scarce_versions();
         scheduler.set_continuing_versions({v1, v2});
     }
     void add_engine(const char* id, const software_version& version,
@@ -78,3 +79,17 @@
     CHECK(decided[0].abandoned);
     CHECK_FALSE(decided[0].target);
 }
+
+// Guards against new streams that fill the last engines of a version.
+TEST_CASE_FIXTURE(begun_stream_fixture,
+                  "placement_new_streams_leave_scarce_version_free")
+{
+    for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+        const auto decided = place(id, std::nullopt);
+        REQUIRE(decided.size() == 1);
+        CHECK(decided[0].target->engine != upstream_id("old1"));
+    }
+    const auto last = place("g", std::nullopt);
+    REQUIRE(last.size() == 1);
+    CHECK(last[0].target->engine == upstream_id("old1"));
+}
