Log what refuses a retry and how a probe failed

When a begun stream ended with 502 after its first attempt, the log named neither the condition that refused the next one nor the counts of the limit, and a failed probe didn't tell a refused connection from an unanswered one.

relay_retry_refused (E1250) names the refusal (sends, runs, time, limit) once per attempt, with the retries used and allowed in the window and the number of gates. upstream_suspended adds the result of the probe and the state of the upstream. No change of logic.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -22,6 +22,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -173,6 +175,12 @@
     void log_attempt(std::string_view kind, const instance& upstream,
                      unsigned number) const;
     void log_failure(const upstream_id& id, std::string_view cause) const;
+    /// @brief Consumes a retry of the limit that all gates share. A refusal is
+    ///     logged.
+    [[nodiscard]] bool consume_retry();
+    /// @brief Logs what refused another attempt, once per attempt and cause.
+    /// @param cause a string literal
+    void log_retry_refused(std::string_view cause, unsigned runs);
     /// @brief Marks the exchange as ended and schedules `on_end`; only the
     ///     first call has an effect.
     /// @param status sent to the caller; 0 if the caller disconnected
@@ -195,6 +203,8 @@
 private:
     std::function<void()> on_end_;
     net::timer deadline_timer_;
+    /// Attempts and cause of the newest logged refusal of a retry.
+    std::pair<unsigned, std::string_view> logged_refusal_;
 };
 
 /// @brief Creates the exchange for the route's retry policy.
--- a/lib/include/bamboogate/relay/instance_registry.hpp
+++ b/lib/include/bamboogate/relay/instance_registry.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -21,6 +22,9 @@
     lost,    ///< replaced by a later start or another upstream at its address
 };
 
+/// @brief The state as a word for logs.
+[[nodiscard]] std::string_view name_of(instance_state state);
+
 /// The state of one upstream as known to this process.
 struct instance
 {
@@ -87,6 +91,9 @@
 
     /// @return null for unknown upstreams
     [[nodiscard]] const instance* find(const upstream_id& id) const;
+    /// @brief The state of an upstream as a word for logs; "unknown" for
+    ///     unknown ones.
+    [[nodiscard]] std::string_view state_name(const upstream_id& id) const;
     [[nodiscard]] const std::map<upstream_id, instance>& instances() const
     {
         return instances_;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -66,7 +66,9 @@
     "An announcement of an upstream could not be parsed and was ignored."};
 inline constexpr log_event upstream_suspended{
     1022, severity::warning, "upstream_suspended",
-    "An upstream failed and temporarily receives no new work."};
+    "An upstream failed and temporarily receives no new work; its state and, "
+    "after a probe, whether the connection was refused or not answered are "
+    "recorded."};
 inline constexpr log_event stream_placed{
     1023, severity::info, "stream_placed",
     "The leader assigned an engine and a copy holder to a stream, or refused "
@@ -115,6 +117,11 @@
     1042, severity::info, "relay_suspicion_changed",
     "The leader told the gates to report answers to a request under which "
     "upstreams have crashed; crashes is 0 after such an answer."};
+inline constexpr log_event retry_refused{
+    1250, severity::warning, "relay_retry_refused",
+    "A request gets no further attempt now: its sends, its runs or its time "
+    "are used up, or the gate's part of the limit of retries is; the retries "
+    "used and allowed in the window are recorded."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/retry_limiter.hpp
+++ b/lib/include/bamboogate/relay/retry_limiter.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/core/ids.hpp>
 #include <bamboogate/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -37,6 +38,16 @@
     /// @brief Consumes one retry. @return false if none is left
     [[nodiscard]] bool try_consume(const service_id& service, time_point now);
 
+    /// This gate's part of the limit within the current window.
+    struct part
+    {
+        std::size_t used = 0;
+        double allowed = 0.0;
+    };
+    [[nodiscard]] part part_of(const service_id& service, time_point now);
+
+    [[nodiscard]] std::uint64_t gates() const { return gates_; }
+
 private:
     struct usage
     {
--- a/lib/include/bamboogate/relay/upstream_prober.hpp
+++ b/lib/include/bamboogate/relay/upstream_prober.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace bamboogate::relay {
 
@@ -22,6 +23,9 @@
     silent,  ///< no reaction in time, for example without power
 };
 
+/// @brief The result as a word for logs.
+[[nodiscard]] std::string_view name_of(probe_result result);
+
 /// Checks whether a suspected upstream still accepts connections. Opens one
 /// connection: a crashed upstream refuses it, an unresponsive one doesn't
 /// accept it in time. Not thread safe.
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -344,7 +344,9 @@
     placements_.on_suspicion(upstream_id(suspicion.upstream));
     if (from == self_) {
         log(events::upstream_suspended,
-            {{"upstream", suspicion.upstream}, {"cause", "no_sign_of_life"}});
+            {{"upstream", suspicion.upstream},
+             {"cause", "no_sign_of_life"},
+             {"state", registry_.state_name(upstream_id(suspicion.upstream))}});
     }
     if (!forwarded_suspicions_.admit(upstream_id(suspicion.upstream),
                                      loop_.now())) {
--- a/lib/source/relay/exchange.cpp
+++ b/lib/source/relay/exchange.cpp
@@ -202,6 +202,35 @@
          {"after_ms", to_milliseconds(context_.loop.now() - started_)}});
 }
 
+bool exchange::consume_retry()
+{
+    const bool granted =
+        context_.retries.try_consume(accepted_.service, context_.loop.now());
+    if (!granted) {
+        log_retry_refused("limit", runs_);
+    }
+    return granted;
+}
+
+void exchange::log_retry_refused(std::string_view cause, unsigned runs)
+{
+    const std::pair refusal{attempts_, cause};
+    if (std::exchange(logged_refusal_, refusal) == refusal) {
+        return;
+    }
+    const auto part =
+        context_.retries.part_of(accepted_.service, context_.loop.now());
+    log(events::retry_refused, {{"request", id()},
+                                {"service", accepted_.service.value()},
+                                {"cause", cause},
+                                {"attempts", attempts_},
+                                {"runs", runs},
+                                {"left_ms", to_milliseconds(time_left())},
+                                {"used", part.used},
+                                {"allowed", part.allowed},
+                                {"gates", context_.retries.gates()}});
+}
+
 void exchange::end(std::string_view outcome, unsigned status)
 {
     if (ended_) {
--- a/lib/source/relay/instance_registry.cpp
+++ b/lib/source/relay/instance_registry.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+std::string_view name_of(instance_state state)
+{
+    switch (state) {
+    case instance_state::ready:
+        return "ready";
+    case instance_state::leaving:
+        return "leaving";
+    case instance_state::lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
 bool instance_registry::is_declared(const service_id& service) const
 {
     return !services_ || services_->contains(service);
@@ -168,4 +181,10 @@
     return found == instances_.end() ? nullptr : &found->second;
 }
 
+std::string_view instance_registry::state_name(const upstream_id& id) const
+{
+    const instance* known = find(id);
+    return known == nullptr ? "unknown" : name_of(known->state);
+}
+
 } // namespace bamboogate::relay
--- a/lib/source/relay/plain_exchange.cpp
+++ b/lib/source/relay/plain_exchange.cpp
@@ -270,7 +270,7 @@
 bool plain_exchange::may_send_again()
 {
     return attempts_ < max_sends && time_left() > duration::zero() &&
-           context_.retries.try_consume(accepted_.service, context_.loop.now());
+           consume_retry();
 }
 
 void plain_exchange::on_not_run(std::string_view cause)
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -434,6 +434,7 @@
     if (reported_suspicions_.admit(id, loop_.now())) {
         log(events::upstream_suspended,
             {{"upstream", id.value()},
+             {"state", name_of(upstream->state)},
              {"failures", directory_.health(id).failures()}});
         feed_.report_suspicion(id);
     }
@@ -498,6 +499,8 @@
     log(events::upstream_suspended,
         {{"upstream", id.value()},
          {"cause", "probe_failed"},
+         {"probe", name_of(outcome)},
+         {"state", directory_.registry().state_name(id)},
          {"failures", directory_.health(id).failures()}});
     fail_attempts_on(id);
 }
--- a/lib/source/relay/retry_limiter.cpp
+++ b/lib/source/relay/retry_limiter.cpp
@@ -18,18 +18,25 @@
     entry.requests.push_back(now);
 }
 
-bool retry_limiter::try_consume(const service_id& service, time_point now)
+retry_limiter::part retry_limiter::part_of(const service_id& service,
+                                           time_point now)
 {
     usage& entry = usage_[service];
     remove_expired(entry, now);
-    const double allowed =
-        settings_.safety_factor *
-        (settings_.ratio * static_cast<double>(entry.requests.size()) +
-         settings_.slack / static_cast<double>(gates_));
-    if (static_cast<double>(entry.retries.size()) + 1.0 > allowed) {
+    return {.used = entry.retries.size(),
+            .allowed =
+                settings_.safety_factor *
+                (settings_.ratio * static_cast<double>(entry.requests.size()) +
+                 settings_.slack / static_cast<double>(gates_))};
+}
+
+bool retry_limiter::try_consume(const service_id& service, time_point now)
+{
+    const part current = part_of(service, now);
+    if (static_cast<double>(current.used) + 1.0 > current.allowed) {
         return false;
     }
-    entry.retries.push_back(now);
+    usage_[service].retries.push_back(now);
     return true;
 }
 
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -532,10 +532,19 @@
 
 bool stream_exchange::take_retry(unsigned runs)
 {
-    return attempts_ < max_sends &&
-           runs < accepted_.matched_route->max_attempts &&
-           time_left() > duration::zero() &&
-           context_.retries.try_consume(accepted_.service, context_.loop.now());
+    if (attempts_ >= max_sends) {
+        log_retry_refused("sends", runs);
+        return false;
+    }
+    if (runs >= accepted_.matched_route->max_attempts) {
+        log_retry_refused("runs", runs);
+        return false;
+    }
+    if (time_left() <= duration::zero()) {
+        log_retry_refused("time", runs);
+        return false;
+    }
+    return consume_retry();
 }
 
 void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run,
--- a/lib/source/relay/upstream_prober.cpp
+++ b/lib/source/relay/upstream_prober.cpp
@@ -2,6 +2,19 @@
 
 namespace bamboogate::relay {
 
+std::string_view name_of(probe_result result)
+{
+    switch (result) {
+    case probe_result::accepted:
+        return "accepted";
+    case probe_result::refused:
+        return "refused";
+    case probe_result::silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
 upstream_prober::upstream_prober(net::event_loop& loop, options settings,
                                  finished_callback on_finished)
     : loop_(loop), settings_(settings), on_finished_(std::move(on_finished))
