Let engines that leave finish their streams

Callers saw streams that ended in the middle, with a 200 and no last event, while engines were replaced; others paused for a move that was not needed.

An engine that leaves stops accepting connections some seconds after its announcement and finishes the streams that run on it. The leader's watch found its call refused, told the gates, their probes were refused too, and the gates closed the connections of sound streams as upstream_lost. Plain requests in progress ended in the same way.

A refused connection to an upstream that is known to leave now ends no attempt: the host answers, so it would have reset the connections of a process that has ended. Only the copies at the upstream are given up. A probe without an answer still ends the attempts, because a host without power resets nothing. Another process's suspicion of a leaving engine is judged by the probe alone. The leader reports a leaving engine that refuses once instead of every 0.2 s.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -230,6 +230,8 @@
     void on_response(const upstream_id& id, const response_description& answer);
     /// An upstream stated to a gate, or to this replica, that it leaves.
     void on_leaving_statement(const announcement& announced);
+    /// A watched engine gave no sign of life.
+    void on_unresponsive(const upstream_id& id, probe_result outcome);
     void on_suspicion(const node_id& from, const upstream_suspicion& suspicion);
     void watch_engines();
     void on_configuration(
@@ -246,6 +248,8 @@
     placement_server placements_;
     rollout_director director_;
     engine_watcher watcher_;
+    /// Leaving engines that refuse connections, which the gates were told.
+    std::set<upstream_id> refusing_;
     std::set<service_id> engine_services_;
     std::map<upstream_id, time_point> last_forwarded_;
     suspicion_limiter forwarded_suspicions_;
--- a/lib/include/bamboogate/relay/engine_watcher.hpp
+++ b/lib/include/bamboogate/relay/engine_watcher.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/upstream_prober.hpp>
 
 #include <functional>
 #include <map>
@@ -32,8 +33,9 @@
 
     struct observers
     {
-        /// An engine did not answer in time.
-        std::function<void(const upstream_id&)> on_unresponsive;
+        /// An engine did not answer in time (`silent`), or its host ended or
+        /// refused the connection (`refused`).
+        std::function<void(const upstream_id&, probe_result)> on_unresponsive;
         /// An engine responded.
         std::function<void(const upstream_id&, const response_description&)>
             on_response;
@@ -70,7 +72,7 @@
 
     void start(const upstream_id& id);
     void read_cache(const upstream_id& id, call& current);
-    void finish(const upstream_id& engine, bool alive);
+    void finish(const upstream_id& engine, probe_result outcome);
 
     net::event_loop& loop_;
     const relay_protocol& protocol_;
--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -114,9 +114,10 @@
     /// @brief Ends attempts at an upstream that is known to be lost.
     virtual void on_upstream_lost(const upstream_id& id) = 0;
 
-    /// @brief The upstream restarted under its id and lost the copies that it
-    ///     held. Attempts there detect the loss on their own connections.
-    virtual void on_upstream_restarted(const upstream_id&) {}
+    /// @brief Copies at the upstream can't be fetched any more: it restarted
+    ///     under its id, or it leaves and refuses connections. Attempts there
+    ///     detect a loss on their own connections.
+    virtual void on_copies_lost(const upstream_id&) {}
 
     /// @brief Another process suspects the upstream. An exchange that can
     ///     resume cheaply and has received nothing itself treats the upstream
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -43,8 +43,8 @@
                 rollout_hooks()),
       watcher_(loop, protocol_, {},
                {.on_unresponsive =
-                    [this](const upstream_id& id) {
-                        on_suspicion(self_, upstream_suspicion{id.value()});
+                    [this](const upstream_id& id, probe_result outcome) {
+                        on_unresponsive(id, outcome);
                     },
                 .on_response =
                     [this](const upstream_id& id,
@@ -338,6 +338,20 @@
     }
 }
 
+void control_node::on_unresponsive(const upstream_id& id, probe_result outcome)
+{
+    const instance* engine = registry_.find(id);
+    const bool expected = engine != nullptr &&
+                          engine->state == instance_state::leaving &&
+                          outcome == probe_result::refused;
+    // The gates are told once, because the copies there can't be fetched any
+    // more. The engine's streams go on.
+    if (expected && !refusing_.insert(id).second) {
+        return;
+    }
+    on_suspicion(self_, upstream_suspicion{id.value()});
+}
+
 void control_node::on_suspicion(const node_id& from,
                                 const upstream_suspicion& suspicion)
 {
@@ -379,6 +393,10 @@
 
 void control_node::watch_engines()
 {
+    std::erase_if(refusing_, [&](const upstream_id& id) {
+        const instance* engine = registry_.find(id);
+        return engine == nullptr || engine->state != instance_state::leaving;
+    });
     std::map<upstream_id, net::address> engines;
     if (replica_->is_leader()) {
         for (const auto& [id, each] : registry_.instances()) {
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -178,6 +178,7 @@
 void control_node::on_response(const upstream_id& id,
                                const response_description& answer)
 {
+    refusing_.erase(id);
     const instance* engine = registry_.find(id);
     if (engine == nullptr || !answer.expected_upstream) {
         return;
--- a/lib/source/relay/engine_watcher.cpp
+++ b/lib/source/relay/engine_watcher.cpp
@@ -36,7 +36,7 @@
             found->second.pause = std::make_unique<net::timer>(
                 loop_, [this, id = id] { start(id); });
             found->second.deadline = std::make_unique<net::timer>(
-                loop_, [this, id = id] { finish(id, false); });
+                loop_, [this, id = id] { finish(id, probe_result::silent); });
             start(id);
         }
     }
@@ -74,10 +74,15 @@
          .on_complete =
              [this, id] {
                  read_cache(id, calls_.at(id));
-                 finish(id, true);
+                 finish(id, probe_result::accepted);
              },
-         .on_failure = [this,
-                        id](const net::http1_failure&) { finish(id, false); }});
+         .on_failure =
+             [this, id](const net::http1_failure& failure) {
+                 const bool timed_out =
+                     failure.code == errc::connection_failed && !failure.reset;
+                 finish(id, timed_out ? probe_result::silent
+                                      : probe_result::refused);
+             }});
     current.deadline->start_once(settings_.poll_wait + settings_.margin);
 }
 
@@ -104,7 +109,7 @@
     observers_.on_cache(id, std::move(changes).value());
 }
 
-void engine_watcher::finish(const upstream_id& engine, bool alive)
+void engine_watcher::finish(const upstream_id& engine, probe_result outcome)
 {
     // Copied, because the argument may belong to a callback of the exchange
     // that is destroyed below.
@@ -115,9 +120,9 @@
     }
     found->second.deadline->stop();
     found->second.exchange.reset();
-    if (!alive) {
+    if (outcome != probe_result::accepted) {
         client_.close_idle_connections(found->second.address);
-        observers_.on_unresponsive(id);
+        observers_.on_unresponsive(id, outcome);
     }
     const auto again = calls_.find(id);
     if (again == calls_.end()) {
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -354,7 +354,7 @@
          {"sequence", announced.sequence}});
     if (restarted) {
         for (const auto& each : exchanges()) {
-            each->on_upstream_restarted(announced.id);
+            each->on_copies_lost(announced.id);
         }
     }
     // A new start at this address replaces the previous one.
@@ -457,8 +457,13 @@
     // there has nothing to lose. It chooses plain upstreams itself, and the
     // probe keeps its next request away from a dead one.
     bool concerned = context_.profile(upstream.announced.service) == nullptr;
+    const bool leaving = upstream.state == instance_state::leaving;
     for (const auto& each : exchanges()) {
-        each->on_upstream_suspected(id);
+        // One that leaves is also suspected because it refuses connections,
+        // which the probe tells from the loss of its host.
+        if (!leaving) {
+            each->on_upstream_suspected(id);
+        }
         concerned = concerned || each->uses_upstream(id);
     }
     if (concerned) {
@@ -502,6 +507,17 @@
          {"probe", name_of(outcome)},
          {"state", directory_.registry().state_name(id)},
          {"failures", directory_.health(id).failures()}});
+    const instance* upstream = directory_.find(id);
+    const bool leaving =
+        upstream != nullptr && upstream->state == instance_state::leaving;
+    if (leaving && outcome == probe_result::refused) {
+        // It accepts no new work, but completes what runs there: its host
+        // answers, so the connections of a process that ended would be reset.
+        for (const auto& each : exchanges()) {
+            each->on_copies_lost(id);
+        }
+        return;
+    }
     fail_attempts_on(id);
 }
 
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -618,7 +618,7 @@
     return attempt_ != nullptr && (engine_ == id || copy_.holder() == id);
 }
 
-void stream_exchange::on_upstream_restarted(const upstream_id& id)
+void stream_exchange::on_copies_lost(const upstream_id& id)
 {
     copy_.on_upstream_lost(id);
 }
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -22,7 +22,7 @@
                     std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
-    void on_upstream_restarted(const upstream_id& id) override;
+    void on_copies_lost(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
     void on_quarantine(const service_id& service) override;
     void report_placement() override;
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -62,7 +62,7 @@
     int dropped_copy_calls = 0;
     int disconnected_callers = 0;
     std::unique_ptr<net::http1_server> server;
-    net::address address; ///< while it is crashed
+    net::address address; ///< while it refuses connections
 
     fake_upstream(net::event_loop& l, std::string name)
         : loop(l), id(std::move(name))
@@ -75,6 +75,15 @@
         address = server->bound_address();
         server.reset();
     }
+    /// Ends idle connections and refuses new ones; requests in progress go on.
+    /// @return the address
+    net::address refuse_connections()
+    {
+        address = server->bound_address();
+        server->begin_drain();
+        server->stop_listening();
+        return address;
+    }
     /// @pre `crash` was called
     void restart() { listen(address); }
     void listen(const net::address& listen_address)
