Don't give up a begun stream that could go on

Callers saw a 200 that ends in the middle although time and attempts were left.

After a failed probe, a stream's connection was closed before a retry was requested, so that a refused retry ended a stream that its engine may still run. And a stream whose attempt was lost ended with 502 as soon as the limit of retries refused, which other requests and the window renew within seconds.

Without a retry left, a begun stream now stays at its engine while its connection lasts, as it does already when the engine is silent, and requests a retry every 250 ms until an event arrives. If its attempt is lost and only the limit refuses, it waits and requests one at the same interval, until its deadline or until its caller leaves. The maximum of attempts and the deadline end it as before. A copy on demand is not kept through the wait, because it expires.

--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -59,8 +59,8 @@
 /// Silence that confirms another process's suspicion. Streams of a live engine
 /// have pauses of up to 185 ms while it prefills prompts.
 constexpr duration confirming_silence = std::chrono::milliseconds(200);
-/// Interval at which a silent stream without a retry is checked again.
-constexpr duration silence_check_interval = std::chrono::milliseconds(250);
+/// Interval at which a stream without a retry requests one again.
+constexpr duration retry_interval = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -76,6 +76,7 @@
                                place();
                            }
                        }),
+      retry_timer_(context.loop, [this] { on_retry_due(); }),
       detector_(
           silence_options(accepted_.table->find_service(accepted_.service), 0)),
       evidence_(context.rollouts, accepted_.service,
@@ -135,6 +136,7 @@
     head_ = {};
     answer_ = {};
     event_seen_ = false;
+    engine_lost_ = false;
     reading_paused_ = false;
     ++attempts_;
     attempt_started_ = context_.loop.now();
@@ -291,6 +293,7 @@
         longest_pause_attempt_ = attempts_;
     }
     last_event_at_ = now;
+    engine_lost_ = false;
     detector_.on_token(now);
     if (!reading_paused_) {
         arm_silence_timer();
@@ -312,27 +315,34 @@
 
 void stream_exchange::on_silence()
 {
-    if (ended_ || !attempt_ || reading_paused_) {
+    if (ended_ || !attempt_ || (reading_paused_ && !engine_lost_)) {
         return;
     }
     const auto self = shared_from_this();
     // Events may have arrived while this process was busy or stood still.
-    attempt_->read_arrived();
+    if (!reading_paused_) {
+        attempt_->read_arrived();
+    }
     if (ended_ || !attempt_) {
         return;
     }
-    if (!detector_.is_silent(context_.loop.now())) {
+    if (!engine_lost_ && !detector_.is_silent(context_.loop.now())) {
         arm_silence_timer();
         return;
     }
-    const bool retry_taken = head_sent_ && take_retry(runs_ + 1);
+    const bool retry_taken =
+        head_sent_ && take_retry(runs_ + 1) == retry_decision::granted;
     if (head_sent_ && !retry_taken) {
         // Without another attempt, the stream can only go on at this engine.
-        silence_check_at_ = context_.loop.now() + silence_check_interval;
-        silence_timer_.start_once(silence_check_interval);
+        silence_check_at_ = context_.loop.now() + retry_interval;
+        silence_timer_.start_once(retry_interval);
         context_.report_suspicion(engine_);
         return;
     }
+    if (engine_lost_) {
+        lose_upstream(upstream_id(engine_), retry_taken);
+        return;
+    }
     attempt_.reset();
     context_.directory.health(engine_).note_failure(context_.loop.now());
     silent_losses_ += event_seen_ ? 1 : 0;
@@ -530,21 +540,21 @@
     end_quarantined(*rest);
 }
 
-bool stream_exchange::take_retry(unsigned runs)
+stream_exchange::retry_decision stream_exchange::take_retry(unsigned runs)
 {
     if (attempts_ >= max_sends) {
         log_retry_refused("sends", runs);
-        return false;
+        return retry_decision::never;
     }
     if (runs >= accepted_.matched_route->max_attempts) {
         log_retry_refused("runs", runs);
-        return false;
+        return retry_decision::never;
     }
     if (time_left() <= duration::zero()) {
         log_retry_refused("time", runs);
-        return false;
+        return retry_decision::never;
     }
-    return consume_retry();
+    return consume_retry() ? retry_decision::granted : retry_decision::later;
 }
 
 void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run,
@@ -552,7 +562,7 @@
 {
     log_failure(engine_, cause);
     silence_timer_.stop();
-    const auto held = take_copy();
+    held_ = take_copy();
     if (may_have_run) {
         evidence_.note_failure();
     }
@@ -560,15 +570,46 @@
     release();
     runs_ += may_have_run ? 1 : 0;
     excluded_.insert(engine_);
-    if (!retry_taken && !take_retry(runs_)) {
-        if (runs_ == 0 && !head_sent_) {
-            refuse(cause, refusal_retry_after);
-        } else {
-            respond_failure(502, cause);
+    const auto decision =
+        retry_taken ? retry_decision::granted : take_retry(runs_);
+    resuming_ = event_seen_ || resuming_;
+    if (decision == retry_decision::granted) {
+        resume();
+    } else if (decision == retry_decision::later && head_sent_) {
+        // On-demand copies expire within a few intervals.
+        if (held_ && held_->on_demand) {
+            held_.reset();
         }
+        retry_timer_.start_once(retry_interval);
+    } else if (runs_ == 0 && !head_sent_) {
+        refuse(cause, refusal_retry_after);
+    } else {
+        respond_failure(502, cause);
+    }
+}
+
+void stream_exchange::on_retry_due()
+{
+    if (ended_) {
         return;
     }
-    resuming_ = event_seen_ || resuming_;
+    const auto self = shared_from_this();
+    switch (take_retry(runs_)) {
+    case retry_decision::granted:
+        resume();
+        return;
+    case retry_decision::later:
+        retry_timer_.start_once(retry_interval);
+        return;
+    case retry_decision::never:
+        respond_failure(502, "no_retry_left");
+        return;
+    }
+}
+
+void stream_exchange::resume()
+{
+    const auto held = std::exchange(held_, std::nullopt);
     if (!held) {
         place();
         return;
@@ -585,6 +626,8 @@
 {
     silence_timer_.stop();
     placement_timer_.stop();
+    retry_timer_.stop();
+    held_.reset();
     static_cast<void>(copy_.end());
     if (attempt_ || checking_engine_) {
         attempt_.reset();
@@ -615,11 +658,15 @@
 
 bool stream_exchange::uses_upstream(const upstream_id& id) const
 {
-    return attempt_ != nullptr && (engine_ == id || copy_.holder() == id);
+    return (attempt_ != nullptr && (engine_ == id || copy_.holder() == id)) ||
+           (held_ && held_->holder == id);
 }
 
 void stream_exchange::on_copies_lost(const upstream_id& id)
 {
+    if (held_ && held_->holder == id) {
+        held_.reset();
+    }
     copy_.on_upstream_lost(id);
 }
 
@@ -636,7 +683,8 @@
     if (ended_ || !attempt_ || !copy_.usable() || !silent) {
         return;
     }
-    const bool retry_taken = id == engine_ && take_retry(runs_ + 1);
+    const bool retry_taken =
+        id == engine_ && take_retry(runs_ + 1) == retry_decision::granted;
     if (id != engine_ || retry_taken) {
         lose_upstream(id, retry_taken);
     }
@@ -649,14 +697,26 @@
 
 void stream_exchange::lose_upstream(const upstream_id& id, bool retry_taken)
 {
-    if (ended_ || !attempt_) {
+    if (ended_) {
         return;
     }
-    copy_.on_upstream_lost(id);
-    if (id != engine_) {
+    on_copies_lost(id);
+    if (!attempt_ || id != engine_) {
         return;
     }
     const bool sent = attempt_->request_sent();
+    const bool begun = sent && head_sent_;
+    if (begun && !retry_taken) {
+        retry_taken = take_retry(runs_ + 1) == retry_decision::granted;
+    }
+    if (begun && !retry_taken) {
+        // Without another attempt, the stream can only go on at this engine
+        // while its connection lasts.
+        engine_lost_ = true;
+        silence_check_at_ = context_.loop.now() + retry_interval;
+        silence_timer_.start_once(retry_interval);
+        return;
+    }
     attempt_.reset();
     if (sent) {
         if (auto report = possible_crash()) {
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -82,14 +82,25 @@
     void on_connection_broken(std::string_view cause);
     /// Ends the stream, because it would crash its engine.
     void end_quarantined(duration retry_after);
-    /// @brief Consumes a retry of the budget, if another attempt is allowed.
+    /// Whether a stream gets another attempt.
+    enum class retry_decision : std::uint8_t
+    {
+        granted,
+        later, ///< only the limit of retries, which is renewed, refuses it
+        never,
+    };
+    /// @brief Consumes a retry of the limit, if another attempt is allowed.
     /// @param runs attempts that may have been executed by then
-    [[nodiscard]] bool take_retry(unsigned runs);
+    [[nodiscard]] retry_decision take_retry(unsigned runs);
     /// @brief Resumes the stream elsewhere after a lost attempt, or ends the
-    ///     request.
-    /// @param retry_taken whether `take_retry` was called for it
+    ///     request. One that has begun waits for the limit of retries.
+    /// @param retry_taken whether `take_retry` has granted it
     void on_attempt_lost(std::string_view cause, bool may_have_run,
                          bool retry_taken = false);
+    /// Starts the attempt for which a retry was taken.
+    void resume();
+    /// A stream that waits for the limit of retries requests one again.
+    void on_retry_due();
     void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
     /// Reads the engine no further if the caller has too much unread output,
@@ -110,6 +121,7 @@
 
     net::timer silence_timer_;
     net::timer placement_timer_; ///< of a stream that waits for an engine
+    net::timer retry_timer_;     ///< of a stream that waits for a retry
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
@@ -119,6 +131,7 @@
     std::uint64_t engine_started_at_ =
         0; ///< of the current attempt, or the last one
     stream_copy copy_;
+    std::optional<held_copy> held_; ///< of the lost attempt
     bool from_copy_ = false;
     bool awaiting_placement_ = false;
     bool reported_to_leader_ = false;
@@ -138,7 +151,10 @@
     time_point reading_resumed_at_; ///< after a long pause
     unsigned silent_losses_ = 0;    ///< attempts lost to silence between events
     unsigned unusable_placements_ = 0;
-    bool checking_engine_ = false;     ///< of a lost attempt
+    bool checking_engine_ = false; ///< of a lost attempt
+    /// A probe of the engine failed while no retry was left, and no event has
+    /// arrived since.
+    bool engine_lost_ = false;
     unsigned breaks_before_start_ = 0; ///< attempts lost with their connection
     duration first_event_after_{};
     duration longest_pause_{};
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -182,7 +182,9 @@
     relay::reader_pacing::options readers; ///< of the next gate
     static inline int count = 0;
 
-    relay_fixture()
+    /// @param retries of the gate
+    explicit relay_fixture(relay::retry_limiter::options retries = {})
+        : retries_(retries)
     {
         for (std::size_t i = 0; i < seeds.size(); ++i) {
             add_node(i, true);
@@ -202,6 +204,7 @@
                             .incarnation = {++incarnation_},
                             .shared_secret = secret("s"),
                             .seeds = seeds},
+                .retries = retries_,
                 .accept_after_stop = 100ms,
                 .stop_limit = 2s,
                 .readers = readers});
@@ -349,6 +352,7 @@
 
 private:
     std::uint64_t incarnation_ = 0;
+    relay::retry_limiter::options retries_;
 };
 
 } // namespace bamboogate::tests
