Keep a reserve of retries at the leader for begun streams

The limit is divided into a fixed part per gate. With 89 gates and a slack of 150 that is 1.2 retries per window beside the gate's own ratio, so a few attempts lost at one gate leave it without any.

The leader keeps a token bucket of a tenth of the slack per service and grants retries of it to begun streams that only the limit refuses. With the 0.7 of the gates, 0.9 of the slack is used at most within any window, also over changes of leader, because a bucket starts empty.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -10,6 +10,7 @@
 #include <bamboogate/relay/membership_plan.hpp>
 #include <bamboogate/relay/placement_server.hpp>
 #include <bamboogate/relay/protocol.hpp>
+#include <bamboogate/relay/retry_reserve.hpp>
 #include <bamboogate/relay/rollout_director.hpp>
 #include <bamboogate/relay/suspicion_limiter.hpp>
 #include <bamboogate/rollout/order_rules.hpp>
@@ -56,6 +57,8 @@
         duration refresh_interval = std::chrono::seconds(10);
         /// Limits of the exposure of callers to the version of a rollout.
         rollout::exposure_limits exposure = {};
+        /// For begun streams at gates whose parts of the limit are used up.
+        retry_reserve::options retries = {};
     };
 
     using version_callback = std::function<void(result<std::uint64_t>)>;
@@ -232,6 +235,8 @@
     void on_leaving_statement(const announcement& announced);
     /// A watched engine gave no sign of life.
     void on_unresponsive(const upstream_id& id, probe_result outcome);
+    [[nodiscard]] result<retry_reply>
+    on_retry_request(const net::peer_info& peer, const retry_request& request);
     void on_suspicion(const node_id& from, const upstream_suspicion& suspicion);
     void watch_engines();
     void on_configuration(
@@ -246,6 +251,7 @@
     std::unique_ptr<consensus::replica> replica_;
     instance_registry registry_;
     placement_server placements_;
+    retry_reserve reserve_;
     rollout_director director_;
     engine_watcher watcher_;
     /// Leaving engines that refuse connections, which the gates were told.
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -122,6 +122,10 @@
     "A request gets no further attempt now: its sends, its runs or its time "
     "are used up, or the gate's part of the limit of retries is; the retries "
     "used and allowed in the window are recorded."};
+inline constexpr log_event retry_granted{
+    1251, severity::info, "relay_retry_granted",
+    "The leader granted a retry of its reserve to a stream whose gate has used "
+    "up its part of the limit of retries."};
 inline constexpr log_event request_refused{
     1030, severity::info, "relay_request_refused",
     "A request was refused; no upstream has executed it."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -236,6 +236,25 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(copy_reply, holder)
 };
 
+/// Gate to leader: requests a retry of the leader's reserve for a stream that
+/// has begun. Earlier builds don't serve it.
+struct retry_request
+{
+    static constexpr std::string_view type = "relay_retry_request";
+    service_id service;
+    request_id id;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(retry_request, service, id)
+};
+
+/// The leader's decision on a `retry_request`.
+struct retry_reply
+{
+    static constexpr std::string_view type = "relay_retry_reply";
+    bool granted = false;
+    std::int64_t wait_ms = 0; ///< until the next one can be granted; if refused
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(retry_reply, granted, wait_ms)
+};
+
 /// Gate to leader: a state change of a run. A new leader receives one for each
 /// running stream.
 struct run_update
--- a/lib/include/bamboogate/relay/retry_limiter.hpp
+++ b/lib/include/bamboogate/relay/retry_limiter.hpp
@@ -48,6 +48,15 @@
 
     [[nodiscard]] std::uint64_t gates() const { return gates_; }
 
+    /// @brief The leader's reserve has no retry of the service until then.
+    void note_reserve_empty(const service_id& service, time_point until)
+    {
+        reserve_empty_until_[service] = until;
+    }
+    /// @brief Whether the leader may be asked for a retry of its reserve.
+    [[nodiscard]] bool may_ask_reserve(const service_id& service,
+                                       time_point now) const;
+
 private:
     struct usage
     {
@@ -60,6 +69,7 @@
     options settings_;
     std::uint64_t gates_ = 1;
     std::map<service_id, usage> usage_;
+    std::map<service_id, time_point> reserve_empty_until_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/include/bamboogate/relay/stream_placer.hpp
+++ b/lib/include/bamboogate/relay/stream_placer.hpp
@@ -37,6 +37,13 @@
     void request_copy_holder(const copy_request& request, duration limit,
                              std::function<void(result<copy_reply>)> callback);
 
+    /// @brief Requests a retry of the leader's reserve.
+    /// @param limit time to wait for the reply
+    /// @param callback receives the decision, or an error if there is no leader
+    ///     or no reply in time
+    void request_retry(const retry_request& request, duration limit,
+                       std::function<void(result<retry_reply>)> callback);
+
     /// @brief Reports a state change to the leader. A lost message is
     ///     compensated when the leader changes or the run ends.
     void send_update(const run_update& update);
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -39,6 +39,7 @@
       registry_({}),
       placements_(loop, hub_, registry_,
                   [this] { return replica_ && replica_->is_leader(); }),
+      reserve_(settings_.retries),
       director_(loop, registry_, {.exposure = settings_.exposure},
                 rollout_hooks()),
       watcher_(loop, protocol_, {},
@@ -115,6 +116,7 @@
     replica_->on_role_change([this](bool leading) {
         if (leading) {
             placements_.on_leadership_gained();
+            reserve_.reset(loop_.now());
             watch_engines();
         } else {
             placements_.reset();
@@ -182,6 +184,9 @@
             on_announcement_update(update);
             reply(leaving_recorded{leaving.announced.id.value()});
         });
+    hub_.serve<retry_request, retry_reply>(
+        [this](const net::peer_info& peer, const retry_request& request,
+               const auto& reply) { reply(on_retry_request(peer, request)); });
     hub_.on<join_request>([this](const net::peer_info&, join_request request) {
         add_replica(request.node);
         if (!replica_ || !replica_->is_leader()) {
@@ -352,6 +357,26 @@
     on_suspicion(self_, upstream_suspicion{id.value()});
 }
 
+result<retry_reply> control_node::on_retry_request(const net::peer_info& peer,
+                                                   const retry_request& request)
+{
+    // With a lease, no other replica grants retries at the same time.
+    if (!replica_ || !replica_->has_lease()) {
+        return fail(errc::not_leader, "replica holds no leader lease");
+    }
+    const auto decision = reserve_.request(request.service, loop_.now());
+    if (decision.granted) {
+        log(events::retry_granted, {{"request", request.id.value()},
+                                    {"service", request.service.value()},
+                                    {"gate", peer.node.value()}});
+    }
+    return retry_reply{
+        .granted = decision.granted,
+        .wait_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(decision.wait)
+                .count()};
+}
+
 void control_node::on_suspicion(const node_id& from,
                                 const upstream_suspicion& suspicion)
 {
--- a/lib/source/relay/retry_limiter.cpp
+++ b/lib/source/relay/retry_limiter.cpp
@@ -40,4 +40,11 @@
     return true;
 }
 
+bool retry_limiter::may_ask_reserve(const service_id& service,
+                                    time_point now) const
+{
+    const auto found = reserve_empty_until_.find(service);
+    return found == reserve_empty_until_.end() || now >= found->second;
+}
+
 } // namespace bamboogate::relay
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -61,6 +61,9 @@
 constexpr duration confirming_silence = std::chrono::milliseconds(200);
 /// Interval at which a stream without a retry requests one again.
 constexpr duration retry_interval = std::chrono::milliseconds(250);
+/// A leader that gives no reply, such as one of an earlier build, is asked for
+/// a retry again after this time.
+constexpr duration reserve_pause = std::chrono::seconds(1);
 
 } // namespace
 
@@ -330,12 +333,13 @@
         arm_silence_timer();
         return;
     }
-    const bool retry_taken =
-        head_sent_ && take_retry(runs_ + 1) == retry_decision::granted;
+    const auto decision =
+        head_sent_ ? take_retry(runs_ + 1) : retry_decision::later;
+    const bool retry_taken = decision == retry_decision::granted;
     if (head_sent_ && !retry_taken) {
-        // Without another attempt, the stream can only go on at this engine.
-        silence_check_at_ = context_.loop.now() + retry_interval;
-        silence_timer_.start_once(retry_interval);
+        // The reserve is too small for engines that are only silent: most of
+        // these streams go on there.
+        stay_at_engine(engine_lost_ && decision == retry_decision::later);
         context_.report_suspicion(engine_);
         return;
     }
@@ -554,7 +558,53 @@
         log_retry_refused("time", runs);
         return retry_decision::never;
     }
-    return consume_retry() ? retry_decision::granted : retry_decision::later;
+    if (std::exchange(reserve_granted_, false) || consume_retry()) {
+        return retry_decision::granted;
+    }
+    return retry_decision::later;
+}
+
+void stream_exchange::request_reserve()
+{
+    if (reserve_requested_ || !context_.retries.may_ask_reserve(
+                                  accepted_.service, context_.loop.now())) {
+        return;
+    }
+    reserve_requested_ = true;
+    context_.placer.request_retry(
+        {.service = accepted_.service, .id = accepted_.description.attempt},
+        retry_interval,
+        [weak = weak_from_this(), this](const result<retry_reply>& reply) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            reserve_requested_ = false;
+            if (reply && reply.value().granted) {
+                on_reserve_granted();
+                return;
+            }
+            const duration wait =
+                reply ? std::chrono::milliseconds(reply.value().wait_ms)
+                      : reserve_pause;
+            context_.retries.note_reserve_empty(accepted_.service,
+                                                context_.loop.now() + wait);
+        });
+}
+
+void stream_exchange::on_reserve_granted()
+{
+    if (ended_) {
+        return;
+    }
+    reserve_granted_ = true;
+    if (retry_timer_.active()) {
+        retry_timer_.stop();
+        on_retry_due();
+    } else {
+        on_silence();
+    }
+    reserve_granted_ = false;
 }
 
 void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run,
@@ -580,7 +630,7 @@
         if (held_ && held_->on_demand) {
             held_.reset();
         }
-        retry_timer_.start_once(retry_interval);
+        wait_for_retry();
     } else if (runs_ == 0 && !head_sent_) {
         refuse(cause, refusal_retry_after);
     } else {
@@ -588,6 +638,21 @@
     }
 }
 
+void stream_exchange::stay_at_engine(bool ask_reserve)
+{
+    silence_check_at_ = context_.loop.now() + retry_interval;
+    silence_timer_.start_once(retry_interval);
+    if (ask_reserve) {
+        request_reserve();
+    }
+}
+
+void stream_exchange::wait_for_retry()
+{
+    retry_timer_.start_once(retry_interval);
+    request_reserve();
+}
+
 void stream_exchange::on_retry_due()
 {
     if (ended_) {
@@ -599,7 +664,7 @@
         resume();
         return;
     case retry_decision::later:
-        retry_timer_.start_once(retry_interval);
+        wait_for_retry();
         return;
     case retry_decision::never:
         respond_failure(502, "no_retry_left");
@@ -707,15 +772,13 @@
     const bool sent = attempt_->request_sent();
     const bool begun = sent && head_sent_;
     if (begun && !retry_taken) {
-        retry_taken = take_retry(runs_ + 1) == retry_decision::granted;
-    }
-    if (begun && !retry_taken) {
-        // Without another attempt, the stream can only go on at this engine
-        // while its connection lasts.
-        engine_lost_ = true;
-        silence_check_at_ = context_.loop.now() + retry_interval;
-        silence_timer_.start_once(retry_interval);
-        return;
+        const auto decision = take_retry(runs_ + 1);
+        retry_taken = decision == retry_decision::granted;
+        if (!retry_taken) {
+            engine_lost_ = true;
+            stay_at_engine(decision == retry_decision::later);
+            return;
+        }
     }
     attempt_.reset();
     if (sent) {
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -5,6 +5,9 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/streaming/silence_detector.hpp>
 
+#include <cstdint>
+#include <optional>
+
 #include "attempt_evidence.hpp"
 #include "stream_copy.hpp"
 
@@ -99,8 +102,17 @@
                          bool retry_taken = false);
     /// Starts the attempt for which a retry was taken.
     void resume();
+    void wait_for_retry();
+    /// Without another attempt, the stream can only go on at its engine while
+    /// its connection lasts. Checks again after a while.
+    void stay_at_engine(bool ask_reserve);
     /// A stream that waits for the limit of retries requests one again.
     void on_retry_due();
+    /// Requests a retry of the leader's reserve after this gate's part of the
+    /// limit was refused.
+    void request_reserve();
+    /// Goes on with a retry of the reserve, if the stream still needs it.
+    void on_reserve_granted();
     void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
     /// Reads the engine no further if the caller has too much unread output,
@@ -155,6 +167,8 @@
     /// A probe of the engine failed while no retry was left, and no event has
     /// arrived since.
     bool engine_lost_ = false;
+    bool reserve_requested_ = false;
+    bool reserve_granted_ = false;     ///< while the grant is used
     unsigned breaks_before_start_ = 0; ///< attempts lost with their connection
     duration first_event_after_{};
     duration longest_pause_{};
--- a/lib/source/relay/stream_placer.cpp
+++ b/lib/source/relay/stream_placer.cpp
@@ -29,6 +29,14 @@
                                         std::move(callback));
 }
 
+void stream_placer::request_retry(
+    const retry_request& request, duration limit,
+    std::function<void(result<retry_reply>)> callback)
+{
+    hub_.call<retry_request, retry_reply>(leader_(), request, limit,
+                                          std::move(callback));
+}
+
 void stream_placer::send_update(const run_update& update)
 {
     hub_.send(leader_(), update);
--- a/tests/platform/stream_retry_test.cpp
+++ b/tests/platform/stream_retry_test.cpp
@@ -9,8 +9,9 @@
 struct stream_retry_fixture : relay_fixture
 {
     /// The gate has one retry per request.
-    stream_retry_fixture()
-        : relay_fixture({.ratio = 1.0, .slack = 0.0, .safety_factor = 1.0})
+    explicit stream_retry_fixture(double reserve_slack = 0.0)
+        : relay_fixture({.ratio = 1.0, .slack = 0.0, .safety_factor = 1.0},
+                        {.slack = reserve_slack})
     {}
     std::unique_ptr<caller> request;
     fake_upstream* first = nullptr; ///< runs the stream
@@ -126,3 +127,19 @@
         CHECK_FALSE(third_attempt());
     }
 }
+
+// Guards against a begun stream that waits for its gate's part of the limit of
+// retries while most of the whole limit is free.
+TEST_CASE("begun_stream_beyond_the_part_of_its_gate_uses_the_reserve")
+{
+    stream_retry_fixture system(150.0);
+    system.start_system();
+    // The reserve starts empty with the leadership.
+    run_until(
+        system.loop, [] { return false; }, 1s);
+    system.break_off_twice();
+    CHECK(run_until(
+        system.loop, [&] { return system.third_attempt().has_value(); },
+        200ms));
+    system.complete();
+}
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -183,8 +183,10 @@
     static inline int count = 0;
 
     /// @param retries of the gate
-    explicit relay_fixture(relay::retry_limiter::options retries = {})
-        : retries_(retries)
+    /// @param reserve of the control nodes
+    explicit relay_fixture(relay::retry_limiter::options retries = {},
+                           relay::retry_reserve::options reserve = {})
+        : retries_(retries), reserve_(reserve)
     {
         for (std::size_t i = 0; i < seeds.size(); ++i) {
             add_node(i, true);
@@ -222,7 +224,8 @@
                 .data_folder = folder / fmt::format("{}", i),
                 .seeds = seeds,
                 .first_start = first_start,
-                .tolerated_losses = 1});
+                .tolerated_losses = 1,
+                .retries = reserve_});
         REQUIRE(node->start());
         auto* raw = node.get();
         if (i < nodes.size()) {
@@ -353,6 +356,7 @@
 private:
     std::uint64_t incarnation_ = 0;
     relay::retry_limiter::options retries_;
+    relay::retry_reserve::options reserve_;
 };
 
 } // namespace bamboogate::tests
