--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -23,6 +23,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bamboogate::relay {
@@ -123,9 +125,10 @@
     /// @brief Ends attempts at an upstream that is known to be lost.
     virtual void on_upstream_lost(const upstream_id& id) = 0;
 
-    /// @brief The upstream restarted under its id and lost the copies that it
-    ///     held. Attempts there detect the loss on their own connections.
-    virtual void on_upstream_restarted(const upstream_id&) {}
+    /// @brief Copies at the upstream can't be fetched any more: it restarted
+    ///     under its id, or it leaves and refuses connections. Attempts there
+    ///     detect a loss on their own connections.
+    virtual void on_copies_lost(const upstream_id&) {}
 
     /// @brief Another process suspects the upstream. An exchange that can
     ///     resume cheaply and has received nothing itself treats the upstream
@@ -184,6 +187,12 @@
     void log_attempt(std::string_view kind, const instance& upstream,
                      unsigned number) const;
     void log_failure(const upstream_id& id, std::string_view cause) const;
+    /// @brief Consumes a retry of the limit that all gates share. A refusal is
+    ///     logged.
+    [[nodiscard]] bool consume_retry();
+    /// @brief Logs what refused another attempt, once per attempt and cause.
+    /// @param cause a string literal
+    void log_retry_refused(std::string_view cause, unsigned runs);
     /// @brief Marks the exchange as ended and schedules `on_end`; only the
     ///     first call has an effect.
     /// @param status sent to the caller; 0 if the caller disconnected
@@ -206,6 +215,8 @@
 private:
     std::function<void()> on_end_;
     net::timer deadline_timer_;
+    /// Attempts and cause of the newest logged refusal of a retry.
+    std::pair<unsigned, std::string_view> logged_refusal_;
 };
 
 /// @brief Creates the exchange for the route's retry policy.
--- a/lib/include/bamboogate/relay/retry_limiter.hpp
+++ b/lib/include/bamboogate/relay/retry_limiter.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/core/ids.hpp>
 #include <bamboogate/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -37,6 +38,25 @@
     /// @brief Consumes one retry. @return false if none is left
     [[nodiscard]] bool try_consume(const service_id& service, time_point now);
 
+    /// This gate's part of the limit within the current window.
+    struct part
+    {
+        std::size_t used = 0;
+        double allowed = 0.0;
+    };
+    [[nodiscard]] part part_of(const service_id& service, time_point now);
+
+    [[nodiscard]] std::uint64_t gates() const { return gates_; }
+
+    /// @brief The leader's reserve has no retry of the service until then.
+    void note_reserve_empty(const service_id& service, time_point until)
+    {
+        reserve_empty_until_[service] = until;
+    }
+    /// @brief Whether the leader may be asked for a retry of its reserve.
+    [[nodiscard]] bool may_ask_reserve(const service_id& service,
+                                       time_point now) const;
+
 private:
     struct usage
     {
@@ -49,6 +69,7 @@
     options settings_;
     std::uint64_t gates_ = 1;
     std::map<service_id, usage> usage_;
+    std::map<service_id, time_point> reserve_empty_until_;
 };
 
 } // namespace bamboogate::relay
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -39,12 +39,13 @@
       registry_({}),
       placements_(loop, hub_, registry_,
                   [this] { return replica_ && replica_->is_leader(); }),
+      reserve_(settings_.retries),
       director_(loop, registry_, {.exposure = settings_.exposure},
                 rollout_hooks()),
       watcher_(loop, protocol_, {},
                {.on_unresponsive =
-                    [this](const upstream_id& id) {
-                        on_suspicion(self_, upstream_suspicion{id.value()});
+                    [this](const upstream_id& id, probe_result outcome) {
+                        on_unresponsive(id, outcome);
                     },
                 .on_response =
                     [this](const upstream_id& id,
@@ -119,6 +120,7 @@
     replica_->on_role_change([this](bool leading) {
         if (leading) {
             placements_.on_leadership_gained();
+            reserve_.reset(loop_.now());
             watch_engines();
         } else {
             placements_.reset();
@@ -187,6 +189,9 @@
             on_announcement_update(update);
             reply(leaving_recorded{leaving.announced.id.value()});
         });
+    hub_.serve<retry_request, retry_reply>(
+        [this](const net::peer_info& peer, const retry_request& request,
+               const auto& reply) { reply(on_retry_request(peer, request)); });
     hub_.on<join_request>([this](const net::peer_info&, join_request request) {
         add_replica(request.node);
         if (!replica_ || !replica_->is_leader()) {
@@ -346,13 +351,49 @@
     }
 }
 
+void control_node::on_unresponsive(const upstream_id& id, probe_result outcome)
+{
+    const instance* engine = registry_.find(id);
+    const bool expected = engine != nullptr &&
+                          engine->state == instance_state::leaving &&
+                          outcome == probe_result::refused;
+    // The gates are told once, because the copies there can't be fetched any
+    // more. The engine's streams go on.
+    if (expected && !refusing_.insert(id).second) {
+        return;
+    }
+    on_suspicion(self_, upstream_suspicion{id.value()});
+}
+
+result<retry_reply> control_node::on_retry_request(const net::peer_info& peer,
+                                                   const retry_request& request)
+{
+    // With a lease, no other replica grants retries at the same time.
+    if (!replica_ || !replica_->has_lease()) {
+        return fail(errc::not_leader, "replica holds no leader lease");
+    }
+    const auto decision = reserve_.request(request.service, loop_.now());
+    if (decision.granted) {
+        log(events::retry_granted, {{"request", request.id.value()},
+                                    {"service", request.service.value()},
+                                    {"gate", peer.node.value()}});
+    }
+    return retry_reply{
+        .granted = decision.granted,
+        .wait_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(decision.wait)
+                .count()};
+}
+
 void control_node::on_suspicion(const node_id& from,
                                 const upstream_suspicion& suspicion)
 {
     placements_.on_suspicion(upstream_id(suspicion.upstream));
     if (from == self_) {
         log(events::upstream_suspended,
-            {{"upstream", suspicion.upstream}, {"cause", "no_sign_of_life"}});
+            {{"upstream", suspicion.upstream},
+             {"cause", "no_sign_of_life"},
+             {"state", registry_.state_name(upstream_id(suspicion.upstream))}});
     }
     if (!forwarded_suspicions_.admit(upstream_id(suspicion.upstream),
                                      loop_.now())) {
@@ -385,6 +426,10 @@
 
 void control_node::watch_engines()
 {
+    std::erase_if(refusing_, [&](const upstream_id& id) {
+        const instance* engine = registry_.find(id);
+        return engine == nullptr || engine->state != instance_state::leaving;
+    });
     std::map<upstream_id, net::address> engines;
     if (replica_->is_leader()) {
         for (const auto& [id, each] : registry_.instances()) {
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -59,8 +59,11 @@
 /// Silence that confirms another process's suspicion. Streams of a live engine
 /// have pauses of up to 185 ms while it prefills prompts.
 constexpr duration confirming_silence = std::chrono::milliseconds(200);
-/// Interval at which a silent stream without a retry is checked again.
-constexpr duration silence_check_interval = std::chrono::milliseconds(250);
+/// Interval at which a stream without a retry requests one again.
+constexpr duration retry_interval = std::chrono::milliseconds(250);
+/// A leader that gives no reply, such as one of an earlier build, is asked for
+/// a retry again after this time.
+constexpr duration reserve_pause = std::chrono::seconds(1);
 
 } // namespace
 
@@ -76,6 +79,7 @@
                                place();
                            }
                        }),
+      retry_timer_(context.loop, [this] { on_retry_due(); }),
       detector_(
           silence_options(accepted_.table->find_service(accepted_.service), 0)),
       evidence_(context.rollouts, accepted_.service,
@@ -144,6 +148,7 @@
     head_ = {};
     answer_ = {};
     event_seen_ = false;
+    engine_lost_ = false;
     reading_paused_ = false;
     ++attempts_;
     attempt_started_ = context_.loop.now();
@@ -301,6 +306,7 @@
         longest_pause_attempt_ = attempts_;
     }
     last_event_at_ = now;
+    engine_lost_ = false;
     detector_.on_token(now);
     if (!reading_paused_) {
         arm_silence_timer();
@@ -322,27 +328,35 @@
 
 void stream_exchange::on_silence()
 {
-    if (ended_ || !attempt_ || reading_paused_) {
+    if (ended_ || !attempt_ || (reading_paused_ && !engine_lost_)) {
         return;
     }
     const auto self = shared_from_this();
     // Events may have arrived while this process was busy or stood still.
-    attempt_->read_arrived();
+    if (!reading_paused_) {
+        attempt_->read_arrived();
+    }
     if (ended_ || !attempt_) {
         return;
     }
-    if (!detector_.is_silent(context_.loop.now())) {
+    if (!engine_lost_ && !detector_.is_silent(context_.loop.now())) {
         arm_silence_timer();
         return;
     }
-    const bool retry_taken = head_sent_ && take_retry(runs_ + 1);
+    const auto decision =
+        head_sent_ ? take_retry(runs_ + 1) : retry_decision::later;
+    const bool retry_taken = decision == retry_decision::granted;
     if (head_sent_ && !retry_taken) {
-        // Without another attempt, the stream can only go on at this engine.
-        silence_check_at_ = context_.loop.now() + silence_check_interval;
-        silence_timer_.start_once(silence_check_interval);
+        // The reserve is too small for engines that are only silent: most of
+        // these streams go on there.
+        stay_at_engine(engine_lost_ && decision == retry_decision::later);
         context_.report_suspicion(engine_);
         return;
     }
+    if (engine_lost_) {
+        lose_upstream(upstream_id(engine_), retry_taken);
+        return;
+    }
     attempt_.reset();
     context_.directory.health(engine_).note_failure(context_.loop.now());
     silent_losses_ += event_seen_ ? 1 : 0;
@@ -540,12 +554,67 @@
     end_quarantined(*rest);
 }
 
-bool stream_exchange::take_retry(unsigned runs)
+stream_exchange::retry_decision stream_exchange::take_retry(unsigned runs)
 {
-    return attempts_ < max_sends &&
-           runs < accepted_.matched_route->max_attempts &&
-           time_left() > duration::zero() &&
-           context_.retries.try_consume(accepted_.service, context_.loop.now());
+    if (attempts_ >= max_sends) {
+        log_retry_refused("sends", runs);
+        return retry_decision::never;
+    }
+    if (runs >= accepted_.matched_route->max_attempts) {
+        log_retry_refused("runs", runs);
+        return retry_decision::never;
+    }
+    if (time_left() <= duration::zero()) {
+        log_retry_refused("time", runs);
+        return retry_decision::never;
+    }
+    if (std::exchange(reserve_granted_, false) || consume_retry()) {
+        return retry_decision::granted;
+    }
+    return retry_decision::later;
+}
+
+void stream_exchange::request_reserve()
+{
+    if (reserve_requested_ || !context_.retries.may_ask_reserve(
+                                  accepted_.service, context_.loop.now())) {
+        return;
+    }
+    reserve_requested_ = true;
+    context_.placer.request_retry(
+        {.service = accepted_.service, .id = accepted_.description.attempt},
+        retry_interval,
+        [weak = weak_from_this(), this](const result<retry_reply>& reply) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            reserve_requested_ = false;
+            if (reply && reply.value().granted) {
+                on_reserve_granted();
+                return;
+            }
+            const duration wait =
+                reply ? std::chrono::milliseconds(reply.value().wait_ms)
+                      : reserve_pause;
+            context_.retries.note_reserve_empty(accepted_.service,
+                                                context_.loop.now() + wait);
+        });
+}
+
+void stream_exchange::on_reserve_granted()
+{
+    if (ended_) {
+        return;
+    }
+    reserve_granted_ = true;
+    if (retry_timer_.active()) {
+        retry_timer_.stop();
+        on_retry_due();
+    } else {
+        on_silence();
+    }
+    reserve_granted_ = false;
 }
 
 void stream_exchange::on_attempt_lost(std::string_view cause, bool may_have_run,
@@ -553,7 +622,7 @@
 {
     log_failure(engine_, cause);
     silence_timer_.stop();
-    const auto held = take_copy();
+    held_ = take_copy();
     if (may_have_run) {
         evidence_.note_failure();
     }
@@ -561,15 +630,61 @@
     release();
     runs_ += may_have_run ? 1 : 0;
     excluded_.insert(engine_);
-    if (!retry_taken && !take_retry(runs_)) {
-        if (runs_ == 0 && !head_sent_) {
-            refuse(cause, refusal_retry_after);
-        } else {
-            respond_failure(502, cause);
+    const auto decision =
+        retry_taken ? retry_decision::granted : take_retry(runs_);
+    resuming_ = event_seen_ || resuming_;
+    if (decision == retry_decision::granted) {
+        resume();
+    } else if (decision == retry_decision::later && head_sent_) {
+        // On-demand copies expire within a few intervals.
+        if (held_ && held_->on_demand) {
+            held_.reset();
         }
+        wait_for_retry();
+    } else if (runs_ == 0 && !head_sent_) {
+        refuse(cause, refusal_retry_after);
+    } else {
+        respond_failure(502, cause);
+    }
+}
+
+void stream_exchange::stay_at_engine(bool ask_reserve)
+{
+    silence_check_at_ = context_.loop.now() + retry_interval;
+    silence_timer_.start_once(retry_interval);
+    if (ask_reserve) {
+        request_reserve();
+    }
+}
+
+void stream_exchange::wait_for_retry()
+{
+    retry_timer_.start_once(retry_interval);
+    request_reserve();
+}
+
+void stream_exchange::on_retry_due()
+{
+    if (ended_) {
         return;
     }
-    resuming_ = event_seen_ || resuming_;
+    const auto self = shared_from_this();
+    switch (take_retry(runs_)) {
+    case retry_decision::granted:
+        resume();
+        return;
+    case retry_decision::later:
+        wait_for_retry();
+        return;
+    case retry_decision::never:
+        respond_failure(502, "no_retry_left");
+        return;
+    }
+}
+
+void stream_exchange::resume()
+{
+    const auto held = std::exchange(held_, std::nullopt);
     if (!held) {
         place();
         return;
@@ -586,6 +701,8 @@
 {
     silence_timer_.stop();
     placement_timer_.stop();
+    retry_timer_.stop();
+    held_.reset();
     static_cast<void>(copy_.end());
     if (attempt_ || checking_engine_) {
         attempt_.reset();
@@ -616,11 +733,15 @@
 
 bool stream_exchange::uses_upstream(const upstream_id& id) const
 {
-    return attempt_ != nullptr && (engine_ == id || copy_.holder() == id);
+    return (attempt_ != nullptr && (engine_ == id || copy_.holder() == id)) ||
+           (held_ && held_->holder == id);
 }
 
-void stream_exchange::on_upstream_restarted(const upstream_id& id)
+void stream_exchange::on_copies_lost(const upstream_id& id)
 {
+    if (held_ && held_->holder == id) {
+        held_.reset();
+    }
     copy_.on_upstream_lost(id);
 }
 
@@ -637,7 +758,8 @@
     if (ended_ || !attempt_ || !copy_.usable() || !silent) {
         return;
     }
-    const bool retry_taken = id == engine_ && take_retry(runs_ + 1);
+    const bool retry_taken =
+        id == engine_ && take_retry(runs_ + 1) == retry_decision::granted;
     if (id != engine_ || retry_taken) {
         lose_upstream(id, retry_taken);
     }
@@ -650,14 +772,24 @@
 
 void stream_exchange::lose_upstream(const upstream_id& id, bool retry_taken)
 {
-    if (ended_ || !attempt_) {
+    if (ended_) {
         return;
     }
-    copy_.on_upstream_lost(id);
-    if (id != engine_) {
+    on_copies_lost(id);
+    if (!attempt_ || id != engine_) {
         return;
     }
     const bool sent = attempt_->request_sent();
+    const bool begun = sent && head_sent_;
+    if (begun && !retry_taken) {
+        const auto decision = take_retry(runs_ + 1);
+        retry_taken = decision == retry_decision::granted;
+        if (!retry_taken) {
+            engine_lost_ = true;
+            stay_at_engine(decision == retry_decision::later);
+            return;
+        }
+    }
     attempt_.reset();
     if (sent) {
         if (auto report = possible_crash()) {
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -5,6 +5,9 @@
 #include <bamboogate/relay/exchange.hpp>
 #include <bamboogate/streaming/silence_detector.hpp>
 
+#include <cstdint>
+#include <optional>
+
 #include "attempt_evidence.hpp"
 #include "stream_copy.hpp"
 
@@ -22,7 +25,7 @@
                     std::function<void()> on_end);
 
     void on_upstream_lost(const upstream_id& id) override;
-    void on_upstream_restarted(const upstream_id& id) override;
+    void on_copies_lost(const upstream_id& id) override;
     void on_upstream_suspected(const upstream_id& id) override;
     void on_quarantine(const service_id& service) override;
     void report_placement() override;
@@ -91,14 +94,34 @@
     void on_connection_broken(std::string_view cause);
     /// Ends the stream, because it would crash its engine.
     void end_quarantined(duration retry_after);
-    /// @brief Consumes a retry of the budget, if another attempt is allowed.
+    /// Whether a stream gets another attempt.
+    enum class retry_decision : std::uint8_t
+    {
+        granted,
+        later, ///< only the limit of retries, which is renewed, refuses it
+        never,
+    };
+    /// @brief Consumes a retry of the limit, if another attempt is allowed.
     /// @param runs attempts that may have been executed by then
-    [[nodiscard]] bool take_retry(unsigned runs);
+    [[nodiscard]] retry_decision take_retry(unsigned runs);
     /// @brief Resumes the stream elsewhere after a lost attempt, or ends the
-    ///     request.
-    /// @param retry_taken whether `take_retry` was called for it
+    ///     request. One that has begun waits for the limit of retries.
+    /// @param retry_taken whether `take_retry` has granted it
     void on_attempt_lost(std::string_view cause, bool may_have_run,
                          bool retry_taken = false);
+    /// Starts the attempt for which a retry was taken.
+    void resume();
+    void wait_for_retry();
+    /// Without another attempt, the stream can only go on at its engine while
+    /// its connection lasts. Checks again after a while.
+    void stay_at_engine(bool ask_reserve);
+    /// A stream that waits for the limit of retries requests one again.
+    void on_retry_due();
+    /// Requests a retry of the leader's reserve after this gate's part of the
+    /// limit was refused.
+    void request_reserve();
+    /// Goes on with a retry of the reserve, if the stream still needs it.
+    void on_reserve_granted();
     void lose_upstream(const upstream_id& id, bool retry_taken);
     void forward(const stream_event& event);
     /// Reads the engine no further if the caller has too much unread output,
@@ -119,6 +142,7 @@
 
     net::timer silence_timer_;
     net::timer placement_timer_; ///< of a stream that waits for an engine
+    net::timer retry_timer_;     ///< of a stream that waits for a retry
     streaming::silence_detector detector_;
     time_point silence_check_at_; ///< when the timer fires
     std::unique_ptr<net::http1_client::exchange> attempt_;
@@ -128,6 +152,7 @@
     std::uint64_t engine_started_at_ =
         0; ///< of the current attempt, or the last one
     stream_copy copy_;
+    std::optional<held_copy> held_; ///< of the lost attempt
     bool from_copy_ = false;
     std::uint64_t stream_ = 0; ///< see `stream_key`
     /// Version that began the stream, the only one that may continue it; unset
@@ -154,7 +179,12 @@
     time_point reading_resumed_at_; ///< after a long pause
     unsigned silent_losses_ = 0;    ///< attempts lost to silence between events
     unsigned unusable_placements_ = 0;
-    bool checking_engine_ = false;     ///< of a lost attempt
+    bool checking_engine_ = false; ///< of a lost attempt
+    /// A probe of the engine failed while no retry was left, and no event has
+    /// arrived since.
+    bool engine_lost_ = false;
+    bool reserve_requested_ = false;
+    bool reserve_granted_ = false;     ///< while the grant is used
     unsigned breaks_before_start_ = 0; ///< attempts lost with their connection
     duration first_event_after_{};
     duration longest_pause_{};
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -63,7 +63,7 @@
     int disconnected_callers = 0;
     std::string version; ///< of its software, as announced
     std::unique_ptr<net::http1_server> server;
-    net::address address; ///< while it is crashed
+    net::address address; ///< while it refuses connections
 
     fake_upstream(net::event_loop& l, std::string name)
         : loop(l), id(std::move(name))
@@ -76,6 +76,15 @@
         address = server->bound_address();
         server.reset();
     }
+    /// Ends idle connections and refuses new ones; requests in progress go on.
+    /// @return the address
+    net::address refuse_connections()
+    {
+        address = server->bound_address();
+        server->begin_drain();
+        server->stop_listening();
+        return address;
+    }
     /// @pre `crash` was called
     void restart() { listen(address); }
     void listen(const net::address& listen_address)
@@ -174,7 +183,11 @@
     relay::reader_pacing::options readers; ///< of the next gate
     static inline int count = 0;
 
-    relay_fixture()
+    /// @param retries of the gate
+    /// @param reserve of the control nodes
+    explicit relay_fixture(relay::retry_limiter::options retries = {},
+                           relay::retry_reserve::options reserve = {})
+        : retries_(retries), reserve_(reserve)
     {
         for (std::size_t i = 0; i < seeds.size(); ++i) {
             add_node(i, true);
@@ -194,6 +207,7 @@
                             .incarnation = {++incarnation_},
                             .shared_secret = secret("s"),
                             .seeds = seeds},
+                .retries = retries_,
                 .accept_after_stop = 100ms,
                 .stop_limit = 2s,
                 .readers = readers});
@@ -211,7 +225,8 @@
                 .data_folder = folder / fmt::format("{}", i),
                 .seeds = seeds,
                 .first_start = first_start,
-                .tolerated_losses = 1});
+                .tolerated_losses = 1,
+                .retries = reserve_});
         REQUIRE(node->start());
         auto* raw = node.get();
         if (i < nodes.size()) {
@@ -341,6 +356,8 @@
 
 private:
     std::uint64_t incarnation_ = 0;
+    relay::retry_limiter::options retries_;
+    relay::retry_reserve::options reserve_;
 };
 
 } // namespace bamboogate::tests
