--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -20,7 +20,8 @@
 constexpr duration plain_time = 15ms;
 constexpr duration copy_interval = 100ms;
 constexpr duration copy_lifetime = 4s; ///< `handleTtlS` of the configuration
-constexpr duration drain_time = 2s;    ///< `drainMs` of the bounds
+/// Time for the last bytes of the last run to reach their gate.
+constexpr duration exit_delay = 500ms;
 
 std::string header(const net::http1_request& request, std::string_view name)
 {
@@ -53,7 +54,7 @@
       settings_(std::move(settings)), proxy_(loop, {"127.0.0.1", 1}),
       step_timer_(loop, [this] { step(); }),
       announce_timer_(loop, [this] { announce(); }),
-      stop_timer_(loop, [this] { crash(); })
+      stop_timer_(loop, [this] { stop_listening(); })
 {}
 
 void backend::start(bool same_id)
@@ -68,7 +69,8 @@
             std::chrono::system_clock::now().time_since_epoch())
             .count());
     sequence_ = 0;
-    draining_ = false;
+    leaving_ = draining_ = false;
+    listening_ = true;
     statements_.back_end_started(id_);
     server_ = net::http1_server::start(
                   loop_, {.listen_address = {"127.0.0.1", 0}},
@@ -78,6 +80,7 @@
                   })
                   .value();
     proxy_.change_target(server_->bound_address());
+    proxy_.listen();
     step_timer_.start_periodic(step_interval);
     announce_timer_.start_periodic(announce_interval);
     announce();
@@ -99,13 +102,38 @@
     silent = loses_answers = truncates = states_leave = false;
     slowdown = 1;
     refusals_left = 0;
+    leaving_ = false;
 }
 
-void backend::drain()
+void backend::drain(departure how)
 {
-    draining_ = true;
-    announce();
-    stop_timer_.start_once(drain_time);
+    leaving_ = true;
+    draining_ = !how.deregisters_first;
+    server_->begin_drain();
+    if (draining_) {
+        announce();
+    } else {
+        deregister();
+    }
+    stop_timer_.start_once(how.serving);
+}
+
+void backend::stop_listening()
+{
+    if (draining_) {
+        deregister();
+    }
+    listening_ = false;
+    last_run_ = loop_.now();
+    proxy_.stop_listening();
+    server_->stop_listening();
+}
+
+void backend::deregister()
+{
+    announce_timer_.stop();
+    announce_at(0, static_cast<unsigned>(settings_.control_addresses.size()),
+                "/Instances.Deregister/" + id_);
 }
 
 duration backend::scaled(duration time) const
@@ -265,9 +293,16 @@
     for (const auto& each : runs) {
         step(*each, now);
     }
-    std::erase_if(runs_, [](const auto& each) {
+    std::erase_if(runs_, [this](const auto& each) {
+        runs_left_ += each->disconnected && !listening_ ? 1 : 0;
         return each->disconnected || each->responder->ended();
     });
+    if (!runs_.empty()) {
+        last_run_ = now;
+    }
+    if (!listening_ && now - last_run_ > exit_delay) {
+        crash();
+    }
 }
 
 void backend::step(run& each, time_point now)
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -41,6 +41,14 @@
         std::vector<net::address> control_addresses;
     };
 
+    /// How a back end leaves.
+    struct departure
+    {
+        /// It deregisters at once, without having announced that it drains.
+        bool deregisters_first = false;
+        duration serving; ///< from the announcement until it stops listening
+    };
+
     backend(net::event_loop& loop, net::http1_client& client,
             run_ledger& ledger, statement_checks& statements, options settings);
 
@@ -53,13 +61,20 @@
     /// @brief Starts under a new id, or again under the previous one.
     void start(bool same_id);
     void crash();
-    /// @brief Announces that it is draining; stops two seconds later.
-    void drain();
+    /// @brief Announces that it leaves, serves for a time, then refuses new
+    ///     connections, and stops after the end of its last run.
+    /// @pre running
+    void drain(departure how);
     [[nodiscard]] bool running() const { return server_ != nullptr; }
+    [[nodiscard]] bool leaving() const { return leaving_; }
+    /// @brief Runs whose callers disconnected after it had stopped listening.
+    [[nodiscard]] unsigned runs_left() const { return runs_left_; }
 
     [[nodiscard]] fault_proxy& proxy() { return proxy_; }
     [[nodiscard]] net::address address() const { return proxy_.address(); }
     [[nodiscard]] const std::string& id() const { return id_; }
+    /// @brief Unix milliseconds of its last start.
+    [[nodiscard]] std::uint64_t started_at() const { return started_at_; }
 
     /// Fault switches, set by the soak.
     bool silent = false;        ///< streams produce no events
@@ -110,6 +125,8 @@
     void announce();
     void announce_at(std::size_t replica, unsigned tries_left,
                      const std::string& path);
+    void deregister();
+    void stop_listening();
     /// @return the back end at an address, else null
     [[nodiscard]] backend* at(std::string_view address) const;
     [[nodiscard]] duration scaled(duration time) const;
@@ -125,7 +142,11 @@
     std::uint64_t started_at_ = 0;
     std::uint64_t sequence_ = 0;
     unsigned starts_ = 0;
-    bool draining_ = false;
+    bool leaving_ = false;  ///< has announced it in either way
+    bool draining_ = false; ///< the state that it announces
+    bool listening_ = false;
+    unsigned runs_left_ = 0;
+    time_point last_run_; ///< when it last had one
     std::unique_ptr<net::http1_server> server_;
     std::vector<std::shared_ptr<run>> runs_;
     /// Long polls for cache events, with the end of their wait.
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -24,7 +24,6 @@
 constexpr unsigned max_retries = 3;
 constexpr duration retry_delay = 50ms;
 constexpr unsigned min_events = 30;
-constexpr unsigned max_events = 150;
 
 /// Statuses that guarantee that the request was not and will not be executed.
 bool guarantees_not_run(unsigned status)
@@ -55,7 +54,8 @@
         : pool_(pool), kind_(kind), must_succeed_(must_succeed),
           prompt_(fmt::format("{}-{:08x}", name_of(kind), pool.random_())),
           events_(min_events + static_cast<unsigned>(
-                                   pool.random_() % (max_events - min_events))),
+                                   pool.random_() %
+                                   (pool.settings_.max_events - min_events))),
           end_(pool.loop_.now() + (kind == request_kind::stream
                                        ? stream_deadline
                                        : plain_deadline)),
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -46,6 +46,7 @@
         std::string host;
         std::string key;
         std::map<request_kind, std::string> paths;
+        unsigned max_events = 150; ///< of a stream
     };
 
     caller_pool(net::event_loop& loop, const run_ledger& ledger,
--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -75,8 +75,10 @@
                            settings_.limits->memory_mb,
                            settings_.limits->descriptors);
     }
-    out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
-           "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
+    out << fmt::format(
+        "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
+        "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = {}\n",
+        settings_.retry_slack);
     out.close();
     std::filesystem::rename(written, file(".toml"));
 }
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -40,6 +40,7 @@
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, log and data
         std::optional<program_limits> limits = std::nullopt;
+        unsigned retry_slack = 150; ///< `budgetSlack` of the bounds
     };
 
     machine(options settings, violations& problems);
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -27,6 +27,15 @@
                               "only changes and signals to read the settings; "
                               "every request has to succeed",
                               command);
+        TCLAP::SwitchArg replacing(
+            "", "replacements",
+            "replace engines in series by new ones; with --no-faults every "
+            "request still has to succeed",
+            command);
+        TCLAP::ValueArg<unsigned> retry_slack(
+            "", "retry-slack",
+            "repeated requests that all gates together may send in any case",
+            false, 150, "number", command);
         TCLAP::ValueArg<unsigned> pressing(
             "", "press",
             "streams a second that callers send in addition; implies "
@@ -54,6 +63,8 @@
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
                  .faults = !calm.getValue() && pressing.getValue() == 0,
+                 .replacements = replacing.getValue(),
+                 .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
                  .folder = run_folder});
--- /dev/null
+++ b/tests/platform/soak/replacements.hpp
@@ -0,0 +1,48 @@
+#ifndef BAMBOOGATE_TESTS_PLATFORM_SOAK_REPLACEMENTS_HPP
+#define BAMBOOGATE_TESTS_PLATFORM_SOAK_REPLACEMENTS_HPP
+
+#include <random>
+#include <vector>
+
+#include "backend.hpp"
+
+namespace bamboogate::tests {
+
+/// Draws how a back end leaves: with or without an announcement that it drains,
+/// and how long it serves after it.
+[[nodiscard]] backend::departure draw_departure(std::mt19937& random);
+
+/// Replaces several engines in series: a spare one starts, then the one that
+/// has run longest leaves. Not thread safe.
+class replacements
+{
+public:
+    /// @param engines those that run at first and the spare ones; must outlive
+    ///     this object
+    replacements(net::event_loop& loop, violations& problems, unsigned seed,
+                 std::vector<backend*> engines);
+
+    /// @brief Starts and stops the engines that are due.
+    void step();
+
+    [[nodiscard]] unsigned replaced() const { return replaced_; }
+    /// @brief Runs that gates left at engines that finished their last runs.
+    [[nodiscard]] unsigned runs_left() const;
+
+private:
+    void begin_series();
+    void replace_one();
+
+    net::event_loop& loop_;
+    violations& violations_;
+    std::mt19937 random_;
+    std::vector<backend*> engines_;
+    /// Engines that the series still replaces, in this order.
+    std::vector<backend*> outgoing_;
+    time_point next_;
+    unsigned replaced_ = 0;
+};
+
+} // namespace bamboogate::tests
+
+#endif
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -30,6 +30,8 @@
 /// stale data.
 constexpr duration read_interval = 40ms;
 constexpr unsigned max_missed_checks = 2;
+/// Lets streams run for longer than an engine listens before it leaves.
+constexpr unsigned outlasting_events = 400;
 
 /// Returns a loopback address.
 /// @param row 0 for replicas, 1 for gates
@@ -48,7 +50,7 @@
     : settings_(std::move(settings)), random_(settings_.seed),
       statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
-      client_(loop_, {})
+      departure_random_(settings_.seed + 7), client_(loop_, {})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -64,7 +66,8 @@
                 .ip = loopback_ip(gate ? 1 : 0, i),
                 .seeds = seeds,
                 .programs = settings_.programs,
-                .folder = settings_.folder},
+                .folder = settings_.folder,
+                .retry_slack = settings_.retry_slack},
             violations_);
     };
     std::vector<net::address> control_addresses;
@@ -78,8 +81,12 @@
             std::make_unique<fault_proxy>(loop_, program->caller_address());
         gates_.push_back({std::move(program), std::move(proxy)});
     }
-    for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
-        const bool engine = i < settings_.engines;
+    const std::size_t started = settings_.engines + settings_.services;
+    // Each engine that is replaced needs a spare one while it leaves.
+    const std::size_t spare = settings_.replacements ? settings_.engines : 0;
+    std::vector<backend*> engines;
+    for (std::size_t i = 0; i < started + spare; ++i) {
+        const bool engine = i < settings_.engines || i >= started;
         backends_.push_back(std::make_unique<backend>(
             loop_, client_, ledger_, statements_,
             backend::options{.service = engine ? "gen" : "book",
@@ -87,7 +94,12 @@
                              .streams = engine,
                              .slots = engine ? 16U : 6U,
                              .control_addresses = control_addresses}));
+        if (engine) {
+            engines.push_back(backends_.back().get());
+        }
     }
+    replacements_ = std::make_unique<replacements>(
+        loop_, violations_, settings_.seed + 8, std::move(engines));
     for (auto& each : backends_) {
         each->set_peers(backends_);
     }
@@ -98,7 +110,11 @@
                              .key = "k1",
                              .paths = {{request_kind::stream, "/gen/"},
                                        {request_kind::booking, "/book/"},
-                                       {request_kind::lookup, "/look/"}}});
+                                       {request_kind::lookup, "/look/"}},
+                             .max_events =
+                                 settings_.replacements
+                                     ? outlasting_events
+                                     : caller_pool::options{}.max_events});
     if (!settings_.faults) {
         std::vector<net::address> gates;
         for (const auto& each : gates_) {
@@ -314,6 +330,9 @@
         next_disk_refusal_ = now + refusal_interval;
         inject_disk_refusal();
     }
+    if (replaces_engines_) {
+        replacements_->step();
+    }
     callers_->step();
     operators_->step();
     if (versions_) {
@@ -338,8 +357,8 @@
     for (auto& each : gates_) {
         each.program->start(true);
     }
-    for (auto& each : backends_) {
-        each->start(false);
+    for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
+        backends_[i]->start(false);
     }
     sends_changes_ = true;
     // The specification starts traffic 10 s after the machines; the soak waits
@@ -366,11 +385,12 @@
     sends_requests_ = true;
     run_for(1s);
     reloads_ = true;
+    replaces_engines_ = settings_.replacements;
     injects_faults_ = settings_.faults;
     presses_ = settings_.pressing_streams > 0;
     must_succeed_ = !settings_.faults && !presses_;
     run_for(settings_.fault_time);
-    reloads_ = false;
+    reloads_ = replaces_engines_ = false;
     if (settings_.faults) {
         end_faults();
         run_for(recovery_time);
@@ -425,6 +445,11 @@
     line += fmt::format(
         "; {} leaves passed on, {} pauses stated, {} settings read again",
         statements_.leaves(), statements_.pauses(), reloads_sent_);
+    if (settings_.replacements) {
+        line += fmt::format(
+            "; {} engines replaced, {} runs left by gates at their end",
+            replacements_->replaced(), replacements_->runs_left());
+    }
     if (versions_) {
         line += fmt::format("; {} checks of versions in force",
                             versions_->confirmed());
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -14,6 +14,7 @@
 #include "callers.hpp"
 #include "fleet.hpp"
 #include "operators.hpp"
+#include "replacements.hpp"
 #include "statement_checks.hpp"
 #include "version_checks.hpp"
 #include "violations.hpp"
@@ -39,6 +40,11 @@
         /// to read the settings are all that happens, so that every request has
         /// to succeed.
         bool faults = true;
+        /// Engines are replaced in series; this is no fault.
+        bool replacements = false;
+        /// `budgetSlack` of the bounds: repeated requests that all gates
+        /// together may send in any case.
+        unsigned retry_slack = 150;
         /// Streams a second that callers send in addition, more than the
         /// engines can run. Only without faults; requests may be refused then.
         unsigned pressing_streams = 0;
@@ -92,6 +98,8 @@
     void end_faults();
     /// Starts a killed or stopping program again after `delay`.
     void restart(machine& program, duration delay);
+    /// Starts a back end again `delay` from now, or once it has left.
+    void restart(backend& stopped, duration delay, bool same_id);
     void run_for(duration time);
     void report() const;
     [[nodiscard]] duration random_time(duration least, duration most);
@@ -109,6 +117,7 @@
     std::mt19937 disk_random_;
     std::mt19937 reload_random_;
     std::mt19937 load_random_;
+    std::mt19937 departure_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
@@ -116,6 +125,7 @@
     std::unique_ptr<caller_pool> callers_;
     std::unique_ptr<operators> operators_;
     std::unique_ptr<version_checks> versions_; ///< null with faults
+    std::unique_ptr<replacements> replacements_;
     std::vector<scheduled_action> schedule_;
     time_point next_request_;
     time_point next_pressing_stream_;
@@ -131,6 +141,7 @@
     bool injects_faults_ = false;
     bool presses_ = false;
     bool reloads_ = false;
+    bool replaces_engines_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
     double peak_gate_kib_ = 0;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -30,6 +30,18 @@
     });
 }
 
+void soak::restart(backend& stopped, duration delay, bool same_id)
+{
+    schedule(delay, [this, &stopped, same_id] {
+        if (stopped.leaving()) {
+            restart(stopped, 100ms, same_id);
+        } else if (!stopped.running()) {
+            stopped.start(same_id);
+            violations_.print("start", stopped.id());
+        }
+    });
+}
+
 void soak::pause(machine& program, duration time)
 {
     violations_.print("pause", program.name());
@@ -140,27 +152,25 @@
     if (!victim.running()) {
         return;
     }
-    const auto up = std::count_if(backends_.begin(), backends_.end(),
-                                  [](const auto& e) { return e->running(); });
+    const auto up =
+        std::count_if(backends_.begin(), backends_.end(), [](const auto& each) {
+            return each->running() && !each->leaving();
+        });
     switch (kind) {
     case 0:
     case 1:
-        if (static_cast<std::size_t>(up) + 2 < backends_.size()) {
+        if (victim.leaving() || static_cast<std::size_t>(up) + 2 <
+                                    settings_.engines + settings_.services) {
             return;
         }
         violations_.print(kind == 0 ? "crash" : "drain", victim.id());
         if (kind == 0) {
             victim.crash();
         } else {
-            victim.drain();
+            victim.drain(draw_departure(departure_random_));
         }
-        schedule(kind == 0 ? downtime : downtime + 2500ms,
-                 [this, &victim, same = random_() % 3 == 0] {
-                     if (!victim.running()) {
-                         victim.start(same);
-                         violations_.print("start", victim.id());
-                     }
-                 });
+        restart(victim, kind == 0 ? downtime : downtime + 2500ms,
+                random_() % 3 == 0);
         break;
     case 2:
         violations_.print("silent", victim.id());
@@ -277,7 +287,8 @@
         std::count_if(backends_.begin(), backends_.end(), [](const auto& each) {
             return each->running() && !each->states_leave;
         });
-    if (static_cast<std::size_t>(usable) + 2 < backends_.size()) {
+    if (static_cast<std::size_t>(usable) + 2 <
+        settings_.engines + settings_.services) {
         return;
     }
     violations_.print("states its leave", victim.id());
@@ -336,6 +347,9 @@
         if (!each->running()) {
             each->start(false);
         }
+        if (each->leaving()) {
+            restart(*each, 100ms, false);
+        }
         each->proxy().release();
         if (each->states_leave) {
             each->crash();
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -33,31 +33,56 @@
     };
 
     fault_proxy(net::event_loop& loop, net::address target)
-        : loop_(loop), target_(std::move(target)),
-          listener_(net::listen_on({"127.0.0.1", 0}).value()),
-          accept_watcher_(loop, listener_, [this](net::io_event) { accept(); }),
-          forward_timer_(loop, [this] {
+        : loop_(loop), target_(std::move(target)), forward_timer_(loop, [this] {
               for (auto& each : pipes_) {
                   each->forward_due(loop_.now());
               }
           })
     {
         forward_timer_.start_periodic(forward_interval);
-        accept_watcher_.await(net::io_event::read);
+        listen();
     }
 
     ~fault_proxy()
     {
         pipes_.clear();
-        accept_watcher_.await(net::io_event::none);
-        ::close(listener_);
+        stop_listening();
     }
     fault_proxy(const fault_proxy&) = delete;
     fault_proxy& operator=(const fault_proxy&) = delete;
 
-    [[nodiscard]] net::address address() const
+    /// @brief The address of the last `listen`.
+    [[nodiscard]] net::address address() const { return address_; }
+
+    /// @brief Listens again after `stop_listening`, at the same address unless
+    ///     another socket has its port now. Otherwise it has no effect.
+    void listen()
     {
-        return net::local_address(listener_);
+        if (accept_watcher_) {
+            return;
+        }
+        auto listener = net::listen_on(address_);
+        if (!listener) {
+            address_.port = 0;
+            listener = net::listen_on(address_);
+        }
+        listener_ = listener.value();
+        address_ = net::local_address(listener_);
+        accept_watcher_ = std::make_unique<net::io_watcher>(
+            loop_, listener_, [this](net::io_event) { accept(); });
+        accept_watcher_->await(net::io_event::read);
+    }
+
+    /// @brief Refuses new connections until `listen`; open ones are kept.
+    void stop_listening()
+    {
+        if (accept_watcher_) {
+            // Connections that wait would be reset instead.
+            while (accept()) {
+            }
+            accept_watcher_.reset();
+            ::close(listener_);
+        }
     }
 
     /// @brief Connects new clients to another target; open connections are
@@ -243,20 +268,22 @@
                          (*held_ == direction::to_target) == (end == 0));
     }
 
-    void accept()
+    /// @return true if a connection was waiting
+    bool accept()
     {
         const int client =
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (client < 0) {
-            return;
+            return false;
         }
         auto target = net::start_connect(target_);
         if (!target) {
             ::close(client);
-            return;
+            return true;
         }
         net::set_no_delay(client);
         pipes_.push_back(std::make_unique<pipe>(*this, client, target.value()));
+        return true;
     }
 
     void remove(const pipe* removed)
@@ -279,13 +306,14 @@
 
     net::event_loop& loop_;
     net::address target_;
-    int listener_;
+    net::address address_{"127.0.0.1", 0};
+    int listener_ = -1;
     alive_flag alive_flag_;
     std::shared_ptr<bool> alive_ = alive_flag_.value;
     std::vector<std::unique_ptr<pipe>> pipes_;
     std::optional<direction> held_;
     duration delay_{};
-    net::io_watcher accept_watcher_;
+    std::unique_ptr<net::io_watcher> accept_watcher_; ///< while it listens
     net::timer forward_timer_;
 };
 
