--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -37,9 +37,22 @@
 
 } // namespace
 
-std::string event_text(std::string_view prompt, unsigned number)
+std::string event_text(std::string_view prompt, unsigned number,
+                       std::string_view version)
 {
-    return fmt::format("id: {}\ndata: {} {}\n\n", number, prompt, number);
+    return fmt::format("id: {}\ndata: {} {} {}\n\n", number, prompt, number,
+                       version);
+}
+
+std::string_view event_version(std::string_view event)
+{
+    const auto text = event.substr(0, event.find("\n\n"));
+    return text.substr(text.rfind(' ') + 1);
+}
+
+std::string version_name(unsigned number)
+{
+    return fmt::format("v{}", number);
 }
 
 std::string plain_answer(std::string_view attempt)
@@ -69,6 +82,7 @@
             std::chrono::system_clock::now().time_since_epoch())
             .count());
     sequence_ = 0;
+    version_ = settings_.version;
     leaving_ = draining_ = false;
     listening_ = true;
     statements_.back_end_started(id_);
@@ -335,7 +349,7 @@
         each.responder->finish();
         return;
     }
-    const auto text = event_text(each.prompt, each.next);
+    const auto text = event_text(each.prompt, each.next, version_);
     if (truncates) {
         each.responder->write(std::string_view(text).substr(0, 5));
         each.responder->abort();
@@ -370,7 +384,7 @@
     const json body{{"service", settings_.service},
                     {"address", address().text()},
                     {"zone", settings_.failure_domain},
-                    {"version", "v1"},
+                    {"version", version_},
                     {"slots", settings_.slots},
                     {"state", draining_ ? "draining" : "ready"},
                     {"coldLeftMs", 0},
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -18,8 +18,16 @@
 /// Tokens per event, the stride of the soak's configuration.
 inline constexpr unsigned tokens_per_event = 6;
 
-/// @brief The expected text of an event, so that callers can check each one.
-[[nodiscard]] std::string event_text(std::string_view prompt, unsigned number);
+/// @brief The text of an event, which depends on the software version of the
+///     engine that writes it, so that callers can check each one.
+[[nodiscard]] std::string event_text(std::string_view prompt, unsigned number,
+                                     std::string_view version);
+
+/// @brief The software version of the engine that wrote an event.
+[[nodiscard]] std::string_view event_version(std::string_view event);
+
+/// @brief The name of a software version, from 1.
+[[nodiscard]] std::string version_name(unsigned number);
 
 /// @brief The body of a plain service's answer.
 [[nodiscard]] std::string plain_answer(std::string_view attempt);
@@ -39,6 +47,8 @@
         unsigned slots = 16;
         /// Receive its announcements.
         std::vector<net::address> control_addresses;
+        /// Software version of its first start.
+        std::string version = version_name(1);
     };
 
     /// How a back end leaves.
@@ -70,6 +80,14 @@
     /// @brief Runs whose callers disconnected after it had stopped listening.
     [[nodiscard]] unsigned runs_left() const { return runs_left_; }
 
+    /// @brief Sets the software version of the next start.
+    void change_version(std::string version)
+    {
+        settings_.version = std::move(version);
+    }
+    /// @brief The software version of its last start.
+    [[nodiscard]] const std::string& version() const { return version_; }
+
     [[nodiscard]] fault_proxy& proxy() { return proxy_; }
     [[nodiscard]] net::address address() const { return proxy_.address(); }
     [[nodiscard]] const std::string& id() const { return id_; }
@@ -139,6 +157,7 @@
     fault_proxy proxy_;
     const std::vector<std::unique_ptr<backend>>* peers_ = nullptr;
     std::string id_;
+    std::string version_;
     std::uint64_t started_at_ = 0;
     std::uint64_t sequence_ = 0;
     unsigned starts_ = 0;
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -181,16 +181,29 @@
              end = body_.find("\n\n")) {
             const auto event = body_.substr(0, end + 2);
             body_.erase(0, end + 2);
-            if (event != event_text(prompt_, received_events_ + 1)) {
+            const auto version = event_version(event);
+            if (event != event_text(prompt_, received_events_ + 1, version)) {
                 violate("no event missing or repeated",
                         fmt::format("expected event {}, got {}",
                                     received_events_ + 1,
                                     event.substr(0, event.size() - 2)));
             }
+            check_version(version);
             ++received_events_;
         }
     }
 
+    /// What engines of two software versions write does not fit together.
+    void check_version(std::string_view version)
+    {
+        if (received_events_ > 0 && version != version_) {
+            violate("ORDER",
+                    fmt::format("event {} of {} after {}", received_events_ + 1,
+                                version, version_));
+        }
+        version_ = version;
+    }
+
     void on_complete()
     {
         exchange_.reset();
@@ -302,6 +315,7 @@
     net::http1_failure failure_;
     std::string body_;
     unsigned received_events_ = 0;
+    std::string version_; ///< of the last event
     time_point last_input_;
     bool ended_ = false;
 };
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 
 #include "soak.hpp"
@@ -27,6 +28,11 @@
                               "only changes and signals to read the settings; "
                               "every request has to succeed",
                               command);
+        TCLAP::ValueArg<unsigned> versions(
+            "", "versions",
+            "software versions of engines that serve side by side at first; "
+            "with more than one, later starts bring others",
+            false, 1, "number", command);
         TCLAP::SwitchArg replacing(
             "", "replacements",
             "replace engines in series by new ones; with --no-faults every "
@@ -63,6 +69,7 @@
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
                  .faults = !calm.getValue() && pressing.getValue() == 0,
+                 .versions = std::max(1U, versions.getValue()),
                  .replacements = replacing.getValue(),
                  .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
--- a/tests/platform/soak/replacements.cpp
+++ b/tests/platform/soak/replacements.cpp
@@ -23,11 +23,20 @@
 }
 
 replacements::replacements(net::event_loop& loop, violations& problems,
-                           unsigned seed, std::vector<backend*> engines)
+                           unsigned seed, std::vector<backend*> engines,
+                           unsigned versions)
     : loop_(loop), violations_(problems), random_(seed),
-      engines_(std::move(engines))
+      engines_(std::move(engines)), versions_(versions), newest_(versions)
 {}
 
+std::string replacements::restart_version(const std::string& previous)
+{
+    if (versions_ == 1 || random_() % 2 == 0) {
+        return previous;
+    }
+    return version_name(1 + static_cast<unsigned>(random_() % newest_));
+}
+
 unsigned replacements::runs_left() const
 {
     return std::accumulate(engines_.begin(), engines_.end(), 0U,
@@ -64,6 +73,8 @@
     if (random_() % 3 != 0 && outgoing_.size() > 2) {
         outgoing_.resize(2 + random_() % (outgoing_.size() - 2));
     }
+    brings_newer_ = versions_ > 1 && random_() % 3 != 0;
+    newest_ += brings_newer_ ? 1 : 0;
 }
 
 void replacements::replace_one()
@@ -78,12 +89,15 @@
     }
     backend& outgoing = *outgoing_.front();
     outgoing_.erase(outgoing_.begin());
+    (*spare)->change_version(brings_newer_ ? version_name(newest_)
+                                           : outgoing.version());
     (*spare)->start(same_id);
     if (!outgoing.running() || outgoing.leaving()) {
         return;
     }
-    violations_.print("replace",
-                      fmt::format("{} by {}", outgoing.id(), (*spare)->id()));
+    violations_.print("replace", fmt::format("{} {} by {} {}", outgoing.id(),
+                                             outgoing.version(), (*spare)->id(),
+                                             (*spare)->version()));
     outgoing.drain(departure);
     ++replaced_;
 }
--- a/tests/platform/soak/replacements.hpp
+++ b/tests/platform/soak/replacements.hpp
@@ -13,18 +13,24 @@
 [[nodiscard]] backend::departure draw_departure(std::mt19937& random);
 
 /// Replaces several engines in series: a spare one starts, then the one that
-/// has run longest leaves. Not thread safe.
+/// has run longest leaves. A series may bring a newer software version. Not
+/// thread safe.
 class replacements
 {
 public:
     /// @param engines those that run at first and the spare ones; must outlive
     ///     this object
+    /// @param versions that serve side by side at first; with one, no other one
+    ///     comes into service
     replacements(net::event_loop& loop, violations& problems, unsigned seed,
-                 std::vector<backend*> engines);
+                 std::vector<backend*> engines, unsigned versions);
 
     /// @brief Starts and stops the engines that are due.
     void step();
 
+    /// @brief Draws a software version for an engine that starts again.
+    [[nodiscard]] std::string restart_version(const std::string& previous);
+
     [[nodiscard]] unsigned replaced() const { return replaced_; }
     /// @brief Runs that gates left at engines that finished their last runs.
     [[nodiscard]] unsigned runs_left() const;
@@ -39,6 +45,9 @@
     std::vector<backend*> engines_;
     /// Engines that the series still replaces, in this order.
     std::vector<backend*> outgoing_;
+    unsigned versions_;
+    unsigned newest_;           ///< version
+    bool brings_newer_ = false; ///< the series, else each engine's own version
     time_point next_;
     unsigned replaced_ = 0;
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -93,13 +93,17 @@
                              .failure_domain = domains.at(i % domains.size()),
                              .streams = engine,
                              .slots = engine ? 16U : 6U,
-                             .control_addresses = control_addresses}));
+                             .control_addresses = control_addresses,
+                             .version =
+                                 version_name(1 + static_cast<unsigned>(i) %
+                                                      settings_.versions)}));
         if (engine) {
             engines.push_back(backends_.back().get());
         }
     }
-    replacements_ = std::make_unique<replacements>(
-        loop_, violations_, settings_.seed + 8, std::move(engines));
+    replacements_ =
+        std::make_unique<replacements>(loop_, violations_, settings_.seed + 8,
+                                       std::move(engines), settings_.versions);
     for (auto& each : backends_) {
         each->set_peers(backends_);
     }
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -40,6 +40,9 @@
         /// to read the settings are all that happens, so that every request has
         /// to succeed.
         bool faults = true;
+        /// Software versions of engines that serve side by side at first; with
+        /// more than one, replaced and restarted engines bring others.
+        unsigned versions = 1;
         /// Engines are replaced in series; this is no fault.
         bool replacements = false;
         /// `budgetSlack` of the bounds: repeated requests that all gates
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -36,8 +36,11 @@
         if (stopped.leaving()) {
             restart(stopped, 100ms, same_id);
         } else if (!stopped.running()) {
+            stopped.change_version(
+                replacements_->restart_version(stopped.version()));
             stopped.start(same_id);
-            violations_.print("start", stopped.id());
+            violations_.print(
+                "start", fmt::format("{} {}", stopped.id(), stopped.version()));
         }
     });
 }
