--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -77,6 +77,7 @@
     void drain(departure how);
     [[nodiscard]] bool running() const { return server_ != nullptr; }
     [[nodiscard]] bool leaving() const { return leaving_; }
+    [[nodiscard]] bool streams() const { return settings_.streams; }
     /// @brief Runs whose callers disconnected after it had stopped listening.
     [[nodiscard]] unsigned runs_left() const { return runs_left_; }
 
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -23,6 +23,11 @@
 /// covers later retries.
 constexpr unsigned max_retries = 3;
 constexpr duration retry_delay = 50ms;
+/// Retries of a stream without a new event after its connection broke; each
+/// waits twice as long as the one before it, which covers a killed gate's
+/// start.
+constexpr unsigned max_take_ups = 5;
+constexpr duration first_take_up_delay = 100ms;
 constexpr unsigned min_events = 30;
 
 /// Statuses that guarantee that the request was not and will not be executed.
@@ -59,7 +64,9 @@
           end_(pool.loop_.now() + (kind == request_kind::stream
                                        ? stream_deadline
                                        : plain_deadline)),
-          retry_timer_(pool.loop_, [this] { send(); })
+          retry_timer_(pool.loop_, [this] { send(); }),
+          stream_(pool.take_ups_,
+                  pool.take_ups_.draw_account(pool.settings_.keys.size()))
     {}
 
     void send()
@@ -75,7 +82,11 @@
             {"Host", pool_.settings_.host},
             {"X-Attempt-Id", attempts_.back()},
             {"X-Deadline-Ms", fmt::format("{}", left.count())},
-            {"Authorization", "Bearer " + pool_.settings_.key}};
+            {"Authorization",
+             "Bearer " + pool_.settings_.keys.at(stream_.account())}};
+        const net::address avoided = gate_;
+        gate_ =
+            pool_.settings_.choose_gate(stream_.begun() ? &avoided : nullptr);
         if (kind_ == request_kind::stream) {
             fields.set("X-Model", "m");
             fields.set("X-Token-Count",
@@ -85,8 +96,11 @@
                 fields.set("Last-Event-Id",
                            fmt::format("{}", received_events_));
             }
+            if (const auto resumed =
+                    stream_.sent(attempts_.back(), !must_succeed_)) {
+                fields.set("Resumes", *resumed);
+            }
         }
-        gate_ = pool_.settings_.choose_gate();
         pool_.statements_.sent(attempts_.back(), gate_.text(),
                                pool_.loop_.now());
         exchange_ = pool_.client_.start(
@@ -120,6 +134,7 @@
                             now - last_input_ > silence_limit)) {
             exchange_.reset();
             pool_.statements_.caller_left(attempts_.back());
+            stream_.ended(client_stream::outcome::unanswered);
             end(&caller_counts::failed, "no response before the deadline");
         }
     }
@@ -188,39 +203,36 @@
                                     received_events_ + 1,
                                     event.substr(0, event.size() - 2)));
             }
-            check_version(version);
+            stream_.received(version);
             ++received_events_;
+            tries_ = 0;
         }
     }
 
-    /// What engines of two software versions write does not fit together.
-    void check_version(std::string_view version)
-    {
-        if (received_events_ > 0 && version != version_) {
-            violate("ORDER",
-                    fmt::format("event {} of {} after {}", received_events_ + 1,
-                                version, version_));
-        }
-        version_ = version;
-    }
-
     void on_complete()
     {
         exchange_.reset();
         if (head_.status == 200) {
             check_complete();
+            stream_.ended(client_stream::outcome::complete);
             end(&caller_counts::served, "");
             return;
         }
         if (guarantees_not_run(head_.status)) {
             pool_.reported_not_run_.push_back(attempts_.back());
+            stream_.ended(client_stream::outcome::refused);
             retry_or(&caller_counts::refused,
                      fmt::format("status {}", head_.status));
             return;
         }
-        if (head_.status != 502 && head_.status != 504 && head_.status != 500) {
+        const bool refuses_name =
+            stream_.named_falsely() && head_.status / 100 == 4;
+        if (head_.status != 502 && head_.status != 504 && head_.status != 500 &&
+            !refuses_name) {
             violate("expected status", fmt::format("status {}", head_.status));
         }
+        stream_.ended(refuses_name ? client_stream::outcome::refused
+                                   : client_stream::outcome::unanswered);
         finish_or_retry(fmt::format("status {}", head_.status));
     }
 
@@ -243,6 +255,7 @@
         if (failure_.code == errc::malformed_input) {
             violate("well-formed responses", "response cannot be parsed");
         }
+        stream_.ended(client_stream::outcome::unanswered);
         if (!failure_.request_sent) {
             retry_or(&caller_counts::failed, "no connection");
             return;
@@ -275,8 +288,14 @@
                            std::chrono::duration<double>(std::strtod(
                                std::string(*retry_after).c_str(), nullptr))));
         }
-        if (attempts_.size() > max_retries ||
-            pool_.loop_.now() + delay >= end_) {
+        bool may_retry = attempts_.size() <= max_retries;
+        if (stream_.begun() && !must_succeed_) {
+            // As specified, a client waits for a third of its time at most.
+            delay = std::max(first_take_up_delay * (1 << tries_),
+                             std::min(delay, (end_ - pool_.loop_.now()) / 3));
+            may_retry = tries_++ < max_take_ups && !stream_.named_falsely();
+        }
+        if (!may_retry || pool_.loop_.now() + delay >= end_) {
             end(count, reason);
             return;
         }
@@ -287,6 +306,7 @@
     {
         ended_ = true;
         retry_timer_.stop();
+
         ++(pool_.counts_[kind_].*count);
         if (count == &caller_counts::failed) {
             pool_.violations_.print("not served",
@@ -315,17 +335,18 @@
     net::http1_failure failure_;
     std::string body_;
     unsigned received_events_ = 0;
-    std::string version_; ///< of the last event
+    unsigned tries_ = 0; ///< retries since the last event
+    client_stream stream_;
     time_point last_input_;
     bool ended_ = false;
 };
 
 caller_pool::caller_pool(net::event_loop& loop, const run_ledger& ledger,
-                         statement_checks& statements, violations& problems,
-                         unsigned seed, options settings)
+                         statement_checks& statements, take_up_checks& take_ups,
+                         violations& problems, unsigned seed, options settings)
     : loop_(loop), ledger_(ledger), statements_(statements),
-      violations_(problems), random_(seed), settings_(std::move(settings)),
-      client_(loop, {})
+      take_ups_(take_ups), violations_(problems), random_(seed),
+      settings_(std::move(settings)), client_(loop, {})
 {}
 
 caller_pool::~caller_pool() = default;
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "statement_checks.hpp"
+#include "take_ups.hpp"
 #include "violations.hpp"
 
 namespace bamboogate::tests {
@@ -41,17 +42,18 @@
 public:
     struct options
     {
-        /// Returns the gate for a new connection.
-        std::function<net::address()> choose_gate;
+        /// Returns the gate for a new connection, another one than `avoided`
+        /// if it is not null and there is one.
+        std::function<net::address(const net::address* avoided)> choose_gate;
         std::string host;
-        std::string key;
+        std::vector<std::string> keys; ///< of client accounts
         std::map<request_kind, std::string> paths;
         unsigned max_events = 150; ///< of a stream
     };
 
     caller_pool(net::event_loop& loop, const run_ledger& ledger,
-                statement_checks& statements, violations& problems,
-                unsigned seed, options settings);
+                statement_checks& statements, take_up_checks& take_ups,
+                violations& problems, unsigned seed, options settings);
     ~caller_pool();
     caller_pool(const caller_pool&) = delete;
     caller_pool& operator=(const caller_pool&) = delete;
@@ -81,6 +83,7 @@
     net::event_loop& loop_;
     const run_ledger& ledger_;
     statement_checks& statements_;
+    take_up_checks& take_ups_;
     violations& violations_;
     std::mt19937 random_;
     options settings_;
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -83,6 +83,7 @@
         return started_ && !paused_ && !stopping();
     }
     [[nodiscard]] bool started() const { return started_; }
+
     [[nodiscard]] double resident_kib() const;
     [[nodiscard]] pid_t process_id() const { return process_.id(); }
     [[nodiscard]] bool running() { return process_.running(); }
@@ -114,6 +115,7 @@
     bool paused_ = false;
     bool refuses_writes_ = false;
     bool ended_before_main_ = false; ///< by the SIGTERM of a planned stop
+
     std::optional<time_point> stopping_since_;
 };
 
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -38,6 +38,11 @@
             "replace engines in series by new ones; with --no-faults every "
             "request still has to succeed",
             command);
+        TCLAP::SwitchArg taking_up(
+            "", "take-ups",
+            "break streams, and let clients name false "
+            "attempts when they take streams up; also with --no-faults",
+            command);
         TCLAP::ValueArg<unsigned> retry_slack(
             "", "retry-slack",
             "repeated requests that all gates together may send in any case",
@@ -71,6 +76,7 @@
                  .faults = !calm.getValue() && pressing.getValue() == 0,
                  .versions = std::max(1U, versions.getValue()),
                  .replacements = replacing.getValue(),
+                 .take_ups = taking_up.getValue(),
                  .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
--- a/tests/platform/soak/replacements.hpp
+++ b/tests/platform/soak/replacements.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_TESTS_PLATFORM_SOAK_REPLACEMENTS_HPP
 
 #include <random>
+#include <string>
 #include <vector>
 
 #include "backend.hpp"
@@ -48,6 +49,7 @@
     unsigned versions_;
     unsigned newest_;           ///< version
     bool brings_newer_ = false; ///< the series, else each engine's own version
+
     time_point next_;
     unsigned replaced_ = 0;
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -50,7 +50,10 @@
     : settings_(std::move(settings)), random_(settings_.seed),
       statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
-      departure_random_(settings_.seed + 7), client_(loop_, {})
+      departure_random_(settings_.seed + 7),
+      take_up_random_(settings_.seed + 9), client_(loop_, {}),
+      take_ups_(violations_, settings_.seed + 10,
+                {.false_names = settings_.take_ups ? 8U : 0U})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -108,18 +111,22 @@
         each->set_peers(backends_);
     }
     callers_ = std::make_unique<caller_pool>(
-        loop_, ledger_, statements_, violations_, settings_.seed + 2,
-        caller_pool::options{.choose_gate = [this] { return choose_gate(); },
-                             .host = "h.example",
-                             .key = "k1",
-                             .paths = {{request_kind::stream, "/gen/"},
-                                       {request_kind::booking, "/book/"},
-                                       {request_kind::lookup, "/look/"}},
-                             .max_events =
-                                 settings_.replacements
-                                     ? outlasting_events
-                                     : caller_pool::options{}.max_events});
-    if (!settings_.faults) {
+        loop_, ledger_, statements_, take_ups_, violations_, settings_.seed + 2,
+        caller_pool::options{
+            .choose_gate =
+                [this](const net::address* avoided) {
+                    return choose_gate(avoided);
+                },
+            .host = "h.example",
+            .keys = settings_.take_ups ? std::vector<std::string>{"k1", "k2"}
+                                       : std::vector<std::string>{"k1"},
+            .paths = {{request_kind::stream, "/gen/"},
+                      {request_kind::booking, "/book/"},
+                      {request_kind::lookup, "/look/"}},
+            .max_events = settings_.replacements
+                              ? outlasting_events
+                              : caller_pool::options{}.max_events});
+    if (!settings_.faults && !settings_.take_ups) {
         std::vector<net::address> gates;
         for (const auto& each : gates_) {
             gates.push_back(each.program->caller_address());
@@ -162,6 +169,9 @@
                {"headerTimeoutMs", 2500},
                {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
+    if (settings_.take_ups) {
+        out["tenants"].push_back({{"name", "acc2"}, {"apiKeys", {"k2"}}});
+    }
     // More versions than there are changes within the time of a check.
     constexpr unsigned kept_keys = 200;
     for (unsigned v = version > kept_keys ? version - kept_keys : 1;
@@ -249,7 +259,7 @@
     }
 }
 
-net::address soak::choose_gate()
+net::address soak::choose_gate(const net::address* avoided)
 {
     std::vector<const gate_entry*> ready;
     for (const auto& each : gates_) {
@@ -257,6 +267,11 @@
             ready.push_back(&each);
         }
     }
+    if (avoided && ready.size() > 1) {
+        std::erase_if(ready, [&](const gate_entry* each) {
+            return each->proxy->address() == *avoided;
+        });
+    }
     if (ready.empty()) {
         return gates_[load_random_() % gates_.size()].proxy->address();
     }
@@ -304,7 +319,7 @@
         callers_->start(request_kind::stream, false);
     }
     if (sends_changes_ && now >= next_change_) {
-        const bool quick = !settings_.faults && !settings_.pressing_streams;
+        const bool quick = versions_ && !settings_.pressing_streams;
         next_change_ = now + (quick ? quick_change_interval : change_interval);
         constexpr std::size_t max_open_changes = 8;
         if (operators_->open_changes() < max_open_changes) {
@@ -337,6 +352,9 @@
     if (replaces_engines_) {
         replacements_->step();
     }
+    if (breaks_streams_) {
+        step_take_ups(now);
+    }
     callers_->step();
     operators_->step();
     if (versions_) {
@@ -392,10 +410,12 @@
     replaces_engines_ = settings_.replacements;
     injects_faults_ = settings_.faults;
     presses_ = settings_.pressing_streams > 0;
-    must_succeed_ = !settings_.faults && !presses_;
+    must_succeed_ = !settings_.faults && !settings_.take_ups && !presses_;
+    breaks_streams_ = settings_.take_ups;
+
     run_for(settings_.fault_time);
-    reloads_ = replaces_engines_ = false;
-    if (settings_.faults) {
+    reloads_ = replaces_engines_ = breaks_streams_ = false;
+    if (settings_.faults || settings_.take_ups) {
         end_faults();
         run_for(recovery_time);
     } else if (std::exchange(presses_, false)) {
@@ -427,6 +447,7 @@
                                     operators_->newest_read(), acknowledged));
     }
     callers_->check_runs();
+
     if (peak_gate_kib_ > gate_memory_kib) {
         violations_.add("memory",
                         fmt::format("a gate used {} KiB", peak_gate_kib_));
@@ -449,6 +470,7 @@
     line += fmt::format(
         "; {} leaves passed on, {} pauses stated, {} settings read again",
         statements_.leaves(), statements_.pauses(), reloads_sent_);
+    line += take_ups_.summary();
     if (settings_.replacements) {
         line += fmt::format(
             "; {} engines replaced, {} runs left by gates at their end",
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -16,6 +16,7 @@
 #include "operators.hpp"
 #include "replacements.hpp"
 #include "statement_checks.hpp"
+#include "take_ups.hpp"
 #include "version_checks.hpp"
 #include "violations.hpp"
 
@@ -45,6 +46,8 @@
         unsigned versions = 1;
         /// Engines are replaced in series; this is no fault.
         bool replacements = false;
+        /// Connections of callers are reset, engines crash, gates are killed.
+        bool take_ups = false;
         /// `budgetSlack` of the bounds: repeated requests that all gates
         /// together may send in any case.
         unsigned retry_slack = 150;
@@ -81,12 +84,20 @@
     void start_all();
     void tick();
     void poll_readiness();
-    net::address choose_gate();
+    net::address choose_gate(const net::address* avoided);
     void schedule(duration delay, std::function<void()> function);
     void pause(machine& program, duration time);
     void terminate(machine& program, duration time);
     /// Injects a random fault.
     void inject();
+    /// Starts a killed program again after `downtime`.
+    void kill(machine& program, duration downtime);
+    void step_take_ups(time_point now);
+    /// Resets connections of callers, kills a gate or crashes an engine.
+    void break_streams();
+
+    [[nodiscard]] duration draw_downtime();
+
     void fault_gate();
     void fault_replica();
     void fault_engine();
@@ -121,10 +132,12 @@
     std::mt19937 reload_random_;
     std::mt19937 load_random_;
     std::mt19937 departure_random_;
+    std::mt19937 take_up_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
     std::vector<std::unique_ptr<backend>> backends_;
+    take_up_checks take_ups_;
     std::unique_ptr<caller_pool> callers_;
     std::unique_ptr<operators> operators_;
     std::unique_ptr<version_checks> versions_; ///< null with faults
@@ -139,12 +152,15 @@
     time_point next_statement_;
     time_point next_disk_refusal_;
     time_point next_reload_;
+    time_point next_break_;
+
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
     bool presses_ = false;
     bool reloads_ = false;
     bool replaces_engines_ = false;
+    bool breaks_streams_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
     double peak_gate_kib_ = 0;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -105,9 +105,7 @@
     }
     switch (kind) {
     case 0:
-        violations_.print("kill", victim.name());
-        victim.kill();
-        restart(victim, downtime);
+        kill(victim, downtime);
         break;
     case 1:
         pause(victim, downtime);
@@ -306,6 +304,13 @@
     });
 }
 
+void soak::kill(machine& program, duration downtime)
+{
+    violations_.print("kill", program.name());
+    program.kill();
+    restart(program, downtime);
+}
+
 void soak::kill_all()
 {
     violations_.print("kill", "every gate and replica");
