Kill all gates of the soak at once while versions come and go

ORDER broke at users when all gates were killed at once and came back while two software versions served or the old one had just left. The soak killed gates only one by one, or with all replicas.

Drawn in equal parts: nothing else, all replicas too, or the leader (found by the replicas' logs) within the same second.

--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -183,6 +183,18 @@
     }
 }
 
+bool machine::leads() const
+{
+    bool out = false;
+    std::ifstream log(file(".log"));
+    for (std::string line; started_ && std::getline(log, line);) {
+        if (line.find(" role_changed ") != std::string::npos) {
+            out = line.find("role=leader") != std::string::npos;
+        }
+    }
+    return out;
+}
+
 bool machine::handles_signals() const
 {
     const std::uint64_t handled = signal_mask(process_.id(), "SigBlk:") |
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -84,6 +84,8 @@
     }
     [[nodiscard]] bool started() const { return started_; }
 
+    /// @brief True if the replica leads, by its log.
+    [[nodiscard]] bool leads() const;
     [[nodiscard]] double resident_kib() const;
     [[nodiscard]] pid_t process_id() const { return process_.id(); }
     [[nodiscard]] bool running() { return process_.running(); }
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -40,7 +40,7 @@
             command);
         TCLAP::SwitchArg taking_up(
             "", "take-ups",
-            "break streams, and let clients name false "
+            "break streams, kill all gates at once, and let clients name false "
             "attempts when they take streams up; also with --no-faults",
             command);
         TCLAP::ValueArg<unsigned> retry_slack(
--- a/tests/platform/soak/replacements.cpp
+++ b/tests/platform/soak/replacements.cpp
@@ -45,6 +45,21 @@
                            });
 }
 
+bool replacements::version_left()
+{
+    std::set<std::string> running;
+    for (const backend* each : engines_) {
+        if (each->running()) {
+            running.insert(each->version());
+        }
+    }
+    const bool left =
+        !std::includes(running.begin(), running.end(),
+                       running_versions_.begin(), running_versions_.end());
+    running_versions_ = std::move(running);
+    return left;
+}
+
 void replacements::step()
 {
     if (loop_.now() < next_) {
--- a/tests/platform/soak/replacements.hpp
+++ b/tests/platform/soak/replacements.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_TESTS_PLATFORM_SOAK_REPLACEMENTS_HPP
 
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
     /// @brief Draws a software version for an engine that starts again.
     [[nodiscard]] std::string restart_version(const std::string& previous);
 
+    /// @brief True once after the last engine of a software version stopped.
+    [[nodiscard]] bool version_left();
+
     [[nodiscard]] unsigned replaced() const { return replaced_; }
     /// @brief Runs that gates left at engines that finished their last runs.
     [[nodiscard]] unsigned runs_left() const;
@@ -49,7 +53,7 @@
     unsigned versions_;
     unsigned newest_;           ///< version
     bool brings_newer_ = false; ///< the series, else each engine's own version
-
+    std::set<std::string> running_versions_;
     time_point next_;
     unsigned replaced_ = 0;
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -412,7 +412,7 @@
     presses_ = settings_.pressing_streams > 0;
     must_succeed_ = !settings_.faults && !settings_.take_ups && !presses_;
     breaks_streams_ = settings_.take_ups;
-
+    last_gate_kill_ = loop_.now();
     run_for(settings_.fault_time);
     reloads_ = replaces_engines_ = breaks_streams_ = false;
     if (settings_.faults || settings_.take_ups) {
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -46,7 +46,8 @@
         unsigned versions = 1;
         /// Engines are replaced in series; this is no fault.
         bool replacements = false;
-        /// Connections of callers are reset, engines crash, gates are killed.
+        /// Connections of callers are reset, engines crash, and all gates are
+        /// killed, alone, with all replicas or with the leader.
         bool take_ups = false;
         /// `budgetSlack` of the bounds: repeated requests that all gates
         /// together may send in any case.
@@ -95,7 +96,7 @@
     void step_take_ups(time_point now);
     /// Resets connections of callers, kills a gate or crashes an engine.
     void break_streams();
-
+    void kill_gates();
     [[nodiscard]] duration draw_downtime();
 
     void fault_gate();
@@ -153,7 +154,7 @@
     time_point next_disk_refusal_;
     time_point next_reload_;
     time_point next_break_;
-
+    time_point last_gate_kill_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
