Check in the soak that streams which are taken up go on

A take-up counts if its gate had no kill, start, pause or stop from 3 s before it until its first event or its end, no replica either, and two engines of its version served at both moments; new streams count likewise.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -97,7 +97,8 @@
                            fmt::format("{}", received_events_));
             }
             if (const auto resumed =
-                    stream_.sent(attempts_.back(), !must_succeed_)) {
+                    stream_.sent(attempts_.back(), gate_.text(),
+                                 pool_.loop_.now(), !must_succeed_)) {
                 fields.set("Resumes", *resumed);
             }
         }
@@ -306,7 +307,7 @@
     {
         ended_ = true;
         retry_timer_.stop();
-
+        stream_.given_up();
         ++(pool_.counts_[kind_].*count);
         if (count == &caller_counts::failed) {
             pool_.violations_.print("not served",
--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -85,6 +85,7 @@
 
 void machine::start(bool first_start)
 {
+    disturbed_at_ = monotonic_clock::now();
     write_settings(first_start);
     std::filesystem::create_directories(file("-data"));
     // The program reads the path from its environment; setenv is safe because
@@ -101,6 +102,7 @@
 
 void machine::kill()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.kill();
     started_ = paused_ = refuses_writes_ = false;
     stopping_since_.reset();
@@ -108,12 +110,14 @@
 
 void machine::pause()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.send_signal(SIGSTOP);
     paused_ = true;
 }
 
 void machine::resume()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.send_signal(SIGCONT);
     paused_ = false;
 }
@@ -126,6 +130,7 @@
 
 void machine::terminate(time_point now)
 {
+    disturbed_at_ = now;
     ended_before_main_ = !handles_signals();
     process_.send_signal(SIGTERM);
     stopping_since_ = now;
@@ -164,12 +169,14 @@
 
 void machine::refuse_writes(std::uint64_t bytes)
 {
+    disturbed_at_ = monotonic_clock::now();
     limit_files(bytes);
     refuses_writes_ = true;
 }
 
 void machine::accept_writes()
 {
+    disturbed_at_ = monotonic_clock::now();
     limit_files(RLIM_INFINITY);
     refuses_writes_ = false;
 }
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -83,7 +83,8 @@
         return started_ && !paused_ && !stopping();
     }
     [[nodiscard]] bool started() const { return started_; }
-
+    /// @brief When it last started, was to stop, or was kept from its work.
+    [[nodiscard]] time_point disturbed_at() const { return disturbed_at_; }
     /// @brief True if the replica leads, by its log.
     [[nodiscard]] bool leads() const;
     [[nodiscard]] double resident_kib() const;
@@ -117,7 +118,7 @@
     bool paused_ = false;
     bool refuses_writes_ = false;
     bool ended_before_main_ = false; ///< by the SIGTERM of a planned stop
-
+    time_point disturbed_at_;
     std::optional<time_point> stopping_since_;
 };
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -52,8 +52,13 @@
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
       departure_random_(settings_.seed + 7),
       take_up_random_(settings_.seed + 9), client_(loop_, {}),
-      take_ups_(violations_, settings_.seed + 10,
-                {.false_names = settings_.take_ups ? 8U : 0U})
+      take_ups_(
+          violations_, settings_.seed + 10,
+          {.disturbed_at =
+               [this](const std::string& gate) { return disturbed_at(gate); },
+           .serving =
+               [this](std::string_view version) { return serving(version); },
+           .false_names = settings_.take_ups ? 8U : 0U})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -447,7 +452,9 @@
                                     operators_->newest_read(), acknowledged));
     }
     callers_->check_runs();
-
+    if (settings_.take_ups) {
+        take_ups_.check_share();
+    }
     if (peak_gate_kib_ > gate_memory_kib) {
         violations_.add("memory",
                         fmt::format("a gate used {} KiB", peak_gate_kib_));
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -98,7 +98,10 @@
     void break_streams();
     void kill_gates();
     [[nodiscard]] duration draw_downtime();
-
+    /// When a gate or any replica was last disturbed.
+    [[nodiscard]] time_point disturbed_at(std::string_view gate) const;
+    /// Engines of a version that serve and do not leave.
+    [[nodiscard]] unsigned serving(std::string_view version) const;
     void fault_gate();
     void fault_replica();
     void fault_engine();
--- a/tests/platform/soak/soak_take_ups.cpp
+++ b/tests/platform/soak/soak_take_ups.cpp
@@ -85,4 +85,27 @@
     return std::chrono::milliseconds(200 + take_up_random_() % 2300);
 }
 
+time_point soak::disturbed_at(std::string_view gate) const
+{
+    time_point out{};
+    for (const auto& each : gates_) {
+        if (each.proxy->address().text() == gate) {
+            out = each.program->disturbed_at();
+        }
+    }
+    for (const auto& each : replicas_) {
+        out = std::max(out, each->disturbed_at());
+    }
+    return out;
+}
+
+unsigned soak::serving(std::string_view version) const
+{
+    return static_cast<unsigned>(std::count_if(
+        backends_.begin(), backends_.end(), [&](const auto& each) {
+            return each->streams() && each->running() && !each->leaving() &&
+                   each->version() == version;
+        }));
+}
+
 } // namespace bamboogate::tests
--- a/tests/platform/soak/take_ups.cpp
+++ b/tests/platform/soak/take_ups.cpp
@@ -5,13 +5,31 @@
 
 namespace bamboogate::tests {
 
+using namespace std::chrono_literals;
+
 namespace {
 
+/// A gate is in touch this long after the last disturbance (`contactMs`).
+constexpr duration contact_time = 3s;
+constexpr unsigned min_engines = 2;
+constexpr unsigned min_take_ups = 12;
 /// Attempts of an account that other streams may name.
 constexpr std::size_t kept_attempts = 32;
 
 } // namespace
 
+void take_up_checks::check_share()
+{
+    if (taken_up_.streams >= min_take_ups &&
+        2 * taken_up_.on * begun_.streams < begun_.on * taken_up_.streams) {
+        violations_.add("LOST, take-ups go on",
+                        fmt::format("{} of {} went on, {} of {} new streams "
+                                    "began",
+                                    taken_up_.on, taken_up_.streams, begun_.on,
+                                    begun_.streams));
+    }
+}
+
 std::string take_up_checks::summary() const
 {
     const auto text = [](std::string_view name, const take_up_counts& counts) {
@@ -19,16 +37,23 @@
                            counts.sent, name, counts.went_on, counts.refused,
                            counts.unanswered);
     };
-    return fmt::format("; {}; {}", text("take-ups", true_names_),
-                       text("with false names", false_names_));
+    return fmt::format(
+        "; {}; {}; at undisturbed gates {} of {} broken streams went on, {} of "
+        "{} new ones began",
+        text("take-ups", true_names_), text("with false names", false_names_),
+        taken_up_.on, taken_up_.streams, begun_.on, begun_.streams);
 }
 
 std::optional<std::string> client_stream::sent(const std::string& attempt,
-                                               bool may_lie)
+                                               const std::string& gate,
+                                               time_point now, bool may_lie)
 {
     attempt_ = attempt;
+    gate_ = gate;
+    sent_at_ = now;
     on_ = false;
     takes_up_ = begun();
+    could_go_on_ = two_engines_serve();
     name_ = resumed_name::first_attempt;
     if (!takes_up_) {
         return std::nullopt;
@@ -39,6 +64,8 @@
         name = draw_false_name();
     }
     ++counts().sent;
+    // No attempt with the true name follows.
+    counts_ = counts_ && !named_falsely();
     return name;
 }
 
@@ -73,6 +100,11 @@
     return named_falsely() ? checks_.false_names_ : checks_.true_names_;
 }
 
+bool client_stream::two_engines_serve() const
+{
+    return !takes_up_ || checks_.settings_.serving(version_) >= min_engines;
+}
+
 void client_stream::received(std::string_view version)
 {
     check_version(version);
@@ -111,6 +143,20 @@
     if (takes_up_) {
         ++counts().went_on;
     }
+    judge_attempt();
+    if (std::exchange(counts_, false)) {
+        auto& share = takes_up_ ? checks_.taken_up_ : checks_.begun_;
+        ++share.streams;
+        ++share.on;
+    }
+}
+
+void client_stream::judge_attempt()
+{
+    const bool calm =
+        checks_.settings_.disturbed_at(gate_) + contact_time <= sent_at_;
+    counts_ = counts_ ||
+              (calm && !named_falsely() && could_go_on_ && two_engines_serve());
 }
 
 void client_stream::ended(outcome how)
@@ -125,6 +171,14 @@
     if (takes_up_) {
         ++(how == outcome::refused ? counts().refused : counts().unanswered);
     }
+    judge_attempt();
+}
+
+void client_stream::given_up()
+{
+    if (std::exchange(counts_, false)) {
+        ++(begun() ? checks_.taken_up_ : checks_.begun_).streams;
+    }
 }
 
 } // namespace bamboogate::tests
