--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -18,8 +18,16 @@
 /// Tokens per event, the stride of the soak's configuration.
 inline constexpr unsigned tokens_per_event = 6;
 
-/// @brief The expected text of an event, so that callers can check each one.
-[[nodiscard]] std::string event_text(std::string_view prompt, unsigned number);
+/// @brief The text of an event, which depends on the software version of the
+///     engine that writes it, so that callers can check each one.
+[[nodiscard]] std::string event_text(std::string_view prompt, unsigned number,
+                                     std::string_view version);
+
+/// @brief The software version of the engine that wrote an event.
+[[nodiscard]] std::string_view event_version(std::string_view event);
+
+/// @brief The name of a software version, from 1.
+[[nodiscard]] std::string version_name(unsigned number);
 
 /// @brief The body of a plain service's answer.
 [[nodiscard]] std::string plain_answer(std::string_view attempt);
@@ -39,6 +47,16 @@
         unsigned slots = 16;
         /// Receive its announcements.
         std::vector<net::address> control_addresses;
+        /// Software version of its first start.
+        std::string version = version_name(1);
+    };
+
+    /// How a back end leaves.
+    struct departure
+    {
+        /// It deregisters at once, without having announced that it drains.
+        bool deregisters_first = false;
+        duration serving; ///< from the announcement until it stops listening
     };
 
     backend(net::event_loop& loop, net::http1_client& client,
@@ -53,13 +71,29 @@
     /// @brief Starts under a new id, or again under the previous one.
     void start(bool same_id);
     void crash();
-    /// @brief Announces that it is draining; stops two seconds later.
-    void drain();
+    /// @brief Announces that it leaves, serves for a time, then refuses new
+    ///     connections, and stops after the end of its last run.
+    /// @pre running
+    void drain(departure how);
     [[nodiscard]] bool running() const { return server_ != nullptr; }
+    [[nodiscard]] bool leaving() const { return leaving_; }
+    [[nodiscard]] bool streams() const { return settings_.streams; }
+    /// @brief Runs whose callers disconnected after it had stopped listening.
+    [[nodiscard]] unsigned runs_left() const { return runs_left_; }
+
+    /// @brief Sets the software version of the next start.
+    void change_version(std::string version)
+    {
+        settings_.version = std::move(version);
+    }
+    /// @brief The software version of its last start.
+    [[nodiscard]] const std::string& version() const { return version_; }
 
     [[nodiscard]] fault_proxy& proxy() { return proxy_; }
     [[nodiscard]] net::address address() const { return proxy_.address(); }
     [[nodiscard]] const std::string& id() const { return id_; }
+    /// @brief Unix milliseconds of its last start.
+    [[nodiscard]] std::uint64_t started_at() const { return started_at_; }
 
     /// Fault switches, set by the soak.
     bool silent = false;        ///< streams produce no events
@@ -110,6 +144,8 @@
     void announce();
     void announce_at(std::size_t replica, unsigned tries_left,
                      const std::string& path);
+    void deregister();
+    void stop_listening();
     /// @return the back end at an address, else null
     [[nodiscard]] backend* at(std::string_view address) const;
     [[nodiscard]] duration scaled(duration time) const;
@@ -122,10 +158,15 @@
     fault_proxy proxy_;
     const std::vector<std::unique_ptr<backend>>* peers_ = nullptr;
     std::string id_;
+    std::string version_;
     std::uint64_t started_at_ = 0;
     std::uint64_t sequence_ = 0;
     unsigned starts_ = 0;
-    bool draining_ = false;
+    bool leaving_ = false;  ///< has announced it in either way
+    bool draining_ = false; ///< the state that it announces
+    bool listening_ = false;
+    unsigned runs_left_ = 0;
+    time_point last_run_; ///< when it last had one
     std::unique_ptr<net::http1_server> server_;
     std::vector<std::shared_ptr<run>> runs_;
     /// Long polls for cache events, with the end of their wait.
--- a/tests/platform/soak/fleet.cpp
+++ b/tests/platform/soak/fleet.cpp
@@ -75,14 +75,17 @@
                            settings_.limits->memory_mb,
                            settings_.limits->descriptors);
     }
-    out << "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
-           "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = 150\n";
+    out << fmt::format(
+        "[faultTolerance]\nmachines = 2\n[bounds]\ngraceS = 8\n"
+        "retryBudgetRatio = 0.8\nretryWindowS = 10\nbudgetSlack = {}\n",
+        settings_.retry_slack);
     out.close();
     std::filesystem::rename(written, file(".toml"));
 }
 
 void machine::start(bool first_start)
 {
+    disturbed_at_ = monotonic_clock::now();
     write_settings(first_start);
     std::filesystem::create_directories(file("-data"));
     // The program reads the path from its environment; setenv is safe because
@@ -99,6 +102,7 @@
 
 void machine::kill()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.kill();
     started_ = paused_ = refuses_writes_ = false;
     stopping_since_.reset();
@@ -106,12 +110,14 @@
 
 void machine::pause()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.send_signal(SIGSTOP);
     paused_ = true;
 }
 
 void machine::resume()
 {
+    disturbed_at_ = monotonic_clock::now();
     process_.send_signal(SIGCONT);
     paused_ = false;
 }
@@ -124,6 +130,7 @@
 
 void machine::terminate(time_point now)
 {
+    disturbed_at_ = now;
     ended_before_main_ = !handles_signals();
     process_.send_signal(SIGTERM);
     stopping_since_ = now;
@@ -162,12 +169,14 @@
 
 void machine::refuse_writes(std::uint64_t bytes)
 {
+    disturbed_at_ = monotonic_clock::now();
     limit_files(bytes);
     refuses_writes_ = true;
 }
 
 void machine::accept_writes()
 {
+    disturbed_at_ = monotonic_clock::now();
     limit_files(RLIM_INFINITY);
     refuses_writes_ = false;
 }
@@ -181,6 +190,18 @@
     }
 }
 
+bool machine::leads() const
+{
+    bool out = false;
+    std::ifstream log(file(".log"));
+    for (std::string line; started_ && std::getline(log, line);) {
+        if (line.find(" role_changed ") != std::string::npos) {
+            out = line.find("role=leader") != std::string::npos;
+        }
+    }
+    return out;
+}
+
 bool machine::handles_signals() const
 {
     const std::uint64_t handled = signal_mask(process_.id(), "SigBlk:") |
--- a/tests/platform/soak/fleet.hpp
+++ b/tests/platform/soak/fleet.hpp
@@ -40,6 +40,7 @@
         std::filesystem::path programs; ///< folder of the two programs
         std::filesystem::path folder;   ///< for settings, log and data
         std::optional<program_limits> limits = std::nullopt;
+        unsigned retry_slack = 150; ///< `budgetSlack` of the bounds
     };
 
     machine(options settings, violations& problems);
@@ -82,6 +83,10 @@
         return started_ && !paused_ && !stopping();
     }
     [[nodiscard]] bool started() const { return started_; }
+    /// @brief When it last started, was to stop, or was kept from its work.
+    [[nodiscard]] time_point disturbed_at() const { return disturbed_at_; }
+    /// @brief True if the replica leads, by its log.
+    [[nodiscard]] bool leads() const;
     [[nodiscard]] double resident_kib() const;
     [[nodiscard]] pid_t process_id() const { return process_.id(); }
     [[nodiscard]] bool running() { return process_.running(); }
@@ -113,6 +118,7 @@
     bool paused_ = false;
     bool refuses_writes_ = false;
     bool ended_before_main_ = false; ///< by the SIGTERM of a planned stop
+    time_point disturbed_at_;
     std::optional<time_point> stopping_since_;
 };
 
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 
 #include "soak.hpp"
@@ -27,6 +28,25 @@
                               "only changes and signals to read the settings; "
                               "every request has to succeed",
                               command);
+        TCLAP::ValueArg<unsigned> versions(
+            "", "versions",
+            "software versions of engines that serve side by side at first; "
+            "with more than one, later starts bring others",
+            false, 1, "number", command);
+        TCLAP::SwitchArg replacing(
+            "", "replacements",
+            "replace engines in series by new ones; with --no-faults every "
+            "request still has to succeed",
+            command);
+        TCLAP::SwitchArg taking_up(
+            "", "take-ups",
+            "break streams, kill all gates at once, and let clients name false "
+            "attempts when they take streams up; also with --no-faults",
+            command);
+        TCLAP::ValueArg<unsigned> retry_slack(
+            "", "retry-slack",
+            "repeated requests that all gates together may send in any case",
+            false, 150, "number", command);
         TCLAP::ValueArg<unsigned> pressing(
             "", "press",
             "streams a second that callers send in addition; implies "
@@ -54,6 +74,10 @@
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
                  .faults = !calm.getValue() && pressing.getValue() == 0,
+                 .versions = std::max(1U, versions.getValue()),
+                 .replacements = replacing.getValue(),
+                 .take_ups = taking_up.getValue(),
+                 .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
                  .folder = run_folder});
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -30,6 +30,8 @@
 /// stale data.
 constexpr duration read_interval = 40ms;
 constexpr unsigned max_missed_checks = 2;
+/// Lets streams run for longer than an engine listens before it leaves.
+constexpr unsigned outlasting_events = 400;
 
 /// Returns a loopback address.
 /// @param row 0 for replicas, 1 for gates
@@ -48,7 +50,15 @@
     : settings_(std::move(settings)), random_(settings_.seed),
       statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
-      client_(loop_, {})
+      departure_random_(settings_.seed + 7),
+      take_up_random_(settings_.seed + 9), client_(loop_, {}),
+      take_ups_(
+          violations_, settings_.seed + 10,
+          {.disturbed_at =
+               [this](const std::string& gate) { return disturbed_at(gate); },
+           .serving =
+               [this](std::string_view version) { return serving(version); },
+           .false_names = settings_.take_ups ? 8U : 0U})
 {
     std::filesystem::create_directories(settings_.folder);
     std::vector<std::string> seeds;
@@ -64,7 +74,8 @@
                 .ip = loopback_ip(gate ? 1 : 0, i),
                 .seeds = seeds,
                 .programs = settings_.programs,
-                .folder = settings_.folder},
+                .folder = settings_.folder,
+                .retry_slack = settings_.retry_slack},
             violations_);
     };
     std::vector<net::address> control_addresses;
@@ -78,28 +89,49 @@
             std::make_unique<fault_proxy>(loop_, program->caller_address());
         gates_.push_back({std::move(program), std::move(proxy)});
     }
-    for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
-        const bool engine = i < settings_.engines;
+    const std::size_t started = settings_.engines + settings_.services;
+    // Each engine that is replaced needs a spare one while it leaves.
+    const std::size_t spare = settings_.replacements ? settings_.engines : 0;
+    std::vector<backend*> engines;
+    for (std::size_t i = 0; i < started + spare; ++i) {
+        const bool engine = i < settings_.engines || i >= started;
         backends_.push_back(std::make_unique<backend>(
             loop_, client_, ledger_, statements_,
             backend::options{.service = engine ? "gen" : "book",
                              .failure_domain = domains.at(i % domains.size()),
                              .streams = engine,
                              .slots = engine ? 16U : 6U,
-                             .control_addresses = control_addresses}));
+                             .control_addresses = control_addresses,
+                             .version =
+                                 version_name(1 + static_cast<unsigned>(i) %
+                                                      settings_.versions)}));
+        if (engine) {
+            engines.push_back(backends_.back().get());
+        }
     }
+    replacements_ =
+        std::make_unique<replacements>(loop_, violations_, settings_.seed + 8,
+                                       std::move(engines), settings_.versions);
     for (auto& each : backends_) {
         each->set_peers(backends_);
     }
     callers_ = std::make_unique<caller_pool>(
-        loop_, ledger_, statements_, violations_, settings_.seed + 2,
-        caller_pool::options{.choose_gate = [this] { return choose_gate(); },
-                             .host = "h.example",
-                             .key = "k1",
-                             .paths = {{request_kind::stream, "/gen/"},
-                                       {request_kind::booking, "/book/"},
-                                       {request_kind::lookup, "/look/"}}});
-    if (!settings_.faults) {
+        loop_, ledger_, statements_, take_ups_, violations_, settings_.seed + 2,
+        caller_pool::options{
+            .choose_gate =
+                [this](const net::address* avoided) {
+                    return choose_gate(avoided);
+                },
+            .host = "h.example",
+            .keys = settings_.take_ups ? std::vector<std::string>{"k1", "k2"}
+                                       : std::vector<std::string>{"k1"},
+            .paths = {{request_kind::stream, "/gen/"},
+                      {request_kind::booking, "/book/"},
+                      {request_kind::lookup, "/look/"}},
+            .max_events = settings_.replacements
+                              ? outlasting_events
+                              : caller_pool::options{}.max_events});
+    if (!settings_.faults && !settings_.take_ups) {
         std::vector<net::address> gates;
         for (const auto& each : gates_) {
             gates.push_back(each.program->caller_address());
@@ -142,6 +174,9 @@
                {"headerTimeoutMs", 2500},
                {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
+    if (settings_.take_ups) {
+        out["tenants"].push_back({{"name", "acc2"}, {"apiKeys", {"k2"}}});
+    }
     // More versions than there are changes within the time of a check.
     constexpr unsigned kept_keys = 200;
     for (unsigned v = version > kept_keys ? version - kept_keys : 1;
@@ -229,7 +264,7 @@
     }
 }
 
-net::address soak::choose_gate()
+net::address soak::choose_gate(const net::address* avoided)
 {
     std::vector<const gate_entry*> ready;
     for (const auto& each : gates_) {
@@ -237,6 +272,11 @@
             ready.push_back(&each);
         }
     }
+    if (avoided && ready.size() > 1) {
+        std::erase_if(ready, [&](const gate_entry* each) {
+            return each->proxy->address() == *avoided;
+        });
+    }
     if (ready.empty()) {
         return gates_[load_random_() % gates_.size()].proxy->address();
     }
@@ -284,7 +324,7 @@
         callers_->start(request_kind::stream, false);
     }
     if (sends_changes_ && now >= next_change_) {
-        const bool quick = !settings_.faults && !settings_.pressing_streams;
+        const bool quick = versions_ && !settings_.pressing_streams;
         next_change_ = now + (quick ? quick_change_interval : change_interval);
         constexpr std::size_t max_open_changes = 8;
         if (operators_->open_changes() < max_open_changes) {
@@ -314,6 +354,12 @@
         next_disk_refusal_ = now + refusal_interval;
         inject_disk_refusal();
     }
+    if (replaces_engines_) {
+        replacements_->step();
+    }
+    if (breaks_streams_) {
+        step_take_ups(now);
+    }
     callers_->step();
     operators_->step();
     if (versions_) {
@@ -338,8 +384,8 @@
     for (auto& each : gates_) {
         each.program->start(true);
     }
-    for (auto& each : backends_) {
-        each->start(false);
+    for (std::size_t i = 0; i < settings_.engines + settings_.services; ++i) {
+        backends_[i]->start(false);
     }
     sends_changes_ = true;
     // The specification starts traffic 10 s after the machines; the soak waits
@@ -366,12 +412,15 @@
     sends_requests_ = true;
     run_for(1s);
     reloads_ = true;
+    replaces_engines_ = settings_.replacements;
     injects_faults_ = settings_.faults;
     presses_ = settings_.pressing_streams > 0;
-    must_succeed_ = !settings_.faults && !presses_;
+    must_succeed_ = !settings_.faults && !settings_.take_ups && !presses_;
+    breaks_streams_ = settings_.take_ups;
+    last_gate_kill_ = loop_.now();
     run_for(settings_.fault_time);
-    reloads_ = false;
-    if (settings_.faults) {
+    reloads_ = replaces_engines_ = breaks_streams_ = false;
+    if (settings_.faults || settings_.take_ups) {
         end_faults();
         run_for(recovery_time);
     } else if (std::exchange(presses_, false)) {
@@ -403,6 +452,9 @@
                                     operators_->newest_read(), acknowledged));
     }
     callers_->check_runs();
+    if (settings_.take_ups) {
+        take_ups_.check_share();
+    }
     if (peak_gate_kib_ > gate_memory_kib) {
         violations_.add("memory",
                         fmt::format("a gate used {} KiB", peak_gate_kib_));
@@ -425,6 +477,12 @@
     line += fmt::format(
         "; {} leaves passed on, {} pauses stated, {} settings read again",
         statements_.leaves(), statements_.pauses(), reloads_sent_);
+    line += take_ups_.summary();
+    if (settings_.replacements) {
+        line += fmt::format(
+            "; {} engines replaced, {} runs left by gates at their end",
+            replacements_->replaced(), replacements_->runs_left());
+    }
     if (versions_) {
         line += fmt::format("; {} checks of versions in force",
                             versions_->confirmed());
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -14,7 +14,9 @@
 #include "callers.hpp"
 #include "fleet.hpp"
 #include "operators.hpp"
+#include "replacements.hpp"
 #include "statement_checks.hpp"
+#include "take_ups.hpp"
 #include "version_checks.hpp"
 #include "violations.hpp"
 
@@ -39,6 +41,17 @@
         /// to read the settings are all that happens, so that every request has
         /// to succeed.
         bool faults = true;
+        /// Software versions of engines that serve side by side at first; with
+        /// more than one, replaced and restarted engines bring others.
+        unsigned versions = 1;
+        /// Engines are replaced in series; this is no fault.
+        bool replacements = false;
+        /// Connections of callers are reset, engines crash, and all gates are
+        /// killed, alone, with all replicas or with the leader.
+        bool take_ups = false;
+        /// `budgetSlack` of the bounds: repeated requests that all gates
+        /// together may send in any case.
+        unsigned retry_slack = 150;
         /// Streams a second that callers send in addition, more than the
         /// engines can run. Only without faults; requests may be refused then.
         unsigned pressing_streams = 0;
@@ -72,12 +85,23 @@
     void start_all();
     void tick();
     void poll_readiness();
-    net::address choose_gate();
+    net::address choose_gate(const net::address* avoided);
     void schedule(duration delay, std::function<void()> function);
     void pause(machine& program, duration time);
     void terminate(machine& program, duration time);
     /// Injects a random fault.
     void inject();
+    /// Starts a killed program again after `downtime`.
+    void kill(machine& program, duration downtime);
+    void step_take_ups(time_point now);
+    /// Resets connections of callers, kills a gate or crashes an engine.
+    void break_streams();
+    void kill_gates();
+    [[nodiscard]] duration draw_downtime();
+    /// When a gate or any replica was last disturbed.
+    [[nodiscard]] time_point disturbed_at(std::string_view gate) const;
+    /// Engines of a version that serve and do not leave.
+    [[nodiscard]] unsigned serving(std::string_view version) const;
     void fault_gate();
     void fault_replica();
     void fault_engine();
@@ -92,6 +116,8 @@
     void end_faults();
     /// Starts a killed or stopping program again after `delay`.
     void restart(machine& program, duration delay);
+    /// Starts a back end again `delay` from now, or once it has left.
+    void restart(backend& stopped, duration delay, bool same_id);
     void run_for(duration time);
     void report() const;
     [[nodiscard]] duration random_time(duration least, duration most);
@@ -109,13 +135,17 @@
     std::mt19937 disk_random_;
     std::mt19937 reload_random_;
     std::mt19937 load_random_;
+    std::mt19937 departure_random_;
+    std::mt19937 take_up_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
     std::vector<std::unique_ptr<backend>> backends_;
+    take_up_checks take_ups_;
     std::unique_ptr<caller_pool> callers_;
     std::unique_ptr<operators> operators_;
     std::unique_ptr<version_checks> versions_; ///< null with faults
+    std::unique_ptr<replacements> replacements_;
     std::vector<scheduled_action> schedule_;
     time_point next_request_;
     time_point next_pressing_stream_;
@@ -126,11 +156,15 @@
     time_point next_statement_;
     time_point next_disk_refusal_;
     time_point next_reload_;
+    time_point next_break_;
+    time_point last_gate_kill_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
     bool sends_requests_ = false;
     bool injects_faults_ = false;
     bool presses_ = false;
     bool reloads_ = false;
+    bool replaces_engines_ = false;
+    bool breaks_streams_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
     double peak_gate_kib_ = 0;
