Tell the gates the recorded versions, and trust only a current history

All declared services are recorded. - A leader that has just taken over, after a restart of all processes, knew no engine and refused resumed streams at once; they wait for the announcements. - The leader sends the version of each placement, so that a gate that knows a newer start of the engine reports the origin itself. - A stream that once waited for its origin had no time left to wait for an engine of its version later. - A gate's reports after a new link to its leader are passed on only if they are new.

--- a/lib/include/bamboogate/relay/configuration_store.hpp
+++ b/lib/include/bamboogate/relay/configuration_store.hpp
@@ -55,6 +55,7 @@
     /// @brief The software versions in use, whose commands and snapshots pass
     ///     through this store.
     [[nodiscard]] const version_history& versions() const { return versions_; }
+    [[nodiscard]] version_history& versions() { return versions_; }
 
     /// @brief Sets the function that is called after each change of the
     ///     document.
--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -62,6 +62,8 @@
         std::function<void(const suspicion_update&)> on_request_suspicion;
         /// The last rollouts of services.
         std::function<void(const rollout_update&)> on_rollouts;
+        /// The versions at which streams may begin.
+        std::function<void(const recorded_versions&)> on_recorded_versions;
         /// The leader still judges the rollouts in progress.
         std::function<void(const rollout_lease&)> on_rollout_lease;
         /// The leader changed, or the link to it was established again.
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -219,7 +219,7 @@
     std::int64_t retry_after_ms = 0; ///< if refused
     bool quarantined = false; ///< refused because it would crash its engine
     std::uint8_t origin = 0;  ///< value of `origin_state`, for a resumed stream
-    software_version version; ///< of the origin, if it is known
+    software_version version; ///< of the engine
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(place_reply, engine,
                                                 copy_holder, retry_after_ms,
                                                 quarantined, origin, version)
--- a/lib/include/bamboogate/relay/origin_messages.hpp
+++ b/lib/include/bamboogate/relay/origin_messages.hpp
@@ -5,6 +5,8 @@
 #include <bamboogate/relay/stream_origins.hpp>
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -42,6 +44,15 @@
                                    current)
 };
 
+/// Replica to gates, on each change and to new subscribers: the versions at
+/// which streams may begin, see `version_history`.
+struct recorded_versions
+{
+    static constexpr std::string_view type = "relay_recorded_versions";
+    std::map<service_id, std::set<software_version>> versions;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(recorded_versions, versions)
+};
+
 /// Gate to replica, if there is no leader: asks for the origin of a stream.
 struct find_origin
 {
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -43,7 +43,14 @@
     ///     that it doesn't contain get no streams, and the origin of an unknown
     ///     stream is the only version that it contains.
     /// @param history must outlive the server
-    void follow(const version_history& history) { history_ = &history; }
+    /// @param is_current returns whether no other replica can have added a
+    ///     version since
+    void use_version_history(const version_history& history,
+                             std::function<bool()> is_current)
+    {
+        history_ = &history;
+        history_is_current_ = std::move(is_current);
+    }
 
     /// @brief The origins of the streams that were placed, kept while this
     ///     replica does not lead.
@@ -157,8 +164,10 @@
     /// True if the history shows that streams of the version may exist.
     [[nodiscard]] bool is_recorded(const service_id& service,
                                    const software_version& version) const;
-    void note_origin(std::uint64_t stream, const service_id& service,
-                     const upstream_id& engine);
+    /// True while gates and upstreams may still report to a new leader.
+    [[nodiscard]] bool awaits_reports() const;
+    /// Records where a stream is placed and tells its gate the version.
+    void note_origin(const pending& placed, place_reply& reply);
     /// Decides soon on the waiting streams of a service, once for all messages
     /// that arrive until then.
     void request_decision(const service_id& service);
@@ -178,6 +187,7 @@
     std::function<void(const suspicion_update&)> on_suspicion_changed_;
     rollout_records rollouts_;
     const version_history* history_ = nullptr;
+    std::function<bool()> history_is_current_;
     stream_origins origins_;
     time_point leader_since_{};
     std::map<upstream_id, time_point> suspected_at_;
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -108,6 +108,9 @@
     void probe(const upstream_id& id,
                std::function<void(probe_result)> on_result);
     void refresh_planner(const service_id& service);
+    /// True if streams may begin at the version, as far as this gate knows.
+    [[nodiscard]] bool is_recorded(const service_id& service,
+                                   const software_version& version) const;
     void on_new_leader();
     void on_rollouts(const rollout_update& update);
     /// Sends the evidence of the rollouts in progress that has changed.
@@ -143,6 +146,8 @@
     gate_quarantine quarantine_;
     gate_rollouts rollouts_;
     stream_origins origins_;
+    /// Of all replicas: one that has just started may not know the newest.
+    std::map<service_id, std::set<software_version>> recorded_versions_;
     gate_context context_;
     std::shared_ptr<const route_table> table_;
     /// Observes connections of the server, so it has to outlive the server.
--- a/lib/include/bamboogate/relay/version_history.hpp
+++ b/lib/include/bamboogate/relay/version_history.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/core/json.hpp>
 #include <bamboogate/core/result.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,7 +52,16 @@
         return versions_;
     }
 
+    /// @brief Sets the function that is called after each change.
+    void on_change(std::function<void()> function)
+    {
+        observer_ = std::move(function);
+    }
+
 private:
+    void notify() const;
+
+    std::function<void()> observer_;
     std::map<service_id, std::set<software_version>> versions_;
 };
 
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -75,6 +75,10 @@
         [this](const net::peer_info&, const rollout_update& update) {
             observers_.on_rollouts(update);
         });
+    hub_.on<recorded_versions>(
+        [this](const net::peer_info&, const recorded_versions& recorded) {
+            observers_.on_recorded_versions(recorded);
+        });
     hub_.on<rollout_lease>(
         [this](const net::peer_info&, const rollout_lease& lease) {
             observers_.on_rollout_lease(lease);
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -62,7 +62,9 @@
       tick_timer_(loop, [this] { tick(); }),
       origin_timer_(loop, [this] { send_new_origins(); })
 {
-    placements_.follow(store_.versions());
+    placements_.use_version_history(store_.versions(), [this] {
+        return replica_ && replica_->has_lease();
+    });
 }
 
 control_node::~control_node() = default;
@@ -85,6 +87,9 @@
         [this](const std::shared_ptr<const configuration_document>& document) {
             on_configuration(document);
         });
+    store_.versions().on_change([this] {
+        send_to_gates(recorded_versions{store_.versions().versions()});
+    });
     store_.rollouts().on_change(
         [this](const rollout::rollout_record& record) { on_rollout(record); });
     BOOST_OUTCOME_TRY(bound, hub_.listen(settings_.link_address));
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -62,6 +62,7 @@
     // Before the upstreams, so that a new gate does not take those of a version
     // on trial for ordinary ones.
     send_rollouts(peer.node);
+    hub_.send(peer.node, recorded_versions{store_.versions().versions()});
     hub_.send(peer.node, known_upstreams());
     send_quarantines(peer.node);
 }
--- a/lib/source/relay/control_node_versions.cpp
+++ b/lib/source/relay/control_node_versions.cpp
@@ -38,7 +38,11 @@
             return;
         }
         for (const auto key : batch.keys) {
-            placements_.origins().note(key, batch.origin, loop_.now());
+            // A gate reports all of its streams whenever it is linked to a
+            // leader; the other replicas need only those that are new.
+            if (placements_.origins().find(key) != batch.origin) {
+                placements_.origins().note(key, batch.origin, loop_.now());
+            }
         }
     });
     hub_.serve<find_origin, origin_reply>([this](const net::peer_info&,
@@ -72,7 +76,7 @@
         const stream_origin origin{each.announced.service,
                                    each.announced.version};
         if (each.state == instance_state::lost ||
-            !engine_services_.contains(origin.service) ||
+            !director_.is_declared(origin.service) ||
             !in_use.insert(origin).second ||
             recorded.contains(origin.service, origin.version)) {
             continue;
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -481,18 +481,15 @@
         place_reply reply;
         reply.quarantined = decision.quarantined;
         if (decision.abandoned) {
-            reply.origin = static_cast<std::uint8_t>(origin_state::abandoned);
+            reply.origin = static_cast<std::uint8_t>(
+                awaits_reports() ? origin_state::pending
+                                 : origin_state::abandoned);
         }
         if (decision.target) {
             reply.engine = decision.target->engine;
             if (const auto found = pending_.find(decision.id);
                 found != pending_.end()) {
-                note_origin(found->second.stream, service, reply.engine);
-                if (const auto& version = found->second.begun_at) {
-                    reply.origin =
-                        static_cast<std::uint8_t>(origin_state::known);
-                    reply.version = *version;
-                }
+                note_origin(found->second, reply);
             }
             reply.copy_holder =
                 decision.target->copy_holder.value_or(upstream_id());
--- a/lib/source/relay/placement_server_rollouts.cpp
+++ b/lib/source/relay/placement_server_rollouts.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 /// Gates report the origins of their streams as soon as they are linked to a
-/// new leader. They redial lost links about every 250 ms.
+/// new leader. They redial lost links about every 250 ms. Upstreams announce
+/// themselves again about every second.
 constexpr duration origin_report_time = std::chrono::milliseconds(1500);
 
 } // namespace
@@ -24,15 +25,19 @@
                    ? reply(origin_state::known, found->version)
                    : reply(origin_state::unknown);
     }
-    const auto sole =
-        history_ != nullptr ? history_->sole_version(service) : std::nullopt;
+    const auto sole = history_ != nullptr && history_is_current_()
+                          ? history_->sole_version(service)
+                          : std::nullopt;
     if (sole) {
         return reply(origin_state::known, *sole);
     }
-    const bool reports_complete =
-        is_leader_() && loop_.now() - leader_since_ >= origin_report_time;
-    return reply(reports_complete ? origin_state::unknown
-                                  : origin_state::pending);
+    return reply(!is_leader_() || awaits_reports() ? origin_state::pending
+                                                   : origin_state::unknown);
+}
+
+bool placement_server::awaits_reports() const
+{
+    return loop_.now() - leader_since_ < origin_report_time;
 }
 
 bool placement_server::is_recorded(const service_id& service,
@@ -41,13 +46,17 @@
     return history_ == nullptr || history_->contains(service, version);
 }
 
-void placement_server::note_origin(std::uint64_t stream,
-                                   const service_id& service,
-                                   const upstream_id& engine)
+void placement_server::note_origin(const pending& placed, place_reply& reply)
 {
-    if (const instance* known = registry_.find(engine)) {
-        origins_.note(stream, {service, known->announced.version}, loop_.now());
+    const instance* engine = registry_.find(reply.engine);
+    if (engine == nullptr) {
+        return;
+    }
+    reply.version = engine->announced.version;
+    if (placed.begun_at) {
+        reply.origin = static_cast<std::uint8_t>(origin_state::known);
     }
+    origins_.note(placed.stream, {placed.service, reply.version}, loop_.now());
 }
 
 void placement_server::on_rollout(const rollout::rollout_record& record)
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -80,6 +80,13 @@
                },
            .on_rollouts =
                [this](const rollout_update& update) { on_rollouts(update); },
+           .on_recorded_versions =
+               [this](const recorded_versions& recorded) {
+                   for (const auto& [service, versions] : recorded.versions) {
+                       recorded_versions_[service].insert(versions.begin(),
+                                                          versions.end());
+                   }
+               },
            .on_rollout_lease =
                [this](const rollout_lease& lease) {
                    rollouts_.renew(lease.numbers, loop_.now());
@@ -547,6 +554,15 @@
     }
 }
 
+bool relay_gate::is_recorded(const service_id& service,
+                             const software_version& version) const
+{
+    // Without a recorded version, no stream of the service is taken for one of
+    // the only version.
+    const auto found = recorded_versions_.find(service);
+    return found == recorded_versions_.end() || found->second.contains(version);
+}
+
 void relay_gate::refresh_planner(const service_id& service)
 {
     const time_point now = loop_.now();
@@ -565,7 +581,8 @@
              .kv_capacity_tokens = engine ? declared->engine->kv_capacity_tokens
                                           : default_kv_capacity_tokens,
              .slots = each.announced.slots,
-             .usable = directory_.usable(each, now),
+             .usable = directory_.usable(each, now) &&
+                       is_recorded(service, each.announced.version),
              .version = each.announced.version});
     }
     planner.reserve_scarce_versions();
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -121,6 +121,7 @@
         place_elsewhere(target.engine);
         return;
     }
+    abandoned_at_.reset();
     engine_ = target.engine;
     engine_started_at_ = engine->announced.started_at;
     from_copy_ = source.has_value();
--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -154,8 +154,11 @@
     if (origin == origin_state::known) {
         begun_at_ = decision.version;
     }
-    abandoned_at_.reset();
-    placed_by_leader_ = true;
+    // The leader records this version as the origin. It may not know a restart
+    // of the engine yet.
+    const instance* engine = context_.directory.find(decision.engine);
+    placed_by_leader_ =
+        engine != nullptr && engine->announced.version == decision.version;
     send({.engine = decision.engine,
           .copy_holder = named_holder(decision.copy_holder)},
          std::nullopt);
--- a/lib/source/relay/version_history.cpp
+++ b/lib/source/relay/version_history.cpp
@@ -47,6 +47,7 @@
     const auto& [service, version] = change.value();
     if (adds) {
         versions_[service].insert(version);
+        notify();
         return;
     }
     const auto found = versions_.find(service);
@@ -54,6 +55,14 @@
         found->second.empty()) {
         versions_.erase(found);
     }
+    notify();
+}
+
+void version_history::notify() const
+{
+    if (observer_) {
+        observer_();
+    }
 }
 
 json version_history::snapshot() const
@@ -72,6 +81,7 @@
     for (auto& [service, versions] : restored) {
         versions_[service_id(service)].merge(versions);
     }
+    notify();
     return outcome::success();
 }
 
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -111,6 +111,7 @@
                 .on_suspicion = [](const upstream_id&) {},
                 .on_quarantine = [](const relay::quarantine_update&) {},
                 .on_rollouts = [](const relay::rollout_update&) {},
+                .on_recorded_versions = [](const relay::recorded_versions&) {},
                 .on_rollout_lease = [](const relay::rollout_lease&) {},
                 .on_new_leader = [] {}});
     }
