--- a/lib/source/relay/stream_origins.cpp
+++ b/lib/source/relay/stream_origins.cpp
@@ -18,6 +18,7 @@
         batch.keys.push_back(key);
     }
     std::vector<origin_batch> out;
+    out.reserve(batches.size());
     for (auto& [number, batch] : batches) {
         out.push_back(std::move(batch));
     }
