--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -17,7 +17,7 @@
 import tomllib
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))))
+    os.path.realpath(__file__))))
 FRONT, READY, CONTROL = 8740, 8749, 8748
 INTERNAL = (7200, 7215)
 METRICS = 9464  # fixed by the programs
