Accept no key once the last account is removed

Cause: an empty list and an absent one became the same configuration, which relay_gate::dispatch took for a deployment without keys.

The configuration now keeps whether the document has a list of accounts, and requires_key decides. The check of a configuration file reports an empty list, and a change after which requests need no key any more.

--- a/lib/include/bamboogate/relay/configuration.hpp
+++ b/lib/include/bamboogate/relay/configuration.hpp
@@ -106,8 +106,18 @@
     std::vector<route> routes;
     std::vector<service> services;
     std::vector<client_account> accounts;
+    /// True if the document has a list of accounts, even an empty one. Without
+    /// a list, requests need no key.
+    bool declares_accounts = false;
     caller_limits limits;
 
+    /// @brief True if requests need the key of an account, except on anonymous
+    ///     routes. If the list of accounts is empty, no key is valid.
+    [[nodiscard]] bool requires_key() const
+    {
+        return declares_accounts || !accounts.empty();
+    }
+
     [[nodiscard]] std::set<service_id> service_ids() const
     {
         std::set<service_id> out;
--- a/lib/source/relay/configuration_check.cpp
+++ b/lib/source/relay/configuration_check.cpp
@@ -144,6 +144,11 @@
 
 void find_account_doubts(const configuration& candidate, finding_list& out)
 {
+    if (candidate.requires_key() && candidate.accounts.empty()) {
+        out.unreachable(section::accounts, 0,
+                        "there is no account: every request without an "
+                        "anonymous route is refused");
+    }
     for (std::size_t i = 0; i < candidate.accounts.size(); ++i) {
         const client_account& each = candidate.accounts[i];
         if (each.keys.empty()) {
@@ -390,6 +395,9 @@
                        candidate.routes, out);
     find_entry_changes(section::accounts, "account", in_force.accounts,
                        candidate.accounts, out);
+    if (in_force.requires_key() && !candidate.requires_key()) {
+        out.push_back({section::accounts, "requests need no API key any more"});
+    }
     if (in_force.limits != candidate.limits) {
         out.push_back({section::limits, "the limits for callers change"});
     }
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -287,7 +287,7 @@
         return;
     }
     const client_account* account = nullptr;
-    if (!matched->anonymous && !table_->source().accounts.empty()) {
+    if (!matched->anonymous && table_->source().requires_key()) {
         account = table_->find_account(description.key);
         if (account == nullptr) {
             reject(responder, description, 401, "unknown_key");
--- a/tests/platform/relay_system_test.cpp
+++ b/tests/platform/relay_system_test.cpp
@@ -65,6 +65,36 @@
     CHECK(service.received.empty());
 }
 
+// Guards against requests with a withdrawn key, or any other, that are served
+// once the last account is removed.
+TEST_CASE_FIXTURE(relay_fixture, "removed_last_account_leaves_no_valid_key")
+{
+    start_system();
+    const std::string accounts = R"({"name":"acc","apiKeys":["k1"]})";
+    std::string document = configuration(6);
+    document.erase(document.find(accounts), accounts.size());
+    // The gate uses version 6 once the route that it renames is gone.
+    const std::string path = "/stock/";
+    document.replace(document.find(path), path.size(), "/moved/");
+    REQUIRE(control_call(1, "POST", "/Config.Replace", document)->status() ==
+            200);
+    unsigned status = 0;
+    for (int tries = 0; tries < 60 && status != 404; ++tries) {
+        auto probe = send_request("/stock/x", "a0", "never-held");
+        CHECK(wait([&] { return probe->ended(); }));
+        status = probe->status();
+        run_until(
+            loop, [] { return false; }, 50ms);
+    }
+    REQUIRE(status == 404);
+    auto withdrawn = send_request("/book/x", "a1");
+    auto unknown = send_request("/book/x", "a2", "never-held");
+    CHECK(wait([&] { return withdrawn->ended() && unknown->ended(); }));
+    CHECK(withdrawn->status() == 401);
+    CHECK(unknown->status() == 401);
+    CHECK(service.received.empty());
+}
+
 // Guards against failing callers whose last retry reaches a gate that has just
 // started: after a restart of all processes it has no configuration for about
 // 0.6 s.
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -300,6 +300,24 @@
     CHECK(validate(document).has_value());
 }
 
+// Guards against taking the removal of the last account for a configuration
+// without accounts.
+TEST_CASE("wire_configuration_with_an_empty_list_of_accounts_requires_a_key")
+{
+    const std::string complete = sample_configuration;
+    const auto accounts = complete.find("[", complete.find("\"tenants\""));
+    const auto empty =
+        wire::read_configuration(complete.substr(0, accounts) + "[]" +
+                                 complete.substr(complete.rfind("}")));
+    REQUIRE(empty);
+    CHECK(empty.value().accounts.empty());
+    CHECK(empty.value().requires_key());
+    const auto without = wire::read_configuration(
+        complete.substr(0, complete.rfind(",", accounts)) + "}");
+    REQUIRE(without);
+    CHECK_FALSE(without.value().requires_key());
+}
+
 // Guards against a time limit that results from an overflow.
 TEST_CASE("wire_configuration_with_a_time_out_of_range_is_malformed")
 {
--- a/tests/relay/configuration_check_test.cpp
+++ b/tests/relay/configuration_check_test.cpp
@@ -94,6 +94,25 @@
     CHECK(changes[1].detail == "account a changes: 2 keys added, 1 removed");
 }
 
+// Guards against removing the last account, or the list of accounts, without a
+// word of what callers get.
+TEST_CASE_FIXTURE(check_fixture,
+                  "check_without_accounts_tells_whether_requests_need_a_key")
+{
+    const configuration in_force = candidate;
+    candidate.version = 4;
+    candidate.accounts.clear();
+    candidate.declares_accounts = true;
+    CHECK(contains(find_doubts(candidate), finding_kind::unreachable,
+                   "there is no account"));
+    CHECK(find_changes(in_force, candidate).size() == 1);
+    candidate.declares_accounts = false;
+    CHECK(find_doubts(candidate).empty());
+    const auto changes = find_changes(in_force, candidate);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[1].detail == "requests need no API key any more");
+}
+
 TEST_CASE("member_lines_of_an_array_are_those_of_its_elements")
 {
     constexpr std::string_view text = R"({"version": 1, "other": [
