Commit the departure of an upstream before it is acknowledged

Cause: a departure was acknowledged once a majority of the replicas had it in memory; nothing of it survived the kill.

The departure is now an entry of the replicated log (departure_history), for a deregistration as for an announcement that states draining. Replicas put committed departures into their registries and tell their gates. Departures still reach replicas and gates at once. Under a leader of an earlier build, which has no handler for the new message, a majority in memory is accepted as before.

--- a/lib/include/bamboogate/relay/configuration_store.hpp
+++ b/lib/include/bamboogate/relay/configuration_store.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOGATE_RELAY_CONFIGURATION_STORE_HPP
 
 #include <bamboogate/consensus/replicated_state.hpp>
+#include <bamboogate/relay/departure_history.hpp>
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/rollout_store.hpp>
 #include <bamboogate/relay/version_history.hpp>
@@ -14,9 +15,9 @@
 namespace bamboogate::relay {
 
 /// Replicated state that holds the configuration: the committed document with
-/// the highest version, and beside it the rollouts and the software versions in
-/// use. Documents with a lower or equal version are ignored. Must be called
-/// from the replica's loop thread only.
+/// the highest version, and beside it the rollouts, the software versions in
+/// use and the departures of upstreams. Documents with a lower or equal version
+/// are ignored. Must be called from the replica's loop thread only.
 class configuration_store : public consensus::replicated_state
 {
 public:
@@ -36,7 +37,7 @@
                       std::string_view command) override;
     [[nodiscard]] std::string snapshot() const override;
     /// @brief Loads a snapshot, except for what is not newer. Snapshots of
-    ///     earlier builds contain no rollouts or software versions.
+    ///     earlier builds contain no rollouts, software versions or departures.
     /// @return an error if the snapshot cannot be decoded
     result<void> restore(std::string_view snapshot) override;
 
@@ -57,6 +58,14 @@
     [[nodiscard]] const version_history& versions() const { return versions_; }
     [[nodiscard]] version_history& versions() { return versions_; }
 
+    /// @brief The departures of upstreams, whose commands and snapshots pass
+    ///     through this store.
+    [[nodiscard]] const departure_history& departures() const
+    {
+        return departures_;
+    }
+    [[nodiscard]] departure_history& departures() { return departures_; }
+
     /// @brief Sets the function that is called after each change of the
     ///     document.
     void on_change(observer function) { observer_ = std::move(function); }
@@ -67,6 +76,7 @@
     std::shared_ptr<const configuration_document> current_;
     rollout_store rollouts_;
     version_history versions_;
+    departure_history departures_;
     observer observer_;
 };
 
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -125,9 +125,10 @@
     using acknowledge_callback = std::function<void(result<void>)>;
 
     /// @brief Records an announcement and forwards it to replicas and gates.
-    /// @param callback called at once, but for a draining upstream only when a
-    ///     majority of the replicas has recorded it; `no_quorum` if that takes
-    ///     too long, so that the upstream tells another replica
+    /// @param callback called at once, but for a draining upstream only when
+    ///     its departure would survive a restart of all replicas; an error if
+    ///     that takes too long, so that the upstream tells another replica, or
+    ///     `limit_exceeded` if its id is too long
     void on_announcement(const announcement& announced,
                          const acknowledge_callback& callback);
 
@@ -183,6 +184,7 @@
     void register_handlers();
     void register_rollout_handlers();
     void register_version_handlers();
+    void register_departure_handlers();
     void on_peer_state(const net::peer_info& peer, bool up);
     void tick();
     void update_membership();
@@ -217,9 +219,26 @@
                       const subscribe& subscription);
     void on_announcement_update(const announcement_update& update);
     void forward_announcement(const announcement& announced);
-    /// Acknowledges a leaving upstream once a majority has recorded it.
+    /// Records that an upstream leaves and informs replicas and gates.
+    void forward_departure(const announcement& announced);
+    /// Acknowledges a leaving upstream once its departure would survive a
+    /// restart of all replicas.
     void confirm_leaving(const record_leaving& leaving,
                          const acknowledge_callback& callback);
+    /// Acknowledges a leaving upstream once a majority has recorded it in
+    /// memory, under a leader of an earlier build.
+    void confirm_leaving_in_memory(const record_leaving& leaving,
+                                   const acknowledge_callback& callback);
+    /// @param unsupported set if the leader is of an earlier build
+    void
+    record_departure_through_leader(const record_departure& departed,
+                                    const std::shared_ptr<bool>& unsupported,
+                                    const acknowledge_callback& callback);
+    void record_departure_locally(const record_departure& departed,
+                                  const acknowledge_callback& callback);
+    /// As the leader, removes departures that no announcement contradicts any
+    /// more.
+    void remove_old_departures();
     void send_to_replicas(const announcement_update& update);
     template <typename Message>
     void send_to_gates(const Message& message)
@@ -282,6 +301,9 @@
     /// Recorded versions without an upstream, and since when.
     std::map<stream_origin, time_point> unused_versions_;
     std::set<stream_origin> proposed_versions_; ///< not committed yet
+    /// Recorded departures, and since when this leader has known them.
+    std::map<departed_starts::value_type, time_point> departures_seen_;
+    bool removing_departures_ = false; ///< a removal is not committed yet
     net::timer tick_timer_;
     net::timer origin_timer_;
     bool stopping_ = false;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -93,8 +93,8 @@
     "An engine's response to the cache call could not be parsed."};
 inline constexpr log_event leaving_unconfirmed{
     1029, severity::warning, "relay_upstream_leaving_unconfirmed",
-    "An upstream that leaves got no acknowledgement, because too few other "
-    "replicas recorded it; it has to tell another replica."};
+    "An upstream that leaves got no acknowledgement, because the replicas did "
+    "not record it in time; it has to tell another replica."};
 inline constexpr log_event upstream_paused{
     1039, severity::info, "relay_upstream_paused",
     "An upstream refused a request and asked for no requests for the stated "
@@ -211,6 +211,10 @@
     1261, severity::warning, "relay_origin_missing",
     "A caller resumes a stream, but the software version that began it is not "
     "known yet, is unknown, or has no engine left."};
+inline constexpr log_event departure_recorded{
+    1262, severity::info, "relay_departure_recorded",
+    "The leader recorded that an upstream leaves, so that a late announcement "
+    "does not bring it back after a restart of all replicas."};
 
 } // namespace bamboogate::relay::log_events
 
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -124,8 +124,25 @@
                                                 leaving, refreshed)
 };
 
-/// Replica to replica: an upstream leaves. The reply confirms that the receiver
-/// has recorded it.
+/// Replica to leader: records the departure of an upstream in the replicated
+/// state. The reply confirms that it is committed.
+struct record_departure
+{
+    static constexpr std::string_view type = "relay_record_departure";
+    upstream_id id;
+    std::uint64_t started_at = 0; ///< 0: the upstream does not tell it
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(record_departure, id, started_at)
+};
+
+struct departure_recorded
+{
+    static constexpr std::string_view type = "relay_departure_recorded";
+    std::string upstream;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(departure_recorded, upstream)
+};
+
+/// Replica to replica while the leader is of an earlier build: an upstream
+/// leaves. The reply confirms that the receiver has recorded it in memory.
 struct record_leaving
 {
     static constexpr std::string_view type = "relay_record_leaving";
--- a/lib/source/relay/configuration_store.cpp
+++ b/lib/source/relay/configuration_store.cpp
@@ -14,6 +14,8 @@
 constexpr const char* rollouts_field = "rollouts";
 /// Likewise for software versions.
 constexpr const char* versions_field = "software_versions";
+/// Likewise for departures.
+constexpr const char* departures_field = "departures";
 
 } // namespace
 
@@ -36,6 +38,8 @@
     }
     if (document && version_history::is_command(document.value())) {
         versions_.apply(document.value());
+    } else if (document && departure_history::is_command(document.value())) {
+        departures_.apply(document.value());
     } else if (document) {
         auto change = from_document<store_configuration>(document.value());
         if (change && change.value().version > current_->version) {
@@ -55,6 +59,9 @@
     if (!versions_.versions().empty()) {
         out[versions_field] = versions_.snapshot();
     }
+    if (!departures_.entries().empty()) {
+        out[departures_field] = departures_.snapshot();
+    }
     return encode_cbor(out);
 }
 
@@ -72,6 +79,9 @@
     if (document.contains(versions_field)) {
         BOOST_OUTCOME_TRY(versions_.restore(document[versions_field]));
     }
+    if (document.contains(departures_field)) {
+        BOOST_OUTCOME_TRY(departures_.restore(document[departures_field]));
+    }
     return outcome::success();
 }
 
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -109,6 +109,7 @@
     register_handlers();
     register_rollout_handlers();
     register_version_handlers();
+    register_departure_handlers();
     BOOST_OUTCOME_TRY(
         replica, consensus::replica::start(
                      loop_, hub_, store_,
@@ -185,15 +186,6 @@
                 send_to_gates(update);
             }
         });
-    hub_.serve<record_leaving, leaving_recorded>(
-        [this](const net::peer_info&, const record_leaving& leaving,
-               const auto& reply) {
-            announcement_update update;
-            (leaving.deregistered ? update.leaving
-                                  : update.heard) = {leaving.announced};
-            on_announcement_update(update);
-            reply(leaving_recorded{leaving.announced.id.value()});
-        });
     hub_.serve<retry_request, retry_reply>(
         [this](const net::peer_info& peer, const retry_request& request,
                const auto& reply) { reply(on_retry_request(peer, request)); });
@@ -287,6 +279,7 @@
     send_refreshes();
     watch_engines();
     record_versions();
+    remove_old_departures();
     join_group();
     update_membership();
     publish_view(false);
--- a/lib/source/relay/control_node_announcements.cpp
+++ b/lib/source/relay/control_node_announcements.cpp
@@ -17,8 +17,6 @@
 /// Unchanged announcements are sent in full to the other replicas at this
 /// interval, for replicas of earlier builds, which ignore refreshes.
 constexpr duration full_announcement_interval = std::chrono::seconds(10);
-/// Upstreams wait for one second for an acknowledgement.
-constexpr duration leaving_confirmation_limit = std::chrono::milliseconds(700);
 
 void log_change(const announcement& announced)
 {
@@ -78,62 +76,6 @@
     callback(outcome::success());
 }
 
-void control_node::confirm_leaving(const record_leaving& leaving,
-                                   const acknowledge_callback& callback)
-{
-    struct confirmation
-    {
-        std::size_t missing = 0;
-        std::size_t unanswered = 0;
-        acknowledge_callback callback;
-    };
-    const auto members = replica_->members();
-    const auto voters =
-        std::count_if(members.begin(), members.end(), [](const auto& each) {
-            return each.role == consensus::member_role::voter;
-        });
-    // This replica is one of the majority.
-    const auto needed = static_cast<std::size_t>(voters) / 2;
-    std::vector<node_id> others;
-    for (const auto& node : known_replicas_) {
-        if (hub_.is_up(node_id(node))) {
-            others.emplace_back(node);
-        }
-    }
-    const auto fail_confirmation =
-        [id = leaving.announced.id](const acknowledge_callback& function) {
-            log(events::leaving_unconfirmed, {{"upstream", id.value()}});
-            function(fail(errc::no_quorum, "too few replicas recorded it"));
-        };
-    if (needed == 0) {
-        callback(outcome::success());
-        return;
-    }
-    if (others.size() < needed) {
-        fail_confirmation(callback);
-        return;
-    }
-    const auto pending = std::make_shared<confirmation>(
-        confirmation{needed, others.size(), callback});
-    for (const auto& node : others) {
-        hub_.call<record_leaving, leaving_recorded>(
-            node, leaving, leaving_confirmation_limit,
-            [pending,
-             fail_confirmation](const result<leaving_recorded>& reply) {
-                --pending->unanswered;
-                if (pending->missing == 0) {
-                    return;
-                }
-                if (reply && --pending->missing == 0) {
-                    pending->callback(outcome::success());
-                } else if (pending->unanswered < pending->missing) {
-                    pending->missing = 0;
-                    fail_confirmation(pending->callback);
-                }
-            });
-    }
-}
-
 void control_node::forward_announcement(const announcement& announced)
 {
     const time_point now = loop_.now();
@@ -160,6 +102,12 @@
 
 void control_node::on_departure(const announcement& announced,
                                 const acknowledge_callback& callback)
+{
+    forward_departure(announced);
+    confirm_leaving({.announced = announced, .deregistered = true}, callback);
+}
+
+void control_node::forward_departure(const announcement& announced)
 {
     const auto change = registry_.record_departure(
         announced.id, announced.started_at, loop_.now());
@@ -174,7 +122,6 @@
         .heard = {}, .leaving = {announced}, .refreshed = {}};
     send_to_replicas(update);
     send_to_gates(update);
-    confirm_leaving({.announced = announced, .deregistered = true}, callback);
 }
 
 void control_node::on_response(const upstream_id& id,
@@ -208,7 +155,7 @@
     // Every gate that uses the upstream may report it, and each departure is
     // sent to all gates.
     if (!recorded) {
-        on_departure(announced, [](const result<void>&) {});
+        forward_departure(announced);
     }
 }
 
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -187,6 +187,64 @@
     CHECK(known >= 2);
 }
 
+// Guards against an upstream whose departure was acknowledged and that is in
+// use again: all processes are killed, and a delayed announcement arrives after
+// their restart.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "acknowledged_departure_survives_a_restart_of_all_processes")
+{
+    start_system();
+    CHECK(
+        control_call(0, "POST", "/Instances.Deregister/e1", R"({"born":1000})")
+            ->status() == 200);
+    announce(engine2, "gen", "d2", 2, "draining");
+    gate.reset();
+    apis.clear();
+    nodes.clear();
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        add_node(i, false);
+    }
+    start_gate();
+    wait_for_leader();
+    REQUIRE(wait([&] { return gate->ready(); }));
+    fake_upstream engine3{loop, "e3"};
+    announce(engine3, "gen", "d1", 2);
+    announce(engine1, "gen", "d1", 7);
+    announce(engine2, "gen", "d2", 1);
+    run_until(
+        loop, [] { return false; }, 100ms);
+    for (const auto& node : nodes) {
+        for (const char* id : {"e1", "e2"}) {
+            const auto* left = node->registry().find(upstream_id(id));
+            CHECK((left == nullptr ||
+                   left->state == relay::instance_state::leaving));
+        }
+    }
+    const auto first = send_request("/gen/x", "g1");
+    const auto second = send_request("/gen/x", "g2");
+    REQUIRE(wait([&] { return engine3.received.size() == 2; }));
+    CHECK(engine1.received.empty());
+    CHECK(engine2.received.empty());
+}
+
+// Guards against a departure that is refused when it is sent again after its
+// acknowledgement was lost, and against ids that fill the disks of the
+// replicas.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "repeated_departure_is_acknowledged_and_a_long_id_is_refused")
+{
+    start_system();
+    for (const std::size_t node : {0, 1, 2, 0}) {
+        CHECK(control_call(node, "POST", "/Instances.Deregister/e1",
+                           R"({"born":1000})")
+                  ->status() == 200);
+    }
+    const std::string long_id(300, 'x');
+    CHECK(control_call(0, "POST", "/Instances.Deregister/" + long_id,
+                       R"({"born":1000})")
+              ->status() == 400);
+}
+
 // Guards against requests that are cut off without an answer by a planned stop
 // under load: new connections arrive until the gate is gone.
 TEST_CASE_FIXTURE(relay_fixture,
