Hand over the vote of a replica that stops

Causes: a replica that stopped took its vote with it, and the wait for the replacement of a lost voter began anew with each leader: the times of contact were cleared on replicas that don't lead, and a new leader counts each member as reachable until its first response is overdue.

A replica that stops now asks the leader to replace it. The leader promotes a learner that has caught up and then removes the leaving replica; without it, the group might have no majority to accept a new voter. Without a learner, a stop ends at once, as before. Every replica keeps the times of contact, and a member counts as reachable only while its link is up. A lost voter above the target size is removed without a further learner.

--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -139,9 +139,11 @@
     void on_departure(const announcement& announced,
                       const acknowledge_callback& callback);
 
-    /// @brief Transfers leadership before a planned stop.
-    /// @param done called when the transfer has succeeded or failed, at once if
-    ///     this replica is not the leader; further calls of `stop` are ignored
+    /// @brief Transfers leadership before a planned stop, and then the vote of
+    ///     this replica if another one can take it: the process may not come
+    ///     back.
+    /// @param done called when both have succeeded or failed, at once if there
+    ///     is nothing to transfer; further calls of `stop` are ignored
     void stop(std::function<void()> done);
 
     [[nodiscard]] bool is_leader() const;
@@ -188,6 +190,11 @@
     void on_peer_state(const net::peer_info& peer, bool up);
     void tick();
     void update_membership();
+    [[nodiscard]] membership_policy membership() const;
+    /// As the leader, replaces a voter that is about to stop by a learner.
+    void replace_leaving_replica(const node_id& node,
+                                 const acknowledge_callback& callback);
+    void hand_over_vote(std::function<void()> done);
     void join_group();
     void add_replica(const std::string& node);
     [[nodiscard]] std::vector<replica_status> replica_statuses();
@@ -295,6 +302,8 @@
     time_point traffic_logged_at_;
     std::set<std::string> known_replicas_;
     std::map<node_id, time_point> last_reachable_;
+    /// Replicas that have asked the leader to be replaced, and when.
+    std::map<node_id, time_point> leaving_replicas_;
     std::string published_view_;
     time_point published_at_;
     time_point last_join_;
--- a/lib/include/bamboogate/relay/membership_plan.hpp
+++ b/lib/include/bamboogate/relay/membership_plan.hpp
@@ -17,6 +17,7 @@
     bool voter = false;
     bool caught_up = false; ///< learners: holds all committed entries
     duration unreachable{}; ///< 0 while it is reachable
+    bool leaving = false;   ///< its process is about to stop
 };
 
 /// One change of the membership.
@@ -46,13 +47,20 @@
 };
 
 /// @brief Returns the next change of the membership. A voter is removed only if
-///     a learner that has caught up can take its place, so that unreachable
-///     machines never shrink the group. Has no side effects.
+///     a learner that has caught up can take its place, or already has, so that
+///     unreachable machines never shrink the group below its target size. Has
+///     no side effects.
 /// @param self the leader, which is never removed
 [[nodiscard]] std::optional<membership_step>
 next_membership_step(std::span<const replica_status> replicas,
                      const node_id& self, const membership_policy& policy);
 
+/// @brief Chooses a learner that can vote at once in place of a voter that is
+///     about to stop. Has no side effects.
+/// @return null if there is none
+[[nodiscard]] const replica_status*
+find_successor(std::span<const replica_status> replicas);
+
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -100,6 +100,23 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(join_request, node)
 };
 
+/// Replica to leader: the sender is about to stop and may not come back. The
+/// reply confirms that it has no vote any more; `not_found` if no other replica
+/// can take it.
+struct leave_group
+{
+    static constexpr std::string_view type = "relay_leave_group";
+    std::string node;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(leave_group, node)
+};
+
+struct group_left
+{
+    static constexpr std::string_view type = "relay_group_left";
+    std::string node;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(group_left, node)
+};
+
 /// An announcement that changed nothing but the time at which the upstream was
 /// last heard.
 struct upstream_refresh
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -204,6 +204,19 @@
             });
         }
     });
+    hub_.serve<leave_group, group_left>([this](const net::peer_info&,
+                                               const leave_group& request,
+                                               const auto& reply) {
+        replace_leaving_replica(
+            node_id(request.node),
+            [reply, node = request.node](const result<void>& outcome) {
+                if (!outcome) {
+                    reply(outcome.error());
+                    return;
+                }
+                reply(group_left{node});
+            });
+    });
     hub_.serve<fetch_configuration, configuration_document>(
         [this](const net::peer_info&, fetch_configuration request,
                const auto& reply) {
@@ -446,12 +459,18 @@
         return;
     }
     stopping_ = true;
-    if (!replica_ || !replica_->is_leader()) {
+    if (!replica_) {
         done();
         return;
     }
+    if (!replica_->is_leader()) {
+        hand_over_vote(std::move(done));
+        return;
+    }
     replica_->transfer_leadership(
-        [done = std::move(done)](const result<void>&) { done(); });
+        [this, done = std::move(done)](const result<void>&) {
+            hand_over_vote(done);
+        });
 }
 
 void control_node::on_fatal_failure(std::function<void(const error&)> observer)
--- a/lib/source/relay/control_node_membership.cpp
+++ b/lib/source/relay/control_node_membership.cpp
@@ -2,6 +2,7 @@
 // membership.
 #include <bamboogate/relay/control_node.hpp>
 #include <bamboogate/relay/log_events.hpp>
+#include <bamboogate/relay/repeated_attempt.hpp>
 
 #include <algorithm>
 
@@ -13,6 +14,20 @@
 namespace events = log_events;
 
 constexpr duration join_interval = std::chrono::milliseconds(400);
+/// How long a stop waits until another replica has the vote of this one. Covers
+/// an election, and is well below the time that the platform grants a stop.
+constexpr duration hand_over_limit = std::chrono::milliseconds(2500);
+/// A replica that stopped and is a member again may vote after this time.
+constexpr duration leaving_expiry = std::chrono::seconds(10);
+
+void log_members_changed(std::string_view action, const node_id& node,
+                         const result<void>& outcome)
+{
+    log(events::members_changed,
+        {{"action", action},
+         {"node", node.value()},
+         {"outcome", outcome ? "done" : name_of(outcome.error().code)}});
+}
 
 } // namespace
 
@@ -26,7 +41,9 @@
 void control_node::join_group()
 {
     const time_point now = loop_.now();
-    if (replica_->is_leader() || now - last_join_ < join_interval ||
+    // A replica that has handed over its vote would join again as a learner.
+    if (stopping_ || replica_->is_leader() ||
+        now - last_join_ < join_interval ||
         (is_member(self_) && replica_->leader())) {
         return;
     }
@@ -41,38 +58,49 @@
     const time_point now = loop_.now();
     const auto members = replica_->members();
     const std::uint64_t applied = replica_->applied().index;
+    std::erase_if(last_reachable_,
+                  [&](const auto& each) { return !is_member(each.first); });
+    std::erase_if(leaving_replicas_, [&](const auto& each) {
+        return now - each.second >= leaving_expiry;
+    });
     std::vector<replica_status> out;
     for (const auto& each : members) {
         auto [seen, added] = last_reachable_.try_emplace(each.node, now);
-        if (each.reachable || each.node == self_) {
+        // A new leader counts members as reachable until their first response
+        // is overdue, so the link has to be up as well.
+        const bool linked = each.node == self_ || hub_.is_up(each.node);
+        if (each.reachable && linked) {
             seen->second = now;
         }
         out.push_back({.node = each.node,
                        .voter = each.role == consensus::member_role::voter,
                        .caught_up = each.match_index >= applied,
-                       .unreachable = now - seen->second});
+                       .unreachable = now - seen->second,
+                       .leaving = leaving_replicas_.contains(each.node)});
     }
     return out;
 }
 
+membership_policy control_node::membership() const
+{
+    return {.voters = 2 * settings_.tolerated_losses + 1};
+}
+
 void control_node::update_membership()
 {
+    // Every replica keeps the times of contact, so that a change of leader does
+    // not restart the wait for the replacement of a lost voter.
+    const auto statuses = replica_statuses();
     if (!replica_->is_leader()) {
-        last_reachable_.clear();
         return;
     }
-    const membership_policy policy{.voters =
-                                       2 * settings_.tolerated_losses + 1};
-    const auto step = next_membership_step(replica_statuses(), self_, policy);
+    const auto step = next_membership_step(statuses, self_, membership());
     if (!step) {
         return;
     }
     const bool promote = step->kind == membership_step::action::promote;
     const auto done = [node = step->node, promote](const result<void>& result) {
-        log(events::members_changed,
-            {{"action", promote ? "promote" : "remove"},
-             {"node", node.value()},
-             {"outcome", result ? "done" : name_of(result.error().code)}});
+        log_members_changed(promote ? "promote" : "remove", node, result);
     };
     if (promote) {
         replica_->promote(step->node, done);
@@ -81,4 +109,94 @@
     }
 }
 
+void control_node::replace_leaving_replica(const node_id& node,
+                                           const acknowledge_callback& callback)
+{
+    if (!replica_ || !replica_->is_leader()) {
+        callback(fail(errc::not_leader, "another replica leads"));
+        return;
+    }
+    leaving_replicas_.insert_or_assign(node, loop_.now());
+    const auto statuses = replica_statuses();
+    const auto is_voter = [](const auto& each) { return each.voter; };
+    const bool votes =
+        std::any_of(statuses.begin(), statuses.end(), [&](const auto& each) {
+            return each.node == node && each.voter;
+        });
+    if (!votes) {
+        callback(outcome::success());
+        return;
+    }
+    const auto remove = [this, node, callback] {
+        replica_->remove(node, [node, callback](const result<void>& outcome) {
+            log_members_changed("replace", node, outcome);
+            callback(outcome);
+        });
+    };
+    const auto voters = static_cast<std::size_t>(
+        std::count_if(statuses.begin(), statuses.end(), is_voter));
+    if (voters > membership().voters) {
+        remove();
+        return;
+    }
+    const replica_status* successor = find_successor(statuses);
+    if (successor == nullptr) {
+        callback(fail(errc::not_found, "no replica can take its vote"));
+        return;
+    }
+    // The successor votes first: without the leaving replica, the group might
+    // have no majority to accept a new voter.
+    replica_->promote(successor->node,
+                      [callback, remove, successor = successor->node](
+                          const result<void>& outcome) {
+                          log_members_changed("promote", successor, outcome);
+                          if (!outcome) {
+                              callback(outcome);
+                              return;
+                          }
+                          remove();
+                      });
+}
+
+void control_node::hand_over_vote(std::function<void()> done)
+{
+    const auto members = replica_->members();
+    const bool has_learner =
+        std::any_of(members.begin(), members.end(), [&](const auto& each) {
+            return each.node != self_ &&
+                   each.role == consensus::member_role::learner;
+        });
+    if (!has_learner || replica_->failure()) {
+        done();
+        return;
+    }
+    repeated_attempt<void>::start(
+        loop_,
+        {.deadline = loop_.now() + hand_over_limit,
+         .is_final =
+             [](const error& problem) {
+                 return problem.code == errc::not_found;
+             }},
+        [this](const acknowledge_callback& callback) {
+            const auto leader = replica_->leader();
+            if (!leader || *leader == self_ || !hub_.is_up(*leader)) {
+                callback(fail(errc::no_quorum, "no reachable leader is known"));
+                return;
+            }
+            hub_.call<leave_group, group_left>(
+                *leader, {self_.value()}, settings_.operator_deadline,
+                [callback](const result<group_left>& reply) {
+                    if (!reply) {
+                        callback(reply.error());
+                        return;
+                    }
+                    callback(outcome::success());
+                });
+        },
+        [this, done = std::move(done)](const result<void>& outcome) {
+            log_members_changed("hand_over", self_, outcome);
+            done();
+        });
+}
+
 } // namespace bamboogate::relay
--- a/lib/source/relay/membership_plan.cpp
+++ b/lib/source/relay/membership_plan.cpp
@@ -4,6 +4,16 @@
 
 namespace bamboogate::relay {
 
+namespace {
+
+bool can_vote(const replica_status& learner)
+{
+    return learner.caught_up && !learner.leaving &&
+           learner.unreachable == duration::zero();
+}
+
+} // namespace
+
 std::optional<membership_step>
 next_membership_step(std::span<const replica_status> replicas,
                      const node_id& self, const membership_policy& policy)
@@ -19,7 +29,7 @@
             if (expired) {
                 return membership_step{action::remove, each.node};
             }
-            if (each.caught_up && each.unreachable == duration::zero()) {
+            if (can_vote(each)) {
                 candidate = &each;
             }
             continue;
@@ -33,6 +43,9 @@
             unreachable_voter = &each;
         }
     }
+    if (voters > policy.voters && unreachable_voter != nullptr) {
+        return membership_step{action::remove, unreachable_voter->node};
+    }
     if (candidate == nullptr) {
         return std::nullopt;
     }
@@ -45,4 +58,13 @@
     return std::nullopt;
 }
 
+const replica_status* find_successor(std::span<const replica_status> replicas)
+{
+    const auto found =
+        std::find_if(replicas.begin(), replicas.end(), [](const auto& each) {
+            return !each.voter && can_vote(each);
+        });
+    return found == replicas.end() ? nullptr : &*found;
+}
+
 } // namespace bamboogate::relay
--- a/tests/relay/membership_plan_test.cpp
+++ b/tests/relay/membership_plan_test.cpp
@@ -81,6 +81,35 @@
     CHECK_FALSE(next());
 }
 
+// Guards against a group that keeps a lost voter beside its successor, because
+// the lost one stopped before it was removed.
+TEST_CASE_FIXTURE(membership_fixture,
+                  "unreachable_voter_above_the_target_size_is_removed")
+{
+    add_voters("abcdef");
+    CHECK_FALSE(next());
+    replicas[5].unreachable = 3s;
+    CHECK(next() == membership_step{action::remove, node_id("f")});
+}
+
+// Guards against a vote that goes to a replica that is about to stop, has not
+// caught up or cannot be reached.
+TEST_CASE_FIXTURE(membership_fixture,
+                  "successor_is_a_reachable_learner_that_has_caught_up")
+{
+    add_voters("abcde");
+    CHECK(find_successor(replicas) == nullptr);
+    add_learner("f", false);
+    add_learner("g", true);
+    replicas.back().leaving = true;
+    add_learner("h", true);
+    replicas.back().unreachable = 1s;
+    CHECK(find_successor(replicas) == nullptr);
+    add_learner("i", true);
+    REQUIRE(find_successor(replicas) != nullptr);
+    CHECK(find_successor(replicas)->node == node_id("i"));
+}
+
 // Guards against a replaced machine that remains a learner forever.
 TEST_CASE_FIXTURE(membership_fixture, "unreachable_learner_is_removed")
 {
