Resume streams by outdated placements no more

Cause: the leader records a stream when it places it, and again when it places it elsewhere before the first event. A replica that missed the second record, cut off or standing still, kept the first one, answered gates from it and used it as the next leader. A record of a placement and one of a stream that has begun were the same.

Records now say whether the stream has begun, which the leader learns from the gate's report on the run. Only such records are final. A gate also reports a stream whose leader changed before its first event; until now the origin of such a stream was known to its gate only.

--- a/lib/include/bamboogate/relay/exchange.hpp
+++ b/lib/include/bamboogate/relay/exchange.hpp
@@ -64,9 +64,9 @@
                        const response_description&)>
         on_statement;
     /// Records the origin of a stream before its first event is passed on. If
-    /// the gate has placed it without the leader, the replicas are told.
+    /// the leader has not placed it there, the replicas are told.
     std::function<void(std::uint64_t stream, const stream_origin&,
-                       bool placed_by_leader)>
+                       bool known_to_leader)>
         record_origin;
     /// Asks the home replica for the origin of a stream.
     std::function<void(const find_origin&,
--- a/lib/include/bamboogate/relay/origin_messages.hpp
+++ b/lib/include/bamboogate/relay/origin_messages.hpp
@@ -40,8 +40,11 @@
     /// False for all that a replica remembers, which may be outdated: a stream
     /// without events may have been placed again at another version since.
     bool current = true;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(origin_update, service, version, streams,
-                                   current)
+    /// The streams have begun, see `origin_record`. Earlier builds don't send
+    /// the field.
+    bool begun = false;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(origin_update, service, version,
+                                                streams, current, begun)
 };
 
 /// Replica to gates, on each change and to new subscribers: the versions at
--- a/lib/include/bamboogate/relay/placement_server.hpp
+++ b/lib/include/bamboogate/relay/placement_server.hpp
@@ -168,6 +168,8 @@
     [[nodiscard]] bool awaits_reports() const;
     /// Records where a stream is placed and tells its gate the version.
     void note_origin(const pending& placed, place_reply& reply);
+    /// Records that a stream has begun where it is placed.
+    void note_begun(const run_update& update);
     /// Decides soon on the waiting streams of a service, once for all messages
     /// that arrive until then.
     void request_decision(const service_id& service);
--- a/lib/include/bamboogate/relay/stream_origins.hpp
+++ b/lib/include/bamboogate/relay/stream_origins.hpp
@@ -31,11 +31,23 @@
 [[nodiscard]] std::uint64_t stream_key(const client_account_id& account,
                                        const request_id& attempt);
 
-/// Streams of one origin, for a message.
+/// What is recorded of a stream.
+struct origin_record
+{
+    stream_origin origin;
+    /// The stream has begun, so that its origin cannot change any more. Until
+    /// then, it may be placed again at another version.
+    bool begun = false;
+
+    auto operator<=>(const origin_record&) const = default;
+};
+
+/// Streams with equal records, for a message.
 struct origin_batch
 {
     stream_origin origin;
     std::vector<std::uint64_t> keys; ///< see `stream_key`
+    bool begun = false;              ///< see `origin_record`
 };
 
 /// Remembers the origins of recent streams, so that a caller can resume a
@@ -57,21 +69,25 @@
     stream_origins() : stream_origins(options{}) {}
     explicit stream_origins(options settings) : settings_(settings) {}
 
-    /// @brief Records the origin of a stream; replaces an earlier one, because
-    ///     a stream without events may begin at another version. Renews the
-    ///     retention.
+    /// @brief Records where a stream is placed. Replaces an earlier origin
+    ///     unless the stream has begun there. Renews the retention.
     void note(std::uint64_t key, const stream_origin& origin, time_point now);
 
+    /// @brief Records that a stream has begun at an origin.
+    void note_begun(std::uint64_t key, const stream_origin& origin,
+                    time_point now);
+
     /// @return nothing for streams that are unknown or were noted too long ago
-    [[nodiscard]] std::optional<stream_origin> find(std::uint64_t key) const;
+    [[nodiscard]] std::optional<origin_record> find(std::uint64_t key) const;
 
-    /// @brief The entries noted by `note` since the last call.
+    /// @brief The entries that were noted since the last call.
     [[nodiscard]] std::vector<origin_batch> take_unsent();
 
     /// @brief All entries, for a process that connects.
     [[nodiscard]] std::vector<origin_batch> all() const;
 
-    /// Which origin is kept if another process knows a different one.
+    /// Which origin is kept if another process knows a different one and the
+    /// stream has not begun.
     enum class conflict : std::uint8_t
     {
         replace, ///< that of the other process is newer
@@ -91,13 +107,15 @@
     using origin_number = std::uint32_t;
     using entries = std::unordered_map<std::uint64_t, origin_number>;
 
-    void store(std::uint64_t key, const stream_origin& origin, time_point now);
-    [[nodiscard]] origin_number number_of(const stream_origin& origin);
+    void store(std::uint64_t key, const origin_record& record, time_point now);
+    /// Stores a record that this process is the first to know.
+    void add(std::uint64_t key, const origin_record& record, time_point now);
+    [[nodiscard]] origin_number number_of(const origin_record& record);
 
     options settings_;
     /// Upstreams announce their versions themselves, but rarely a new one.
-    std::vector<stream_origin> origins_;
-    std::map<stream_origin, origin_number> numbers_;
+    std::vector<origin_record> records_;
+    std::map<origin_record, origin_number> numbers_;
     entries recent_;
     entries older_; ///< noted before the last rotation
     time_point rotated_at_{};
--- a/lib/source/relay/control_node_versions.cpp
+++ b/lib/source/relay/control_node_versions.cpp
@@ -27,8 +27,8 @@
 {
     hub_.on<origin_update>([this](const net::peer_info& peer,
                                   const origin_update& update) {
-        const origin_batch batch{{update.service, update.version},
-                                 update.streams};
+        const origin_batch batch{
+            {update.service, update.version}, update.streams, update.begun};
         if (known_replicas_.contains(peer.node.value())) {
             placements_.origins().merge(batch,
                                         update.current
@@ -37,12 +37,10 @@
                                         loop_.now());
             return;
         }
+        // Gates report streams that have begun only, and all of them whenever
+        // they are linked to a leader. What is known already is not sent on.
         for (const auto key : batch.keys) {
-            // A gate reports all of its streams whenever it is linked to a
-            // leader; the other replicas need only those that are new.
-            if (placements_.origins().find(key) != batch.origin) {
-                placements_.origins().note(key, batch.origin, loop_.now());
-            }
+            placements_.origins().note_begun(key, batch.origin, loop_.now());
         }
     });
     hub_.serve<find_origin, origin_reply>([this](const net::peer_info&,
--- a/lib/source/relay/origin_messages.cpp
+++ b/lib/source/relay/origin_messages.cpp
@@ -15,7 +15,7 @@
 void send_origins(net::link_hub& hub, const node_id& peer,
                   std::span<const origin_batch> batches, bool current)
 {
-    for (const auto& [origin, keys] : batches) {
+    for (const auto& [origin, keys, begun] : batches) {
         std::span<const std::uint64_t> rest = keys;
         while (!rest.empty()) {
             const auto part =
@@ -24,7 +24,8 @@
             hub.send(peer, origin_update{.service = origin.service,
                                          .version = origin.version,
                                          .streams = {part.begin(), part.end()},
-                                         .current = current});
+                                         .current = current,
+                                         .begun = begun});
         }
     }
 }
--- a/lib/source/relay/placement_server.cpp
+++ b/lib/source/relay/placement_server.cpp
@@ -401,6 +401,7 @@
         owners_[update.id] = {peer.node, update.service};
         return;
     case run_update::change::started:
+        note_begun(update);
         quarantines_[update.service].note_started(
             scheduler.note_started(update.id));
         if (const auto paused = pauses_.find(update.engine);
--- a/lib/source/relay/placement_server_rollouts.cpp
+++ b/lib/source/relay/placement_server_rollouts.cpp
@@ -20,19 +20,30 @@
         return origin_reply{static_cast<std::uint8_t>(state),
                             std::move(version)};
     };
-    if (const auto found = origins_.find(stream)) {
-        return found->service == service
-                   ? reply(origin_state::known, found->version)
-                   : reply(origin_state::unknown);
+    const auto found = origins_.find(stream);
+    if (found && found->origin.service != service) {
+        return reply(origin_state::unknown);
     }
-    const auto sole = history_ != nullptr && history_is_current_()
+    if (found && found->begun) {
+        return reply(origin_state::known, found->origin.version);
+    }
+    const bool current = history_ == nullptr || history_is_current_();
+    const auto sole = current && history_ != nullptr
                           ? history_->sole_version(service)
                           : std::nullopt;
     if (sole) {
         return reply(origin_state::known, *sole);
     }
-    return reply(!is_leader_() || awaits_reports() ? origin_state::pending
-                                                   : origin_state::unknown);
+    if (!is_leader_() || awaits_reports()) {
+        return reply(origin_state::pending);
+    }
+    // Until a stream has begun, another leader may have placed it again, at
+    // another version. Only a current leader knows of all placements.
+    if (found && !current) {
+        return reply(origin_state::pending);
+    }
+    return found ? reply(origin_state::known, found->origin.version)
+                 : reply(origin_state::unknown);
 }
 
 bool placement_server::awaits_reports() const
@@ -59,6 +70,16 @@
     origins_.note(placed.stream, {placed.service, reply.version}, loop_.now());
 }
 
+void placement_server::note_begun(const run_update& update)
+{
+    // A resumed stream has another key, whose record says that it has begun.
+    const std::uint64_t stream = stream_key(update.account, update.id);
+    const auto known = origins_.find(stream);
+    if (known && known->origin.service == update.service) {
+        origins_.note_begun(stream, known->origin, loop_.now());
+    }
+}
+
 void placement_server::on_rollout(const rollout::rollout_record& record)
 {
     if (rollouts_.apply(record) && is_leader_() &&
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -148,11 +148,11 @@
               },
           .record_origin =
               [this](std::uint64_t stream, const stream_origin& origin,
-                     bool placed_by_leader) {
-                  const origin_batch batch{origin, {stream}};
+                     bool known_to_leader) {
+                  const origin_batch batch{origin, {stream}, true};
                   origins_.merge(batch, stream_origins::conflict::replace,
                                  loop_.now());
-                  if (!placed_by_leader) {
+                  if (!known_to_leader) {
                       feed_.report_origins({&batch, 1});
                   }
               },
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -91,8 +91,8 @@
 {
     const auto origin =
         last_event_ ? context.origins.find(stream_) : std::nullopt;
-    if (origin && origin->service == accepted_.service) {
-        begun_at_ = origin->version;
+    if (origin && origin->origin.service == accepted_.service) {
+        begun_at_ = origin->origin.version;
     }
 }
 
@@ -263,8 +263,10 @@
 
 void stream_exchange::forward(const stream_event& event)
 {
-    note_event();
+    // The replicas are told the origin before the leader is told that the
+    // stream has begun, because the leader may expect another version.
     note_origin();
+    note_event();
     if (!head_sent_) {
         head_sent_ = true;
         net::header_list headers = head_.headers;
--- a/lib/source/relay/stream_origins.cpp
+++ b/lib/source/relay/stream_origins.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 
-template <typename Entries, typename Origins>
-std::vector<origin_batch> group(const Entries& from, const Origins& origins)
+template <typename Entries, typename Records>
+std::vector<origin_batch> group(const Entries& from, const Records& records)
 {
     std::map<std::size_t, origin_batch> batches;
     for (const auto& [key, number] : from) {
         auto& batch = batches[number];
-        batch.origin = origins[number];
+        batch.origin = records[number].origin;
+        batch.begun = records[number].begun;
         batch.keys.push_back(key);
     }
     std::vector<origin_batch> out;
@@ -37,17 +38,17 @@
 }
 
 stream_origins::origin_number
-stream_origins::number_of(const stream_origin& origin)
+stream_origins::number_of(const origin_record& record)
 {
     const auto [found, added] = numbers_.try_emplace(
-        origin, static_cast<origin_number>(origins_.size()));
+        record, static_cast<origin_number>(records_.size()));
     if (added) {
-        origins_.push_back(origin);
+        records_.push_back(record);
     }
     return found->second;
 }
 
-void stream_origins::store(std::uint64_t key, const stream_origin& origin,
+void stream_origins::store(std::uint64_t key, const origin_record& record,
                            time_point now)
 {
     if (now - rotated_at_ >= settings_.retention ||
@@ -57,31 +58,52 @@
         recent_ = {};
         rotated_at_ = now;
     }
-    recent_.insert_or_assign(key, number_of(origin));
+    recent_.insert_or_assign(key, number_of(record));
+}
+
+void stream_origins::add(std::uint64_t key, const origin_record& record,
+                         time_point now)
+{
+    store(key, record, now);
+    unsent_.insert_or_assign(key, number_of(record));
 }
 
 void stream_origins::note(std::uint64_t key, const stream_origin& origin,
                           time_point now)
 {
-    store(key, origin, now);
-    unsent_.insert_or_assign(key, number_of(origin));
+    const auto known = find(key);
+    add(key, known && known->begun ? *known : origin_record{origin}, now);
+}
+
+void stream_origins::note_begun(std::uint64_t key, const stream_origin& origin,
+                                time_point now)
+{
+    const auto known = find(key);
+    if (!known || !known->begun) {
+        add(key, {.origin = origin, .begun = true}, now);
+    }
 }
 
 void stream_origins::merge(const origin_batch& batch, conflict rule,
                            time_point now)
 {
     for (const auto key : batch.keys) {
-        if (rule == conflict::replace || !find(key)) {
-            store(key, batch.origin, now);
+        const auto known = find(key);
+        const bool settled = known && known->begun;
+        if (!known ||
+            (!settled && (batch.begun || rule == conflict::replace))) {
+            store(key, {.origin = batch.origin, .begun = batch.begun}, now);
+        } else if (rule == conflict::replace) {
+            store(key, *known, now); // renews the retention
         }
     }
 }
 
-std::optional<stream_origin> stream_origins::find(std::uint64_t key) const
+std::optional<origin_record> stream_origins::find(std::uint64_t key) const
 {
     for (const auto* each : {&recent_, &older_}) {
         if (const auto found = each->find(key); found != each->end()) {
-            return origins_[found->second];
+            return records_[found->second];
         }
     }
     return std::nullopt;
@@ -89,14 +111,14 @@
 
 std::vector<origin_batch> stream_origins::take_unsent()
 {
-    return group(std::exchange(unsent_, {}), origins_);
+    return group(std::exchange(unsent_, {}), records_);
 }
 
 std::vector<origin_batch> stream_origins::all() const
 {
     entries merged = recent_;
     merged.insert(older_.begin(), older_.end());
-    return group(merged, origins_);
+    return group(merged, records_);
 }
 
 } // namespace bamboogate::relay
--- a/tests/platform/stream_origin_test.cpp
+++ b/tests/platform/stream_origin_test.cpp
@@ -195,3 +195,91 @@
     const auto resumed = resume("g2", "g1");
     check_goes_on(*resumed);
 }
+
+// Guards against a replica that was cut off while a stream was placed again at
+// another version, and that sends its caller on at the earlier version.
+TEST_CASE_FIXTURE(stream_origin_fixture,
+                  "stream_resumed_without_a_leader_needs_a_begun_origin")
+{
+    start_versions({"v1", "v2", "v1"});
+    const net::address address = free_address();
+    net::link_hub replica(
+        loop,
+        {.identity = {node_id(address.text()), {1}, failure_domain_id("d2")},
+         .shared_secret = secret("s")});
+    REQUIRE(replica.listen(address));
+    for (const auto& seed : seeds) {
+        replica.add_peer(node_id(seed.text()), seed);
+    }
+    REQUIRE(wait([&] { return replica.peers_up().size() == seeds.size(); }));
+    bool begun = false;
+    SUBCASE("placed") {}
+    SUBCASE("begun")
+    {
+        begun = true;
+    }
+    for (const auto& seed : seeds) {
+        replica.send(node_id(seed.text()), relay::join_request{address.text()});
+        replica.send(node_id(seed.text()),
+                     relay::origin_update{
+                         .service = service_id("gen"),
+                         .version = software_version("v1"),
+                         .streams = {relay::stream_key(client_account_id("acc"),
+                                                       request_id("g1"))},
+                         .begun = begun});
+    }
+    pass(100ms);
+    nodes[1].reset();
+    nodes[2].reset();
+    pass(1500ms); // the gate subscribes to the replica that is left
+    const auto resumed = resume("g2", "g1");
+    if (!begun) {
+        REQUIRE(wait([&] { return resumed->ended(); }));
+        CHECK(resumed->status() == 503);
+        CHECK(received() == 0);
+        return;
+    }
+    REQUIRE(wait([&] { return received() == 1; }));
+    CHECK(engine2.received.empty());
+}
+
+// Guards against an origin that only its gate knows once the stream has begun:
+// the leader that placed the stream is lost before the first event.
+TEST_CASE_FIXTURE(stream_origin_fixture,
+                  "stream_that_begins_after_a_change_of_leader_is_resumed")
+{
+    start_versions({"v1", "v2", "v1"});
+    // The stream outlasts the restart of the replicas.
+    std::string document = configuration(6);
+    const std::string limit = "\"timeoutMs\":3000";
+    document.replace(document.find(limit), limit.size(), "\"timeoutMs\":20000");
+    REQUIRE(control_call(1, "POST", "/Config.Replace", document)->status() ==
+            200);
+    pass(300ms);
+    request = call(gate->bound_address(), "POST", "/gen/x",
+                   {{"Host", "h.example"},
+                    {"X-Attempt-Id", "g1"},
+                    {"X-Deadline-Ms", "20000"},
+                    {"X-Token-Count", "800,100"},
+                    {"Authorization", "Bearer k1"}},
+                   "prompt");
+    REQUIRE(wait([&] { return received() == 1; }));
+    for (auto* each : engines) {
+        first = each->received.empty() ? first : each;
+    }
+    // No replica knows the placement after its restart.
+    restart_nodes();
+    REQUIRE(wait([&] { return gate->ready(); }));
+    first->begin_stream(0);
+    first->event(0, 1);
+    first->event(0, 2);
+    REQUIRE(
+        wait([&] { return request->body.find("e2") != std::string::npos; }));
+    pass(150ms);
+    restart_gate();
+    if (first->version == "v2") {
+        REQUIRE(wait([&] { return first->disconnected_callers == 1; }));
+    }
+    const auto resumed = resume("g2", "g1");
+    check_goes_on(*resumed);
+}
--- a/tests/relay/stream_origins_test.cpp
+++ b/tests/relay/stream_origins_test.cpp
@@ -40,10 +40,10 @@
     origins.note(2, {gen, v1}, now);
     now += 10s;
     origins.note(1, {gen, v1}, now);
-    CHECK(origins.find(2) == stream_origin{gen, v1});
+    CHECK(origins.find(2) == origin_record{{gen, v1}});
     now += 10s;
     origins.note(3, {gen, v2}, now);
-    CHECK(origins.find(1) == stream_origin{gen, v1});
+    CHECK(origins.find(1) == origin_record{{gen, v1}});
     CHECK_FALSE(origins.find(2));
     for (std::uint64_t key = 100; key < 200; ++key) {
         origins.note(key, {gen, v1}, now);
@@ -67,12 +67,33 @@
     for (const auto& batch : origins.take_unsent()) {
         replica.merge(batch, stream_origins::conflict::replace, now);
     }
-    CHECK(replica.find(1) == stream_origin{gen, v2});
-    CHECK(replica.find(2) == stream_origin{gen, v2});
+    CHECK(replica.find(1) == origin_record{{gen, v2}});
+    CHECK(replica.find(2) == origin_record{{gen, v2}});
     CHECK(replica.take_unsent().empty());
     replica.merge({{gen, v1}, {1, 3}}, stream_origins::conflict::keep, now);
-    CHECK(replica.find(1) == stream_origin{gen, v2});
-    CHECK(replica.find(3) == stream_origin{gen, v1});
+    CHECK(replica.find(1) == origin_record{{gen, v2}});
+    CHECK(replica.find(3) == origin_record{{gen, v1}});
+}
+
+// Guards against an origin of a stream that has begun and that a replica which
+// was cut off replaces by an earlier placement.
+TEST_CASE_FIXTURE(stream_origins_fixture,
+                  "stream_origins_begun_stream_keeps_its_origin")
+{
+    using conflict = stream_origins::conflict;
+    const origin_record begun{{gen, v2}, true};
+    origins.note(1, {gen, v1}, now);
+    origins.note_begun(1, {gen, v2}, now);
+    CHECK(origins.find(1) == begun);
+    origins.note(1, {gen, v1}, now);
+    origins.merge({{gen, v1}, {1}}, conflict::replace, now);
+    CHECK(origins.find(1) == begun);
+    stream_origins outdated;
+    outdated.merge({{gen, v1}, {1}}, conflict::replace, now);
+    for (const auto& batch : origins.all()) {
+        outdated.merge(batch, conflict::keep, now);
+    }
+    CHECK(outdated.find(1) == begun);
 }
 
 // Guards against a service that counts as having one version after a restart,
