--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -82,6 +82,7 @@
             std::chrono::system_clock::now().time_since_epoch())
             .count());
     sequence_ = 0;
+    departed_at_.reset();
     version_ = settings_.version;
     leaving_ = draining_ = false;
     listening_ = true;
@@ -147,7 +148,7 @@
 {
     announce_timer_.stop();
     announce_at(0, static_cast<unsigned>(settings_.control_addresses.size()),
-                "/Instances.Deregister/" + id_);
+                {"/Instances.Deregister/" + id_, sequence_, true});
 }
 
 duration backend::scaled(duration time) const
@@ -202,6 +203,9 @@
         return;
     }
     statements_.arrived(attempt, id_, loop_.now());
+    if (settings_.on_arrival) {
+        settings_.on_arrival(attempt);
+    }
     if (refusals_left > 0) {
         --refusals_left;
         statements_.pause_stated(attempt, id_, loop_.now(), stated_pause);
@@ -375,40 +379,58 @@
     ++sequence_;
     announce_at(sequence_ % settings_.control_addresses.size(),
                 static_cast<unsigned>(settings_.control_addresses.size()),
-                "/Instances.Heartbeat/" + id_);
+                {"/Instances.Heartbeat/" + id_, sequence_, draining_});
+    ready_sequence_ = draining_ ? ready_sequence_ : sequence_;
+}
+
+void backend::repeat_announcement()
+{
+    if (running()) {
+        announce_at(0,
+                    static_cast<unsigned>(settings_.control_addresses.size()),
+                    {"/Instances.Heartbeat/" + id_, ready_sequence_, false});
+    }
 }
 
 void backend::announce_at(std::size_t replica, unsigned tries_left,
-                          const std::string& path)
+                          const statement& sent)
 {
     const json body{{"service", settings_.service},
                     {"address", address().text()},
                     {"zone", settings_.failure_domain},
                     {"version", version_},
                     {"slots", settings_.slots},
-                    {"state", draining_ ? "draining" : "ready"},
+                    {"state", sent.leaves ? "draining" : "ready"},
                     {"coldLeftMs", 0},
-                    {"seqNo", sequence_},
+                    {"seqNo", sent.sequence},
                     {"born", started_at_}};
-    const auto retry = [this, replica, tries_left, path,
+    const auto retry = [this, replica, tries_left, sent,
                         generation = generation_,
                         started_generation = *generation_] {
-        loop_.post([this, replica, tries_left, path, generation,
+        loop_.post([this, replica, tries_left, sent, generation,
                     started_generation] {
             if (*generation == started_generation && tries_left > 1) {
                 announce_at((replica + 1) % settings_.control_addresses.size(),
-                            tries_left - 1, path);
+                            tries_left - 1, sent);
             }
         });
     };
     announcements_.push_back(client_.start(
         settings_.control_addresses[replica],
         {.method = "POST",
-         .target = path,
+         .target = sent.path,
          .headers = {{"Host", "control"}, {"Content-Type", "application/json"}},
          .body = body.dump(),
          .fresh_connection = true},
-        {.on_head = [](const net::http1_response_head&) { return true; },
+        {.on_head =
+             [this, retry, sent](const net::http1_response_head& head) {
+                 if (head.status == 503) {
+                     retry();
+                 } else if (sent.leaves && !departed_at_) {
+                     departed_at_ = loop_.now();
+                 }
+                 return true;
+             },
          .on_body = [](std::string_view) {},
          .on_complete = [] {},
          .on_failure = [retry](const net::http1_failure&) { retry(); }}));
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -4,8 +4,10 @@
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/net/http1_server.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,8 @@
         std::vector<net::address> control_addresses;
         /// Software version of its first start.
         std::string version = version_name(1);
+        /// Called with each attempt that arrives.
+        std::function<void(const std::string& attempt)> on_arrival = {};
     };
 
     /// How a back end leaves.
@@ -77,6 +81,14 @@
     void drain(departure how);
     [[nodiscard]] bool running() const { return server_ != nullptr; }
     [[nodiscard]] bool leaving() const { return leaving_; }
+    /// @brief When a replica acknowledged that it leaves, for this start.
+    [[nodiscard]] std::optional<time_point> departed_at() const
+    {
+        return departed_at_;
+    }
+    /// @brief Sends its last announcement of being ready once more, as if the
+    ///     network had delayed it.
+    void repeat_announcement();
     [[nodiscard]] bool streams() const { return settings_.streams; }
     /// @brief Runs whose callers disconnected after it had stopped listening.
     [[nodiscard]] unsigned runs_left() const { return runs_left_; }
@@ -142,8 +154,14 @@
     void step();
     void step(run& each, time_point now);
     void announce();
+    struct statement
+    {
+        std::string path;
+        std::uint64_t sequence = 0;
+        bool leaves = false;
+    };
     void announce_at(std::size_t replica, unsigned tries_left,
-                     const std::string& path);
+                     const statement& sent);
     void deregister();
     void stop_listening();
     /// @return the back end at an address, else null
@@ -161,6 +179,8 @@
     std::string version_;
     std::uint64_t started_at_ = 0;
     std::uint64_t sequence_ = 0;
+    std::uint64_t ready_sequence_ = 0; ///< of its last announcement as ready
+    std::optional<time_point> departed_at_;
     unsigned starts_ = 0;
     bool leaving_ = false;  ///< has announced it in either way
     bool draining_ = false; ///< the state that it announces
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -43,6 +43,16 @@
             "break streams, kill all gates at once, and let clients name false "
             "attempts when they take streams up; also with --no-faults",
             command);
+        TCLAP::SwitchArg restarting(
+            "", "restarts",
+            "kill all processes just after a back end's departure was "
+            "acknowledged; with --no-faults that is the only fault",
+            command);
+        TCLAP::SwitchArg replacing_core(
+            "", "core-replacement",
+            "replace all replicas in series, the new ones first; implies "
+            "--no-faults",
+            command);
         TCLAP::ValueArg<unsigned> retry_slack(
             "", "retry-slack",
             "repeated requests that all gates together may send in any case",
@@ -73,10 +83,13 @@
                  .gates = gates.getValue(),
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
-                 .faults = !calm.getValue() && pressing.getValue() == 0,
+                 .faults = !calm.getValue() && !replacing_core.getValue() &&
+                           pressing.getValue() == 0,
                  .versions = std::max(1U, versions.getValue()),
                  .replacements = replacing.getValue(),
                  .take_ups = taking_up.getValue(),
+                 .restarts = restarting.getValue(),
+                 .core_replacement = replacing_core.getValue(),
                  .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -51,7 +51,8 @@
       statement_random_(settings_.seed + 4), disk_random_(settings_.seed + 5),
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
       departure_random_(settings_.seed + 7),
-      take_up_random_(settings_.seed + 9), client_(loop_, {}),
+      take_up_random_(settings_.seed + 9), restart_random_(settings_.seed + 11),
+      client_(loop_, {}),
       take_ups_(
           violations_, settings_.seed + 10,
           {.disturbed_at =
@@ -79,7 +80,10 @@
             violations_);
     };
     std::vector<net::address> control_addresses;
-    for (std::size_t i = 0; i < settings_.replicas; ++i) {
+    const std::size_t replicas =
+        settings_.replicas +
+        (settings_.core_replacement ? settings_.replicas : 0);
+    for (std::size_t i = 0; i < replicas; ++i) {
         replicas_.push_back(make(false, i));
         control_addresses.push_back(replicas_.back()->control_address());
     }
@@ -97,14 +101,17 @@
         const bool engine = i < settings_.engines || i >= started;
         backends_.push_back(std::make_unique<backend>(
             loop_, client_, ledger_, statements_,
-            backend::options{.service = engine ? "gen" : "book",
-                             .failure_domain = domains.at(i % domains.size()),
-                             .streams = engine,
-                             .slots = engine ? 16U : 6U,
-                             .control_addresses = control_addresses,
-                             .version =
-                                 version_name(1 + static_cast<unsigned>(i) %
-                                                      settings_.versions)}));
+            backend::options{
+                .service = engine ? "gen" : "book",
+                .failure_domain = domains.at(i % domains.size()),
+                .streams = engine,
+                .slots = engine ? 16U : 6U,
+                .control_addresses = control_addresses,
+                .version = version_name(1 + static_cast<unsigned>(i) %
+                                                settings_.versions),
+                .on_arrival = [this, i](const std::string& attempt) {
+                    check_departure(*backends_[i], attempt);
+                }}));
         if (engine) {
             engines.push_back(backends_.back().get());
         }
@@ -131,7 +138,7 @@
             .max_events = settings_.replacements
                               ? outlasting_events
                               : caller_pool::options{}.max_events});
-    if (!settings_.faults && !settings_.take_ups) {
+    if (!disturbs() && !settings_.core_replacement) {
         std::vector<net::address> gates;
         for (const auto& each : gates_) {
             gates.push_back(each.program->caller_address());
@@ -174,13 +181,15 @@
                {"headerTimeoutMs", 2500},
                {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
-    if (settings_.take_ups) {
+    if (accounts_removed_) {
+        out["tenants"] = json::array();
+    } else if (settings_.take_ups) {
         out["tenants"].push_back({{"name", "acc2"}, {"apiKeys", {"k2"}}});
     }
     // More versions than there are changes within the time of a check.
     constexpr unsigned kept_keys = 200;
     for (unsigned v = version > kept_keys ? version - kept_keys : 1;
-         v <= version; ++v) {
+         v <= version && !accounts_removed_; ++v) {
         out["tenants"][0]["apiKeys"].push_back(key_of_version(v));
     }
     out["routes"] = {
@@ -357,9 +366,17 @@
     if (replaces_engines_) {
         replacements_->step();
     }
-    if (breaks_streams_) {
+    if (breaks_processes_ && settings_.take_ups) {
         step_take_ups(now);
     }
+    if (settings_.restarts && breaks_processes_ && now >= next_leave_) {
+        constexpr duration leave_interval = 6500ms;
+        next_leave_ = now + leave_interval;
+        leave_before_a_restart();
+    }
+    if (settings_.core_replacement && breaks_processes_) {
+        step_core_replacement();
+    }
     callers_->step();
     operators_->step();
     if (versions_) {
@@ -378,8 +395,8 @@
 
 void soak::start_all()
 {
-    for (auto& each : replicas_) {
-        each->start(true);
+    for (std::size_t i = 0; i < settings_.replicas; ++i) {
+        replicas_[i]->start(true);
     }
     for (auto& each : gates_) {
         each.program->start(true);
@@ -415,12 +432,12 @@
     replaces_engines_ = settings_.replacements;
     injects_faults_ = settings_.faults;
     presses_ = settings_.pressing_streams > 0;
-    must_succeed_ = !settings_.faults && !settings_.take_ups && !presses_;
-    breaks_streams_ = settings_.take_ups;
+    must_succeed_ = !disturbs() && !presses_;
+    breaks_processes_ = true;
     last_gate_kill_ = loop_.now();
     run_for(settings_.fault_time);
-    reloads_ = replaces_engines_ = breaks_streams_ = false;
-    if (settings_.faults || settings_.take_ups) {
+    reloads_ = replaces_engines_ = breaks_processes_ = false;
+    if (disturbs()) {
         end_faults();
         run_for(recovery_time);
     } else if (std::exchange(presses_, false)) {
@@ -451,6 +468,7 @@
                         fmt::format("read {}, acknowledged {}",
                                     operators_->newest_read(), acknowledged));
     }
+    remove_accounts();
     callers_->check_runs();
     if (settings_.take_ups) {
         take_ups_.check_share();
@@ -483,6 +501,15 @@
             "; {} engines replaced, {} runs left by gates at their end",
             replacements_->replaced(), replacements_->runs_left());
     }
+    if (settings_.restarts) {
+        line +=
+            fmt::format("; {} restarts after departures, {} attempts "
+                        "checked against them",
+                        restarts_after_departures_, attempts_after_departures_);
+    }
+    if (settings_.core_replacement) {
+        line += fmt::format("; {} replicas replaced", replaced_replicas_);
+    }
     if (versions_) {
         line += fmt::format("; {} checks of versions in force",
                             versions_->confirmed());
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -49,6 +49,12 @@
         /// Connections of callers are reset, engines crash, and all gates are
         /// killed, alone, with all replicas or with the leader.
         bool take_ups = false;
+        /// Back ends leave and go on serving, and all programs are killed just
+        /// after the departure was acknowledged.
+        bool restarts = false;
+        /// All replicas are replaced in series by others with empty disks, the
+        /// new ones first. Only without faults.
+        bool core_replacement = false;
         /// `budgetSlack` of the bounds: repeated requests that all gates
         /// together may send in any case.
         unsigned retry_slack = 150;
@@ -102,6 +108,22 @@
     [[nodiscard]] time_point disturbed_at(std::string_view gate) const;
     /// Engines of a version that serve and do not leave.
     [[nodiscard]] unsigned serving(std::string_view version) const;
+    /// Lets a back end leave, kills all programs once that is acknowledged, and
+    /// delivers an earlier announcement after the restart.
+    void leave_before_a_restart();
+    void kill_after_departure(backend& leaving, unsigned checks_left);
+    /// An attempt must not reach a back end long after its departure was
+    /// acknowledged.
+    void check_departure(const backend& target, const std::string& attempt);
+    /// Starts the new replicas, and stops the old ones one after the other.
+    void step_core_replacement();
+    /// Removes all accounts and checks that the gates refuse their keys.
+    void remove_accounts();
+    /// True if requests may fail and changes may be late.
+    [[nodiscard]] bool disturbs() const
+    {
+        return settings_.faults || settings_.take_ups || settings_.restarts;
+    }
     void fault_gate();
     void fault_replica();
     void fault_engine();
@@ -137,6 +159,7 @@
     std::mt19937 load_random_;
     std::mt19937 departure_random_;
     std::mt19937 take_up_random_;
+    std::mt19937 restart_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
@@ -159,12 +182,18 @@
     time_point next_break_;
     time_point last_gate_kill_;
     time_point disk_safe_at_; ///< earliest next loss of a disk
+    time_point next_leave_;
+    time_point next_core_stop_;
+    std::size_t replaced_replicas_ = 0;
+    unsigned restarts_after_departures_ = 0;
+    unsigned attempts_after_departures_ = 0; ///< that were checked
+    bool accounts_removed_ = false;
     bool sends_requests_ = false;
     bool injects_faults_ = false;
     bool presses_ = false;
     bool reloads_ = false;
     bool replaces_engines_ = false;
-    bool breaks_streams_ = false;
+    bool breaks_processes_ = false;
     bool must_succeed_ = false; ///< a failed request is a violation
     bool sends_changes_ = false;
     double peak_gate_kib_ = 0;
--- a/tests/platform/soak/statement_checks.hpp
+++ b/tests/platform/soak/statement_checks.hpp
@@ -36,6 +36,19 @@
     ///     the back end and may not read what that answers.
     void caller_left(const std::string& attempt);
 
+    /// An attempt of a caller.
+    struct sent_attempt
+    {
+        std::string gate;
+        time_point at;
+    };
+    /// @return null for an attempt that no caller sent
+    [[nodiscard]] const sent_attempt* find(const std::string& attempt) const
+    {
+        const auto found = attempts_.find(attempt);
+        return found == attempts_.end() ? nullptr : &found->second;
+    }
+
     /// @brief The gate is not up, which ends its obligations.
     void gate_down(const std::string& gate);
     /// @brief A back end starts; statements of an earlier start are void.
@@ -48,11 +61,6 @@
     [[nodiscard]] unsigned pauses() const { return pauses_; }
 
 private:
-    struct sent_attempt
-    {
-        std::string gate;
-        time_point at;
-    };
     struct pause
     {
         time_point from;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -305,15 +305,15 @@
 TEST_CASE("wire_configuration_with_an_empty_list_of_accounts_requires_a_key")
 {
     const std::string complete = sample_configuration;
-    const auto accounts = complete.find("[", complete.find("\"tenants\""));
+    const auto accounts = complete.find('[', complete.find("\"tenants\""));
     const auto empty =
         wire::read_configuration(complete.substr(0, accounts) + "[]" +
-                                 complete.substr(complete.rfind("}")));
+                                 complete.substr(complete.rfind('}')));
     REQUIRE(empty);
     CHECK(empty.value().accounts.empty());
     CHECK(empty.value().requires_key());
     const auto without = wire::read_configuration(
-        complete.substr(0, complete.rfind(",", accounts)) + "}");
+        complete.substr(0, complete.rfind(',', accounts)) + "}");
     REQUIRE(without);
     CHECK_FALSE(without.value().requires_key());
 }
