--- a/lib/source/relay/stream_placement.cpp
+++ b/lib/source/relay/stream_placement.cpp
@@ -336,6 +336,7 @@
 
 void stream_exchange::report_placement()
 {
+    // A new leader may not know where this stream was placed.
     placed_by_leader_ = false;
     if (attempt_ && !ended_) {
         report_run(run_update::change::placed);
