Write the replicated log on a thread of its own

Cause: a replica wrote and synced on the thread of its event loop. A sync longer than the election time-out stopped its heartbeats, or its answers to them, and the leader was deposed.

Change: background_worker runs the writes; inputs that arrive meanwhile are persisted by the next sync. Followers answer heartbeats during a sync with the part of the log that is on the disk. A leader whose disk does not respond for 1.5 s passes leadership on (E212).

--- a/lib/include/bamboogate/consensus/log_events.hpp
+++ b/lib/include/bamboogate/consensus/log_events.hpp
@@ -48,6 +48,10 @@
     211, severity::warning, "snapshot_refused",
     "A snapshot could not be written; the log is kept and the next snapshot is "
     "attempted later."};
+inline constexpr log_event storage_stalled{
+    212, severity::warning, "storage_stalled",
+    "A write of the leader to its disk takes long; another voter is asked to "
+    "lead."};
 
 } // namespace bamboogate::consensus::log_events
 
--- a/lib/include/bamboogate/consensus/replica.hpp
+++ b/lib/include/bamboogate/consensus/replica.hpp
@@ -66,6 +66,10 @@
         /// measurements.
         bool group_commit = true;
         std::size_t max_command_bytes = 4u << 20;
+        /// Time after which a leader whose disk does not respond asks another
+        /// voter to lead. Longer than the syncs of a busy disk, which all
+        /// replicas of a machine share.
+        duration storage_stall_limit = std::chrono::milliseconds(1500);
         /// File system, replaced in tests; null: file system of the operating
         /// system.
         std::shared_ptr<file_system> files;
--- a/lib/include/bamboogate/consensus/replica_core.hpp
+++ b/lib/include/bamboogate/consensus/replica_core.hpp
@@ -4,6 +4,7 @@
 #include <bamboogate/consensus/log_store.hpp>
 #include <bamboogate/consensus/raft.hpp>
 #include <bamboogate/consensus/replica.hpp>
+#include <bamboogate/net/background_worker.hpp>
 
 #include <chrono>
 #include <functional>
@@ -17,8 +18,9 @@
 
 /// Implementation of `replica`. Drives the protocol core in three steps, each
 /// at most once per loop iteration: collect inputs, send the resulting
-/// messages, then persist everything with one sync. The sync runs after the
-/// links have written, so that followers write to their disks in parallel.
+/// messages, then persist everything with one sync. A thread of its own writes
+/// to the disk, so that a slow one delays no heartbeats; inputs that arrive
+/// meanwhile are persisted together with the next sync.
 class replica_core
 {
 public:
@@ -70,6 +72,8 @@
         proposal_callback callback;
     };
 
+    struct write_batch;
+
     void post(std::function<void()> function);
     /// Reads the folder. After a failure the applied state is kept, so that a
     /// reader never sees an older one.
@@ -85,13 +89,21 @@
     void on_input();
     void process_output();
     void send(const message& each);
+    /// Persists the work that is due, unless the storage thread is busy.
     void flush();
-    result<void> persist(raft::output& work);
-    result<void> persist_entries(std::vector<entry>& entries);
+    void on_written(const std::shared_ptr<write_batch>& batch,
+                    const result<void>& outcome);
+    void complete_all(std::vector<raft::output>& done);
     result<void> complete(raft::output& work);
-    result<void> sync();
     void apply(const entry& committed);
-    result<void> store_snapshot_if_due();
+    [[nodiscard]] bool snapshot_is_due() const;
+    void store_snapshot();
+    void on_snapshot_stored(const snapshot& taken, const result<void>& outcome);
+    /// Runs a job that uses the store on the storage thread.
+    void run_in_background(std::function<result<void>()> job,
+                           std::function<void(const result<void>&)> done);
+    /// As the leader, lets another voter lead if the disk does not respond.
+    void check_storage_stall();
     void update_role();
     void fail_pending(std::uint64_t first, const error& problem);
     void stop(const error& problem);
@@ -101,7 +113,13 @@
     net::link_hub& hub_;
     replicated_state& state_;
     replica::options settings_;
-    std::unique_ptr<log_store> store_;
+    std::unique_ptr<log_store> store_; ///< used by the storage thread, if busy
+    net::background_worker storage_thread_;
+    /// Start of the job of the storage thread; empty if it is idle.
+    std::optional<time_point> storing_since_;
+    time_point last_stall_;
+    /// Snapshot chunks to be read from the store once the thread is idle.
+    std::map<node_id, message> deferred_chunks_;
     std::unique_ptr<raft> core_;
     net::timer tick_timer_;
     net::timer transfer_timer_;
@@ -114,7 +132,7 @@
     bool flush_posted_ = false;
     bool hard_pending_ = false; ///< a term or vote is not synced yet
     std::vector<raft::output> work_;
-    log_position written_; ///< last entry passed to the store
+    log_position written_; ///< last entry that is on the disk
     log_position applied_;
     log_position snapshot_;
     std::size_t bytes_after_snapshot_ = 0; ///< of applied entries
--- a/lib/source/consensus/raft_replication.cpp
+++ b/lib/source/consensus/raft_replication.cpp
@@ -235,6 +235,13 @@
     reply.accepted = true;
     reply.index = expected;
     advance_commit(std::max(commit_, std::min(request.commit, reply.index)));
+    if (request.entries.empty()) {
+        // A heartbeat is answered during a sync as well, so that a slow disk
+        // does not look like a lost replica.
+        reply.index = std::min(reply.index, persisted_);
+        output_.messages.push_back({from, reply});
+        return;
+    }
     send_after_sync(from, reply);
 }
 
--- a/lib/source/consensus/raft_snapshot.cpp
+++ b/lib/source/consensus/raft_snapshot.cpp
@@ -1,5 +1,7 @@
 #include <bamboogate/consensus/raft.hpp>
 
+#include <algorithm>
+
 namespace bamboogate::consensus {
 
 void raft::send_snapshot(const node_id& node, member_progress& peer,
@@ -76,9 +78,9 @@
     reply.offset = incoming_->data.size();
     if (reply.done) {
         log_.reset(request.info);
+        persisted_ = std::min(persisted_, commit_);
         commit_ = last.index;
         delivered_ = last.index;
-        persisted_ = last.index;
         output_.entries.clear();
         output_.installed = snapshot{request.info, std::move(incoming_->data)};
         incoming_.reset();
--- a/lib/source/consensus/replica_core.cpp
+++ b/lib/source/consensus/replica_core.cpp
@@ -43,13 +43,14 @@
 replica_core::replica_core(net::event_loop& loop, net::link_hub& hub,
                            replicated_state& state, replica::options settings)
     : loop_(loop), hub_(hub), state_(state), settings_(std::move(settings)),
-      tick_timer_(
-          loop,
-          [this] {
-              core_->tick(loop_.now());
-              on_input();
-          },
-          net::loop_priority::control),
+      storage_thread_(loop), tick_timer_(
+                                 loop,
+                                 [this] {
+                                     core_->tick(loop_.now());
+                                     check_storage_stall();
+                                     on_input();
+                                 },
+                                 net::loop_priority::control),
       transfer_timer_(loop,
                       [this] {
                           finish_transfer(
--- a/lib/source/consensus/replica_steps.cpp
+++ b/lib/source/consensus/replica_steps.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr std::size_t snapshot_chunk_bytes = 256u << 10;
-/// Delay of the next snapshot after one that the disk refused.
-constexpr duration refused_snapshot_delay = std::chrono::seconds(2);
 
 } // namespace
 
@@ -50,8 +48,8 @@
     }
     next.messages.clear();
     work_.push_back(std::move(next));
-    // Posted after the writes of the links, so that messages are sent before
-    // the sync blocks this thread.
+    // Posted after the writes of the links, so that one sync covers what they
+    // caused.
     if (!flush_posted_) {
         flush_posted_ = true;
         post([this] {
@@ -64,6 +62,10 @@
 void replica_core::send(const message& each)
 {
     if (const auto* part = std::get_if<install_snapshot>(&each.body)) {
+        if (storing_since_) {
+            deferred_chunks_.insert_or_assign(each.to, each);
+            return;
+        }
         auto stored = store_->read_snapshot(part->info.last, part->offset,
                                             snapshot_chunk_bytes);
         // A newer snapshot has replaced it; the core will send that one
@@ -80,72 +82,6 @@
     std::visit([&](const auto& body) { hub_.send(each.to, body); }, each.body);
 }
 
-void replica_core::flush()
-{
-    if (failure_) {
-        return;
-    }
-    auto work = std::exchange(work_, {});
-    for (auto& each : work) {
-        if (auto outcome = persist(each); !outcome) {
-            stop(outcome.error());
-            return;
-        }
-    }
-    if (auto outcome = sync(); !outcome) {
-        stop(outcome.error());
-        return;
-    }
-    hard_pending_ = false;
-    for (auto& each : work) {
-        if (auto outcome = complete(each); !outcome) {
-            stop(outcome.error());
-            return;
-        }
-    }
-    if (auto outcome = store_snapshot_if_due(); !outcome) {
-        stop(outcome.error());
-        return;
-    }
-    on_input();
-}
-
-result<void> replica_core::sync()
-{
-    const bool wrote = store_->dirty();
-    BOOST_OUTCOME_TRYV(store_->sync());
-    if (wrote) {
-        reopen_delay_ = first_reopen_delay;
-    }
-    core_->persisted(written_);
-    return outcome::success();
-}
-
-result<void> replica_core::persist(raft::output& work)
-{
-    if (work.hard) {
-        store_->write(*work.hard);
-    }
-    if (work.installed) {
-        BOOST_OUTCOME_TRYV(store_->sync());
-        BOOST_OUTCOME_TRYV(store_->save_snapshot(*work.installed, true));
-        written_ = work.installed->info.last;
-    }
-    return persist_entries(work.entries);
-}
-
-result<void> replica_core::persist_entries(std::vector<entry>& entries)
-{
-    for (const auto& each : entries) {
-        store_->write(each);
-        written_ = each.position;
-        if (!settings_.group_commit) {
-            BOOST_OUTCOME_TRYV(store_->sync());
-        }
-    }
-    return outcome::success();
-}
-
 result<void> replica_core::complete(raft::output& work)
 {
     for (const auto& each : work.messages_after_sync) {
@@ -198,34 +134,6 @@
           outcome = std::move(outcome)] { callback(outcome); });
 }
 
-result<void> replica_core::store_snapshot_if_due()
-{
-    const bool due = applied_.index - snapshot_.index >=
-                         settings_.snapshot_interval_entries ||
-                     bytes_after_snapshot_ >= settings_.snapshot_interval_bytes;
-    if (!due || loop_.now() < next_snapshot_) {
-        return outcome::success();
-    }
-    const snapshot taken{core_->describe_snapshot(applied_), state_.snapshot()};
-    if (auto saved = store_->save_snapshot(taken, false); !saved) {
-        if (store_->failure()) {
-            return saved;
-        }
-        next_snapshot_ = loop_.now() + refused_snapshot_delay;
-        observability::log(log_events::snapshot_refused,
-                           {{"kind", name_of(saved.error().code)},
-                            {"detail", saved.error().detail}});
-        return outcome::success();
-    }
-    snapshot_ = applied_;
-    bytes_after_snapshot_ = 0;
-    core_->compact(taken.info);
-    observability::log(
-        log_events::snapshot_stored,
-        {{"index", snapshot_.index}, {"bytes", taken.data.size()}});
-    return outcome::success();
-}
-
 void replica_core::update_role()
 {
     if (core_->leader() != known_leader_) {
@@ -278,6 +186,7 @@
     tick_timer_.stop();
     failure_ = problem;
     work_.clear();
+    deferred_chunks_.clear();
     fail_pending(0, {errc::outcome_unknown, problem.detail});
     finish_transfer(problem);
     if (std::exchange(leading_, false)) {
--- a/tests/consensus/log_store_test.cpp
+++ b/tests/consensus/log_store_test.cpp
@@ -195,7 +195,7 @@
     files->syncs_until_failure = 0;
     store.value()->write(make_entry(1, 1));
     CHECK(store.value()->sync().error().code == errc::storage_failed);
-    const auto syncs = files->syncs;
+    const auto syncs = files->syncs.load();
     CHECK(store.value()->sync().error().code == errc::storage_failed);
     CHECK(store.value()->save_snapshot({}, false).error().code ==
           errc::storage_failed);
--- a/tests/consensus/raft_test.cpp
+++ b/tests/consensus/raft_test.cpp
@@ -11,12 +11,17 @@
 
 using cluster = simulated_cluster;
 
-bool commit_some(cluster& c, std::uint64_t count)
+/// @param interval steps between two proposals; the log grows without a bound
+///     if they are faster than the disks
+bool commit_some(cluster& c, std::uint64_t count, unsigned interval = 1)
 {
     const std::uint64_t target = c.committed() + count;
+    unsigned step = 0;
     return c.run_until(
         [&] {
-            c.propose();
+            if (step++ % interval == 0) {
+                c.propose();
+            }
             return c.committed() >= target;
         },
         10s);
@@ -41,14 +46,26 @@
     return true;
 }
 
+struct fault_options
+{
+    unsigned seed = 1;
+    unsigned voters = 3;
+    duration max_sync = 3ms;
+    unsigned proposal_interval = 1; ///< once the faults are over, in steps
+};
+
 /// Runs with random faults, then on a healthy network: the cluster must commit
 /// again and all replicas must converge.
 /// @return number of entries committed during the faults
-std::uint64_t run_with_faults(unsigned seed, unsigned voters,
+std::uint64_t run_with_faults(const fault_options& options,
                               unsigned& disks_lost)
 {
+    const unsigned seed = options.seed;
     CAPTURE(seed);
-    cluster c({.seed = seed, .voters = voters, .max_delay = 30ms});
+    cluster c({.seed = seed,
+               .voters = options.voters,
+               .max_delay = 30ms,
+               .max_sync = options.max_sync});
     REQUIRE(commit_some(c, 5));
     c.set_faults(0.05, 0.05);
     const std::uint64_t before = c.committed();
@@ -104,7 +121,7 @@
             c.restart(c.at(i));
         }
     }
-    CHECK(commit_some(c, 5));
+    CHECK(commit_some(c, 5, options.proposal_interval));
     CHECK(c.run_until([&] { return c.converged(); }, 10s));
     CHECK(c.problem == "");
     return committed;
@@ -146,16 +163,43 @@
     std::uint64_t committed = 0;
     unsigned disks_lost = 0;
     for (unsigned seed = 1; seed <= 60; ++seed) {
-        committed += run_with_faults(seed, 3, disks_lost);
+        committed += run_with_faults({.seed = seed, .voters = 3}, disks_lost);
     }
     for (unsigned seed = 101; seed <= 120; ++seed) {
-        committed += run_with_faults(seed, 5, disks_lost);
+        committed += run_with_faults({.seed = seed, .voters = 5}, disks_lost);
     }
     // The test is meaningful only if entries are committed during the faults.
     CHECK(committed > 80 * 50);
     CHECK(disks_lost > 80);
 }
 
+// Guards against replicas that acknowledge what is not on their slow disks yet.
+TEST_CASE("raft_random_faults_beside_slow_syncs_keep_invariants")
+{
+    unsigned disks_lost = 0;
+    std::uint64_t committed = 0;
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+        committed += run_with_faults(
+            {.seed = seed, .max_sync = 40ms, .proposal_interval = 20},
+            disks_lost);
+    }
+    CHECK(committed > 30 * 10);
+    CHECK(disks_lost > 0);
+}
+
+// Guards against followers that look lost while their disks sync.
+TEST_CASE("raft_syncs_longer_than_the_election_timeout_keep_the_leader")
+{
+    cluster c({.seed = 5});
+    REQUIRE(c.run_until([&] { return c.leader() != nullptr; }, 3s));
+    c.set_max_sync(900ms);
+    const auto term = c.leader()->core->term();
+    CHECK(commit_some(c, 5));
+    REQUIRE(c.leader() != nullptr);
+    CHECK(c.leader()->core->term() == term);
+    CHECK(c.problem == "");
+}
+
 // Guards against an isolated leader that still answers reads or accepts work
 // while another replica leads.
 TEST_CASE("raft_isolated_leader_loses_lease_and_steps_down")
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -160,8 +160,14 @@
         std::optional<result<proposal_result>> outcome;
         leader()->core->propose(
             command, [&](result<proposal_result> r) { outcome = r; });
-        return run_until([&] { return outcome.has_value(); }) &&
-               outcome->has_value();
+        if (!run_until([&] { return outcome.has_value(); })) {
+            MESSAGE(command << ": no outcome");
+            return false;
+        }
+        if (!*outcome) {
+            MESSAGE(command << ": " << outcome->error().detail);
+        }
+        return outcome->has_value();
     }
 
     bool converged()
@@ -469,6 +475,47 @@
     CHECK(commit_within("after", 3s));
 }
 
+// Guards against elections, and commands of unknown outcome, while the disks
+// take longer than the election time-out.
+TEST_CASE_FIXTURE(disk_fixture, "replica_slow_disks_keep_the_leader")
+{
+    REQUIRE(commit("first"));
+    const process* const first = leader();
+    const std::uint64_t term = first->core->term();
+    for (const auto& each : disks) {
+        each->sync_delay = 200ms;
+    }
+    // Includes the time of a snapshot.
+    for (int i = 0; i < 6; ++i) {
+        CHECK(commit(fmt::format("slow{}", i)));
+        CHECK(first->core->has_lease());
+    }
+    CHECK(leader() == first);
+    CHECK(first->core->term() == term);
+}
+
+// Guards against a leader whose disk does not respond and that keeps the group
+// from accepting commands.
+TEST_CASE_FIXTURE(disk_fixture, "replica_stalled_disk_hands_leadership_over")
+{
+    REQUIRE(commit("first"));
+    const process* const first = leader();
+    for (std::size_t i = 0; i < processes.size(); ++i) {
+        if (processes[i].get() == first) {
+            disks[i]->sync_delay = 4s;
+        }
+    }
+    bool ended = false;
+    first->core->propose("stalled", [&](const auto&) { ended = true; });
+    CHECK(run_until([&] { return leader() != nullptr && leader() != first; },
+                    3s));
+    CHECK(commit_within("second", 1s));
+    for (const auto& each : disks) {
+        each->sync_delay = 0ms;
+    }
+    CHECK(run_until([&] { return ended; }));
+}
+
 // Guards against large entries that fill the disk and the memory before the
 // number of entries calls for a snapshot.
 TEST_CASE_FIXTURE(replica_fixture, "replica_large_entries_are_bounded_by_size")
@@ -480,7 +527,7 @@
     for (int i = 0; i < 60; ++i) {
         // The state keeps the size of a command only.
         REQUIRE(commit(std::string(entry_bytes, 'x')));
-        processes[0]->state->commands.back() = "x";
+        processes[0]->state->commands.back().resize(1);
     }
     std::uintmax_t stored = 0;
     for (const auto& each :
@@ -514,7 +561,7 @@
     };
     CHECK_FALSE(stored(0));
     for (auto& each : disks) {
-        each->refused_name.clear();
+        each->refused_name = "";
     }
     // A snapshot is attempted again, at the next change after the delay.
     const time_point end = loop.now() + 4s;
--- a/tests/consensus/support/faulty_files.hpp
+++ b/tests/consensus/support/faulty_files.hpp
@@ -3,33 +3,42 @@
 
 #include <bamboogate/consensus/file_system.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <limits>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 namespace bamboogate::consensus {
 
-/// File system of the operating system with injected failures.
+/// File system of the operating system with injected failures, which can be
+/// changed while a replica uses it.
 class faulty_files : public file_system
 {
 public:
     /// Writes beyond this total number of bytes fail with `storage_full` after
     /// writing the part that fits.
-    std::uint64_t capacity = std::numeric_limits<std::uint64_t>::max();
+    std::atomic<std::uint64_t> capacity =
+        std::numeric_limits<std::uint64_t>::max();
     /// Number of successful syncs before one fails. Later syncs succeed again,
     /// as on kernels that report a lost page only once.
-    std::uint64_t syncs_until_failure =
+    std::atomic<std::uint64_t> syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
-    std::uint64_t syncs = 0;
+    std::atomic<std::uint64_t> syncs = 0;
+    /// Additional time of each sync of a file.
+    std::atomic<std::chrono::milliseconds> sync_delay{};
     /// Files whose names contain this text, if any, take no bytes.
-    std::string refused_name;
+    std::atomic<const char*> refused_name = "";
     /// Writes that make a file larger than this fail with `storage_full`.
-    std::uint64_t max_file_bytes = std::numeric_limits<std::uint64_t>::max();
+    std::atomic<std::uint64_t> max_file_bytes =
+        std::numeric_limits<std::uint64_t>::max();
     /// Number of successful syncs of a folder before one fails.
-    std::uint64_t folder_syncs_until_failure =
+    std::atomic<std::uint64_t> folder_syncs_until_failure =
         std::numeric_limits<std::uint64_t>::max();
 
     result<std::unique_ptr<append_file>> open(const std::filesystem::path& path,
@@ -128,9 +137,9 @@
         {}
         result<void> append(std::string_view bytes) override
         {
-            const bool refused =
-                !owner_.refused_name.empty() &&
-                name_.find(owner_.refused_name) != std::string::npos;
+            const std::string_view refused_name = owner_.refused_name.load();
+            const bool refused = !refused_name.empty() &&
+                                 name_.find(refused_name) != std::string::npos;
             if (refused || size_ + bytes.size() > owner_.max_file_bytes) {
                 return fail(errc::storage_full, "injected");
             }
@@ -146,6 +155,7 @@
         result<void> sync() override
         {
             ++owner_.syncs;
+            std::this_thread::sleep_for(owner_.sync_delay.load());
             if (owner_.syncs_until_failure-- == 0) {
                 return fail(errc::storage_failed, "injected");
             }
--- a/tests/consensus/support/simulated_cluster.hpp
+++ b/tests/consensus/support/simulated_cluster.hpp
@@ -101,6 +101,7 @@
     void clear_faults();
     /// @param drop, duplicate probability for each message
     void set_faults(double drop, double duplicate);
+    void set_max_sync(duration time) { settings_.max_sync = time; }
 
     [[nodiscard]] time_point now_at(const node& target) const
     {
