Pass leadership to replicas that stay when several stop

A leader that stopped passed leadership to any voter, also to one that was stopping itself. A stopping replica that led again never asked for its own replacement: it waited for 2.5 s and took its vote with it. A stop also gave up at once if no learner had caught up yet, as seen by a new leader.

Change: transfer_leadership avoids the replicas that are known to stop; if no voter stays, the leader first lets a learner vote.

--- a/lib/include/bamboogate/consensus/raft.hpp
+++ b/lib/include/bamboogate/consensus/raft.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -152,9 +153,11 @@
     result<log_position> promote(const node_id& node, time_point now);
     result<log_position> remove(const node_id& node);
 
-    /// @brief Transfers leadership to the reachable voter with the longest log.
+    /// @brief Transfers leadership to the reachable voter with the longest log,
+    ///     to one of `avoided` only if there is no other.
     /// @return that voter, `not_leader` or `no_quorum`
-    result<node_id> transfer_leadership(time_point now);
+    result<node_id> transfer_leadership(time_point now,
+                                        std::span<const node_id> avoided = {});
 
     [[nodiscard]] raft_role role() const noexcept { return role_; }
     [[nodiscard]] std::uint64_t term() const noexcept { return hard_.term; }
--- a/lib/include/bamboogate/consensus/replica.hpp
+++ b/lib/include/bamboogate/consensus/replica.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -132,10 +133,12 @@
     /// @brief True if the replica recovers from a failure by itself.
     [[nodiscard]] static bool recovers_from(const error& problem);
 
-    /// @brief Transfers leadership to the reachable voter with the longest log.
+    /// @brief Transfers leadership to the reachable voter with the longest log,
+    ///     to one of `avoided` only if there is no other.
     /// @param callback success once another leader is known, or `not_leader`,
     ///     `no_quorum`, `deadline_exceeded`
-    void transfer_leadership(completion callback);
+    void transfer_leadership(completion callback,
+                             std::span<const node_id> avoided = {});
 
     /// @brief Adds a learner: a non-voting member that receives the log.
     /// @param callback success after commit and local application; `not_leader`
--- a/lib/include/bamboogate/consensus/replica_core.hpp
+++ b/lib/include/bamboogate/consensus/replica_core.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -37,7 +38,8 @@
     void
     change_members(const std::function<result<log_position>(raft&)>& change,
                    replica::completion callback);
-    void transfer_leadership(replica::completion callback);
+    void transfer_leadership(replica::completion callback,
+                             std::span<const node_id> avoided);
 
     void on_role_change(replica::role_observer observer);
     void on_failure(std::function<void(const error&)> observer);
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -50,6 +50,10 @@
         /// Time limit for an operator's call. Less than the second after which
         /// the caller tries another replica.
         duration operator_deadline = std::chrono::milliseconds(850);
+        /// How long a stop waits until other replicas have the leadership and
+        /// the vote of this one. A replica that ends before takes its vote
+        /// with it.
+        duration hand_over_limit = std::chrono::milliseconds(2500);
         /// Time limit for storing a large document, whose sender waits longer.
         duration large_operator_deadline = std::chrono::milliseconds(1500);
         /// Interval at which the gates are told which upstreams have announced
@@ -194,7 +198,16 @@
     /// As the leader, replaces a voter that is about to stop by a learner.
     void replace_leaving_replica(const node_id& node,
                                  const acknowledge_callback& callback);
-    void hand_over_vote(std::function<void()> done);
+    /// As the leader, lets a learner vote in place of a voter that is about to
+    /// stop; `in_progress` if one may be able to soon, else `not_found`.
+    void promote_successor(const std::vector<replica_status>& statuses,
+                           const acknowledge_callback& callback);
+    [[nodiscard]] std::vector<node_id> leaving_replicas() const;
+    /// As a leader that is about to stop, passes leadership on, if possible to
+    /// a voter that stays. Calls back with an error always, since the vote is
+    /// still to be handed over.
+    void lead_no_longer(const acknowledge_callback& callback);
+    void hand_over_vote(time_point deadline, std::function<void()> done);
     void join_group();
     void add_replica(const std::string& node);
     [[nodiscard]] std::vector<replica_status> replica_statuses();
--- a/lib/include/bamboogate/relay/membership_plan.hpp
+++ b/lib/include/bamboogate/relay/membership_plan.hpp
@@ -61,6 +61,12 @@
 [[nodiscard]] const replica_status*
 find_successor(std::span<const replica_status> replicas);
 
+/// @brief True if a learner may catch up soon, so that it is worth waiting for
+///     a successor. Has no side effects.
+[[nodiscard]] bool
+is_successor_expected(std::span<const replica_status> replicas,
+                      const membership_policy& policy);
+
 } // namespace bamboogate::relay
 
 #endif
--- a/lib/source/consensus/raft_membership.cpp
+++ b/lib/source/consensus/raft_membership.cpp
@@ -1,6 +1,7 @@
 #include <bamboogate/consensus/raft.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboogate::consensus {
 
@@ -146,21 +147,25 @@
     (void)promote(node, peer.last_contact);
 }
 
-result<node_id> raft::transfer_leadership(time_point now)
+result<node_id> raft::transfer_leadership(time_point now,
+                                          std::span<const node_id> avoided)
 {
     if (role_ != raft_role::leader || transfer_) {
         return not_leader_error();
     }
     const node_id* target = nullptr;
-    std::uint64_t longest = 0;
+    std::pair<bool, std::uint64_t> best; // not avoided, match index
     for (const auto& [node, peer] : progress_) {
         const member* known = members().find(node);
         const bool usable =
             known != nullptr && known->role == member_role::voter &&
             now - peer.last_contact < settings_.election_timeout;
-        if (usable && (target == nullptr || peer.match > longest)) {
+        const bool preferred =
+            std::find(avoided.begin(), avoided.end(), node) == avoided.end();
+        const std::pair quality(preferred, peer.match);
+        if (usable && (target == nullptr || quality > best)) {
             target = &node;
-            longest = peer.match;
+            best = quality;
         }
     }
     if (target == nullptr) {
--- a/lib/source/consensus/replica.cpp
+++ b/lib/source/consensus/replica.cpp
@@ -72,9 +72,10 @@
     return replica_core::is_retried(problem);
 }
 
-void replica::transfer_leadership(completion callback)
+void replica::transfer_leadership(completion callback,
+                                  std::span<const node_id> avoided)
 {
-    impl_->transfer_leadership(std::move(callback));
+    impl_->transfer_leadership(std::move(callback), avoided);
 }
 
 void replica::add_learner(node_id node, completion callback)
--- a/lib/source/consensus/replica_core.cpp
+++ b/lib/source/consensus/replica_core.cpp
@@ -265,13 +265,14 @@
     on_input();
 }
 
-void replica_core::transfer_leadership(replica::completion callback)
+void replica_core::transfer_leadership(replica::completion callback,
+                                       std::span<const node_id> avoided)
 {
     result<node_id> target = fail(errc::internal);
     if (failure_) {
         target = *failure_;
     } else {
-        target = core_->transfer_leadership(loop_.now());
+        target = core_->transfer_leadership(loop_.now(), avoided);
     }
     if (!target) {
         post([callback = std::move(callback),
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -463,14 +463,16 @@
         done();
         return;
     }
+    const time_point deadline = loop_.now() + settings_.hand_over_limit;
     if (!replica_->is_leader()) {
-        hand_over_vote(std::move(done));
+        hand_over_vote(deadline, std::move(done));
         return;
     }
     replica_->transfer_leadership(
-        [this, done = std::move(done)](const result<void>&) {
-            hand_over_vote(done);
-        });
+        [this, deadline, done = std::move(done)](const result<void>&) {
+            hand_over_vote(deadline, done);
+        },
+        leaving_replicas());
 }
 
 void control_node::on_fatal_failure(std::function<void(const error&)> observer)
--- a/lib/source/relay/control_node_membership.cpp
+++ b/lib/source/relay/control_node_membership.cpp
@@ -14,9 +14,6 @@
 namespace events = log_events;
 
 constexpr duration join_interval = std::chrono::milliseconds(400);
-/// How long a stop waits until another replica has the vote of this one. Covers
-/// an election, and is well below the time that the platform grants a stop.
-constexpr duration hand_over_limit = std::chrono::milliseconds(2500);
 /// A replica that stopped and is a member again may vote after this time.
 constexpr duration leaving_expiry = std::chrono::seconds(10);
 
@@ -109,14 +106,32 @@
     }
 }
 
+void control_node::promote_successor(
+    const std::vector<replica_status>& statuses,
+    const acknowledge_callback& callback)
+{
+    const replica_status* successor = find_successor(statuses);
+    if (successor == nullptr) {
+        callback(is_successor_expected(statuses, membership())
+                     ? fail(errc::in_progress, "no learner has caught up")
+                     : fail(errc::not_found, "no replica can take the vote"));
+        return;
+    }
+    replica_->promote(successor->node, [callback, node = successor->node](
+                                           const result<void>& outcome) {
+        log_members_changed("promote", node, outcome);
+        callback(outcome);
+    });
+}
+
 void control_node::replace_leaving_replica(const node_id& node,
                                            const acknowledge_callback& callback)
 {
+    leaving_replicas_.insert_or_assign(node, loop_.now());
     if (!replica_ || !replica_->is_leader()) {
         callback(fail(errc::not_leader, "another replica leads"));
         return;
     }
-    leaving_replicas_.insert_or_assign(node, loop_.now());
     const auto statuses = replica_statuses();
     const auto is_voter = [](const auto& each) { return each.voter; };
     const bool votes =
@@ -139,17 +154,10 @@
         remove();
         return;
     }
-    const replica_status* successor = find_successor(statuses);
-    if (successor == nullptr) {
-        callback(fail(errc::not_found, "no replica can take its vote"));
-        return;
-    }
     // The successor votes first: without the leaving replica, the group might
     // have no majority to accept a new voter.
-    replica_->promote(successor->node,
-                      [callback, remove, successor = successor->node](
-                          const result<void>& outcome) {
-                          log_members_changed("promote", successor, outcome);
+    promote_successor(statuses,
+                      [callback, remove](const result<void>& outcome) {
                           if (!outcome) {
                               callback(outcome);
                               return;
@@ -158,7 +166,47 @@
                       });
 }
 
-void control_node::hand_over_vote(std::function<void()> done)
+std::vector<node_id> control_node::leaving_replicas() const
+{
+    std::vector<node_id> out;
+    for (const auto& [node, since] : leaving_replicas_) {
+        out.push_back(node);
+    }
+    return out;
+}
+
+void control_node::lead_no_longer(const acknowledge_callback& callback)
+{
+    const auto statuses = replica_statuses();
+    const bool other_stays =
+        std::any_of(statuses.begin(), statuses.end(), [this](const auto& each) {
+            return each.voter && !each.leaving && each.node != self_ &&
+                   each.unreachable == duration::zero();
+        });
+    // The next leader replaces this replica on the next attempt.
+    const auto transfer = [this, callback](const error& problem) {
+        replica_->transfer_leadership(
+            [callback, problem](const result<void>&) { callback(problem); },
+            leaving_replicas());
+    };
+    const error retried{errc::in_progress, "leadership is passed on"};
+    if (other_stays) {
+        transfer(retried);
+        return;
+    }
+    // If all voters are about to stop, leadership would only move between them.
+    promote_successor(
+        statuses, [callback, transfer, retried](const result<void>& outcome) {
+            if (!outcome && outcome.error().code != errc::not_found) {
+                callback(outcome);
+                return;
+            }
+            transfer(outcome ? retried : outcome.error());
+        });
+}
+
+void control_node::hand_over_vote(time_point deadline,
+                                  std::function<void()> done)
 {
     const auto members = replica_->members();
     const bool has_learner =
@@ -172,12 +220,16 @@
     }
     repeated_attempt<void>::start(
         loop_,
-        {.deadline = loop_.now() + hand_over_limit,
+        {.deadline = deadline,
          .is_final =
              [](const error& problem) {
                  return problem.code == errc::not_found;
              }},
         [this](const acknowledge_callback& callback) {
+            if (replica_->is_leader()) {
+                lead_no_longer(callback);
+                return;
+            }
             const auto leader = replica_->leader();
             if (!leader || *leader == self_ || !hub_.is_up(*leader)) {
                 callback(fail(errc::no_quorum, "no reachable leader is known"));
--- a/lib/source/relay/membership_plan.cpp
+++ b/lib/source/relay/membership_plan.cpp
@@ -67,4 +67,13 @@
     return found == replicas.end() ? nullptr : &*found;
 }
 
+bool is_successor_expected(std::span<const replica_status> replicas,
+                           const membership_policy& policy)
+{
+    return std::any_of(replicas.begin(), replicas.end(), [&](const auto& each) {
+        return !each.voter && !each.leaving &&
+               each.unreachable < policy.replace_voter_after;
+    });
+}
+
 } // namespace bamboogate::relay
--- a/tests/consensus/raft_test.cpp
+++ b/tests/consensus/raft_test.cpp
@@ -2,6 +2,8 @@
 #include <doctest/doctest.h>
 
 #include <set>
+#include <span>
+#include <vector>
 
 using namespace bamboogate;
 using namespace bamboogate::consensus;
@@ -260,6 +262,29 @@
         100ms));
 }
 
+// Guards against a transfer to a replica that is about to stop, and against
+// none if all others are.
+TEST_CASE("raft_transfer_avoids_named_voters_if_it_can")
+{
+    cluster c({.seed = 3});
+    REQUIRE(c.run_until([&] { return c.leader() != nullptr; }, 3s));
+    cluster::node& leading = *c.leader();
+    std::vector<node_id> others;
+    for (std::size_t i = 0; i < c.size(); ++i) {
+        if (c.at(i).id != leading.id) {
+            others.push_back(c.at(i).id);
+        }
+    }
+    for (const auto& avoided : others) {
+        raft copy = *leading.core;
+        const auto target =
+            copy.transfer_leadership(c.now_at(leading), std::span(&avoided, 1));
+        REQUIRE(target);
+        CHECK(target.value() != avoided);
+    }
+    CHECK(leading.core->transfer_leadership(c.now_at(leading), others));
+}
+
 // Guards against a follower that can no longer catch up once the entries it
 // needs are compacted.
 TEST_CASE("raft_lagging_follower_gets_snapshot_in_chunks")
--- a/tests/platform/core_replacement_test.cpp
+++ b/tests/platform/core_replacement_test.cpp
@@ -94,6 +94,26 @@
     check_configuration_is_read();
 }
 
+// Guards against a leadership that only moves between replicas that all stop,
+// until their time is used up and they take their votes with them.
+TEST_CASE_FIXTURE(replacement_fixture,
+                  "replicas_stopped_at_once_hand_their_votes_to_successors")
+{
+    start_system();
+    start_successors();
+    pass(500ms);
+    std::size_t stopped = 0;
+    for (const auto& node : nodes) {
+        node->stop([&] { ++stopped; });
+    }
+    REQUIRE(wait([&] { return stopped == nodes.size(); }));
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        apis[i].reset();
+        nodes[i].reset();
+    }
+    check_configuration_is_read();
+}
+
 // Guards against a group without a successor that waits for one when it stops.
 TEST_CASE_FIXTURE(replacement_fixture,
                   "replica_without_a_successor_stops_at_once")
--- a/tests/platform/support/relay_fixture.hpp
+++ b/tests/platform/support/relay_fixture.hpp
@@ -181,6 +181,7 @@
     fake_upstream engine2{loop, "e2"};
     fake_upstream service{loop, "s1"};
     relay::reader_pacing::options readers; ///< of the next gate
+    duration hand_over_limit = 20s; ///< of a stop; longer than any wait here
     static inline int count = 0;
 
     /// @param retries of the gate
@@ -226,6 +227,7 @@
                 .seeds = seeds,
                 .first_start = first_start,
                 .tolerated_losses = 1,
+                .hand_over_limit = hand_over_limit,
                 .retries = reserve_});
         REQUIRE(node->start());
         auto* raw = node.get();
--- a/tests/relay/membership_plan_test.cpp
+++ b/tests/relay/membership_plan_test.cpp
@@ -110,6 +110,23 @@
     CHECK(find_successor(replicas)->node == node_id("i"));
 }
 
+// Guards against a stop that takes its vote along because no learner has caught
+// up yet, and against one that waits for learners that are gone.
+TEST_CASE_FIXTURE(membership_fixture,
+                  "successor_is_expected_while_a_learner_is_in_contact")
+{
+    add_voters("abc");
+    CHECK_FALSE(is_successor_expected(replicas, policy));
+    add_learner("d", true);
+    replicas.back().leaving = true;
+    add_learner("e", true);
+    replicas.back().unreachable = 4s;
+    CHECK_FALSE(is_successor_expected(replicas, policy));
+    add_learner("f", false);
+    CHECK(find_successor(replicas) == nullptr);
+    CHECK(is_successor_expected(replicas, policy));
+}
+
 // Guards against a replaced machine that remains a learner forever.
 TEST_CASE_FIXTURE(membership_fixture, "unreachable_learner_is_removed")
 {
