--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -53,6 +53,10 @@
             "replace all replicas in series, the new ones first; implies "
             "--no-faults",
             command);
+        TCLAP::ValueArg<unsigned> disk_writers(
+            "", "disk-writers",
+            "threads that write and sync on the disk of the replicas", false, 0,
+            "number", command);
         TCLAP::ValueArg<unsigned> retry_slack(
             "", "retry-slack",
             "repeated requests that all gates together may send in any case",
@@ -90,6 +94,7 @@
                  .take_ups = taking_up.getValue(),
                  .restarts = restarting.getValue(),
                  .core_replacement = replacing_core.getValue(),
+                 .disk_writers = disk_writers.getValue(),
                  .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
                  .programs = programs.getValue(),
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -437,8 +437,15 @@
     must_succeed_ = !disturbs() && !presses_;
     breaks_processes_ = true;
     last_gate_kill_ = loop_.now();
+    if (settings_.disk_writers > 0) {
+        disk_load_ = std::make_unique<disk_load>(settings_.folder,
+                                                 settings_.disk_writers);
+    }
     run_for(settings_.fault_time);
     reloads_ = replaces_engines_ = breaks_processes_ = false;
+    if (disk_load_) {
+        disk_load_->stop();
+    }
     if (disturbs()) {
         end_faults();
         run_for(recovery_time);
@@ -518,6 +525,9 @@
     if (settings_.core_replacement) {
         line += fmt::format("; {} replicas replaced", replaced_replicas_);
     }
+    if (disk_load_) {
+        line += disk_load_->summary();
+    }
     if (versions_) {
         line += fmt::format("; {} checks of versions in force",
                             versions_->confirmed());
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -12,6 +12,7 @@
 
 #include "backend.hpp"
 #include "callers.hpp"
+#include "disk_load.hpp"
 #include "fleet.hpp"
 #include "operators.hpp"
 #include "replacements.hpp"
@@ -55,6 +56,9 @@
         /// All replicas are replaced in series by others with empty disks, the
         /// new ones first. Only without faults.
         bool core_replacement = false;
+        /// Threads that write and sync in the folder of the run, whose disk
+        /// the replicas use as well.
+        unsigned disk_writers = 0;
         /// `budgetSlack` of the bounds: repeated requests that all gates
         /// together may send in any case.
         unsigned retry_slack = 150;
@@ -169,6 +173,7 @@
     std::unique_ptr<operators> operators_;
     std::unique_ptr<version_checks> versions_; ///< null with faults
     std::unique_ptr<replacements> replacements_;
+    std::unique_ptr<disk_load> disk_load_; ///< null without writers
     std::vector<scheduled_action> schedule_;
     time_point next_request_;
     time_point next_pressing_stream_;
