--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -55,10 +55,11 @@
     {
         const auto reply = control_call(
             0, "POST", fmt::format("/Instances.Heartbeat/{}", id),
-            fmt::format(R"({{"service":"gen","address":"{}","zone":"{}",)"
-                        R"("slots":8,"state":"ready","coldLeftMs":0,)"
-                        R"("seqNo":1,"born":{}}})",
-                        engine.bound_address().text(), zone, started_at));
+            fmt::format(
+                R"({{"service":"gen","address":"{}","zone":"{}",)"
+                R"("slots":8,"state":"ready","coldLeftMs":0,"version":"",)"
+                R"("seqNo":1,"born":{}}})",
+                engine.bound_address().text(), zone, started_at));
         CHECK(reply->status() == 200);
     }
     void start()
--- a/tests/platform/client_crowd_test.cpp
+++ b/tests/platform/client_crowd_test.cpp
@@ -108,11 +108,11 @@
     void announce()
     {
         ++sequence;
-        const auto body =
-            fmt::format(R"({{"service":"s","address":"{}","zone":"d1",)"
-                        R"("slots":64,"state":"ready","coldLeftMs":0,)"
-                        R"("seqNo":{},"born":1000}})",
-                        upstream->bound_address().text(), sequence);
+        const auto body = fmt::format(
+            R"({{"service":"s","address":"{}","zone":"d1",)"
+            R"("slots":64,"state":"ready","coldLeftMs":0,"version":"",)"
+            R"("seqNo":{},"born":1000}})",
+            upstream->bound_address().text(), sequence);
         announcements.clear();
         for (const auto& each : replicas) {
             announcements.push_back(
--- a/tests/platform/hostile_upstream_test.cpp
+++ b/tests/platform/hostile_upstream_test.cpp
@@ -38,10 +38,11 @@
     {
         const auto reply = control_call(
             0, "POST", fmt::format("/Instances.Heartbeat/{}", id),
-            fmt::format(R"({{"service":"{}","address":"{}","zone":"d1",)"
-                        R"("slots":8,"state":"ready","coldLeftMs":0,)"
-                        R"("seqNo":1,"born":1000}})",
-                        service_name, upstream.bound_address().text()));
+            fmt::format(
+                R"({{"service":"{}","address":"{}","zone":"d1",)"
+                R"("slots":8,"state":"ready","coldLeftMs":0,"version":"",)"
+                R"("seqNo":1,"born":1000}})",
+                service_name, upstream.bound_address().text()));
         CHECK(reply->status() == 200);
         run_until(
             loop, [] { return false; }, 50ms);
--- a/tests/platform/odd_announcement_test.cpp
+++ b/tests/platform/odd_announcement_test.cpp
@@ -24,6 +24,7 @@
             {"slots", "8"},
             {"state", R"("ready")"},
             {"coldLeftMs", "0"},
+            {"version", R"("v1")"},
             {"seqNo", "1"},
             {"born", "1000"}};
         std::string out = "{";
@@ -33,6 +34,13 @@
         }
         return out + "}";
     }
+    /// A valid announcement without one field.
+    [[nodiscard]] std::string body_without(std::string_view field) const
+    {
+        json document = json::parse(body());
+        document.erase(std::string(field));
+        return document.dump();
+    }
     void check_rejected(const std::string& announcement)
     {
         CAPTURE(announcement.substr(0, 300));
@@ -96,6 +104,18 @@
     check_service_in_use();
 }
 
+// Guards against another writer that gives a known id to another service.
+TEST_CASE_FIXTURE(odd_announcement_fixture,
+                  "announcement_with_a_field_missing_names_no_upstream")
+{
+    start_system();
+    for (const char* field : {"service", "address", "zone", "slots", "state",
+                              "coldLeftMs", "version", "seqNo"}) {
+        check_rejected(body_without(field));
+    }
+    check_service_in_use();
+}
+
 TEST_CASE_FIXTURE(odd_announcement_fixture,
                   "announcement_with_an_address_out_of_range_names_no_upstream")
 {
@@ -171,7 +191,7 @@
         for (const auto& id : {std::string("odd"), named->id}) {
             const auto text = fmt::format(
                 R"({{"service":"unknown","address":"{}","zone":"d1",)"
-                R"("slots":8,"state":"ready","coldLeftMs":0,)"
+                R"("slots":8,"state":"ready","coldLeftMs":0,"version":"",)"
                 R"("seqNo":900,"born":9000}})",
                 named->server->bound_address().text());
             for (std::size_t node = 0; node < apis.size(); ++node) {
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -164,7 +164,8 @@
     const auto draining = control_call(
         0, "POST", "/Instances.Heartbeat/e2",
         fmt::format(R"({{"service":"gen","address":"{}","zone":"d2",)"
-                    R"("slots":8,"state":"draining","seqNo":2,"born":1000}})",
+                    R"("slots":8,"state":"draining","coldLeftMs":0,)"
+                    R"("version":"","seqNo":2,"born":1000}})",
                     engine2.server->bound_address().text()));
     CHECK(draining->status() == 503);
 }
--- a/tests/platform/unread_answer_test.cpp
+++ b/tests/platform/unread_answer_test.cpp
@@ -104,7 +104,7 @@
              {std::pair(&engine, "gen"), std::pair(&service, "book")}) {
             const std::string body = fmt::format(
                 R"({{"service":"{}","address":"{}","zone":"d1",)"
-                R"("slots":64,"state":"ready","coldLeftMs":0,)"
+                R"("slots":64,"state":"ready","coldLeftMs":0,"version":"",)"
                 R"("seqNo":{},"born":1000}})",
                 name, upstream->server->bound_address().text(), sequence);
             announcements.push_back(client.start(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -370,7 +370,8 @@
 {
     const std::string valid =
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
-        R"("state":"ready","coldLeftMs":0,"seqNo":4,"born":1700000000000})";
+        R"("state":"ready","coldLeftMs":0,"version":"v1","seqNo":4,)"
+        R"("born":1700000000000})";
     const auto read = read_heartbeat("i-1", valid);
     REQUIRE(read);
     CHECK(read.value().id == upstream_id("i-1"));
@@ -384,15 +385,18 @@
         "\xff\xfe",
         R"({"service":"s"})",
         R"({"service":"s","address":"nowhere","zone":"z","slots":4,)"
-        R"("state":"ready","seqNo":4})",
+        R"("state":"ready","coldLeftMs":0,"version":"v1","seqNo":4})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
-        R"("state":"resting","seqNo":4})",
+        R"("state":"resting","coldLeftMs":0,"version":"v1","seqNo":4})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
-        R"("state":"ready","seqNo":4.5})",
+        R"("state":"ready","coldLeftMs":0,"version":"v1","seqNo":4.5})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
-        R"("state":"ready","seqNo":4,"born":"soon"})",
+        R"("state":"ready","coldLeftMs":0,"version":"v1","seqNo":4,)"
+        R"("born":"soon"})",
         R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":4,)"
-        R"("state":"ready","seqNo":4})"};
+        R"("state":"ready","coldLeftMs":0,"version":"v1","seqNo":4})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"ready","coldLeftMs":0,"version":7,"seqNo":4})"};
     for (const char* text : malformed) {
         CAPTURE(text);
         CHECK_FALSE(read_heartbeat("i-1", text).has_value());
