--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -336,6 +336,34 @@
     }
 }
 
+// Guards against a version below zero that is taken for the highest one, after
+// which no change takes effect.
+TEST_CASE("wire_configuration_with_an_odd_number_is_malformed")
+{
+    for (const json& value :
+         {json(-1), json(-7), json(1.5), json("3"), json(nullptr)}) {
+        CAPTURE(value.dump());
+        json document = json::parse(sample_configuration);
+        document["version"] = value;
+        CHECK_FALSE(wire::read_configuration(document.dump()));
+        document = json::parse(sample_configuration);
+        document["routes"][0]["split"] = {
+            {{"service", "s"}, {"weight", value}}};
+        CHECK_FALSE(wire::read_configuration(document.dump()));
+    }
+}
+
+// Guards against objects that are read as lists of their values.
+TEST_CASE("wire_configuration_with_an_object_for_a_list_is_malformed")
+{
+    for (const char* field : {"routes", "services", "tenants"}) {
+        CAPTURE(field);
+        json document = json::parse(sample_configuration);
+        document[field] = json::object();
+        CHECK_FALSE(wire::read_configuration(document.dump()));
+    }
+}
+
 // Guards against an overflow of the silence limit of streams.
 TEST_CASE("wire_configuration_tokens_per_event_are_limited")
 {
