--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -148,6 +148,7 @@
     ///     back.
     /// @param done called when both have succeeded or failed, at once if there
     ///     is nothing to transfer; further calls of `stop` are ignored
+    /// @pre the node lives until then
     void stop(std::function<void()> done);
 
     [[nodiscard]] bool is_leader() const;
