Ignore reports of syncs from before a truncation of the log

Since syncs run beside the protocol, a batch may reach the disk after its entries were removed from the log and added again by another leader. Its report counted the entries as durable, though the disk loses them for a moment while the later batches are written: a crash in between would have lost entries that the replica had acknowledged. No run has shown this; it needs two changes of the leader within one sync.

Outputs carry the number of truncations, and persisted() ignores a report with an older one. Without the check raft_report_of_a_sync_before_a_truncation_is_ignored fails.

--- a/lib/include/bamboogate/consensus/raft.hpp
+++ b/lib/include/bamboogate/consensus/raft.hpp
@@ -111,6 +111,8 @@
         std::optional<snapshot> installed;
         std::vector<message> messages_after_sync;
         std::vector<entry> committed;
+        /// Number of times that the log was truncated, for `persisted`.
+        std::uint64_t truncations = 0;
 
         [[nodiscard]] bool empty() const;
     };
@@ -131,7 +133,10 @@
     result<log_position> propose(std::string command);
 
     /// @brief Reports that the log up to a position is durable.
-    void persisted(const log_position& position);
+    /// @param truncations of the last output that was persisted. If the log has
+    ///     been truncated since, the report is ignored: the disk may lack
+    ///     entries again while the later outputs are persisted.
+    void persisted(const log_position& position, std::uint64_t truncations);
 
     /// @brief Reports a durable snapshot; entries that it covers are discarded,
     ///     except the last ones within `retained_entries` and
@@ -254,6 +259,7 @@
     std::uint64_t commit_ = 0;
     std::uint64_t delivered_ = 0; ///< last index delivered in an output
     std::uint64_t persisted_ = 0;
+    std::uint64_t truncations_ = 0;
     std::uint64_t term_start_ = 0; ///< leader: index of its first entry
     std::size_t uncommitted_bytes_ = 0;
     time_point election_deadline_;
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -207,7 +207,7 @@
     /// As a leader that is about to stop, passes leadership on, if possible to
     /// a voter that stays. Calls back with an error always, since the vote is
     /// still to be handed over.
-    void lead_no_longer(const acknowledge_callback& callback);
+    void hand_over_leadership(const acknowledge_callback& callback);
     void hand_over_vote(time_point deadline, std::function<void()> done);
     void join_group();
     void add_replica(const std::string& node);
--- a/lib/source/consensus/raft.cpp
+++ b/lib/source/consensus/raft.cpp
@@ -60,9 +60,10 @@
     return append_entry(entry_kind::command, std::move(command));
 }
 
-void raft::persisted(const log_position& position)
+void raft::persisted(const log_position& position, std::uint64_t truncations)
 {
-    if (log_.term_at(position.index) != position.term) {
+    if (truncations != truncations_ ||
+        log_.term_at(position.index) != position.term) {
         return;
     }
     persisted_ = std::max(persisted_, position.index);
@@ -101,6 +102,7 @@
     for (; delivered_ < commit_; ++delivered_) {
         output_.committed.push_back(log_.at(delivered_ + 1));
     }
+    output_.truncations = truncations_;
     return std::exchange(output_, {});
 }
 
--- a/lib/source/consensus/raft_replication.cpp
+++ b/lib/source/consensus/raft_replication.cpp
@@ -194,6 +194,7 @@
         }
         if (index <= log_.last().index) {
             log_.truncate_from(index);
+            ++truncations_;
             persisted_ = std::min(persisted_, index - 1);
             std::erase_if(output_.entries, [index](const entry& pending) {
                 return pending.position.index >= index;
--- a/lib/source/consensus/raft_snapshot.cpp
+++ b/lib/source/consensus/raft_snapshot.cpp
@@ -78,6 +78,7 @@
     reply.offset = incoming_->data.size();
     if (reply.done) {
         log_.reset(request.info);
+        ++truncations_;
         persisted_ = std::min(persisted_, commit_);
         commit_ = last.index;
         delivered_ = last.index;
--- a/lib/source/consensus/replica_storage.cpp
+++ b/lib/source/consensus/replica_storage.cpp
@@ -99,8 +99,10 @@
         return;
     }
     reopen_delay_ = first_reopen_delay;
-    written_ = batch->written.value_or(written_);
-    core_->persisted(written_);
+    if (batch->written) {
+        written_ = *batch->written;
+        core_->persisted(written_, batch->work.back().truncations);
+    }
     hard_pending_ =
         std::any_of(work_.begin(), work_.end(),
                     [](const auto& each) { return each.hard.has_value(); });
--- a/lib/source/relay/control_node_membership.cpp
+++ b/lib/source/relay/control_node_membership.cpp
@@ -175,7 +175,7 @@
     return out;
 }
 
-void control_node::lead_no_longer(const acknowledge_callback& callback)
+void control_node::hand_over_leadership(const acknowledge_callback& callback)
 {
     const auto statuses = replica_statuses();
     const bool other_stays =
@@ -227,7 +227,7 @@
              }},
         [this](const acknowledge_callback& callback) {
             if (replica_->is_leader()) {
-                lead_no_longer(callback);
+                hand_over_leadership(callback);
                 return;
             }
             const auto leader = replica_->leader();
--- a/tests/consensus/raft_test.cpp
+++ b/tests/consensus/raft_test.cpp
@@ -189,6 +189,52 @@
     CHECK(disks_lost > 0);
 }
 
+// Guards against a report of a sync that counts for entries which were removed
+// and added again since: the disk loses them for a moment when it catches up.
+TEST_CASE("raft_report_of_a_sync_before_a_truncation_is_ignored")
+{
+    const time_point now{1h};
+    raft::stored_state stored;
+    for (const char* name : {"n0", "n1", "n2"}) {
+        stored.snapshot.members.members.push_back({.node = node_id(name)});
+    }
+    raft follower({.self = node_id("n0"),
+                   .folder = incarnation{1},
+                   .random = [] { return std::uint64_t{0}; }},
+                  std::move(stored), now);
+    const auto append = [&](const char* leader, std::uint64_t term,
+                            log_position previous, std::uint64_t entry_term,
+                            std::uint64_t count) {
+        append_entries request{.term = term,
+                               .folder = incarnation{2},
+                               .previous = previous,
+                               .entries = {},
+                               .commit = 0,
+                               .sent_at = 0};
+        for (std::uint64_t i = 1; i <= count; ++i) {
+            request.entries.push_back(
+                {.position = {.term = entry_term, .index = previous.index + i},
+                 .kind = entry_kind::command,
+                 .data = "x"});
+        }
+        follower.receive(node_id(leader), request, now);
+        return follower.take_output(now);
+    };
+    const log_position first{.term = 1, .index = 1};
+    const log_position last{.term = 1, .index = 3};
+    const auto synced = append("n1", 1, {}, 1, 3);
+    append("n2", 2, first, 2, 1);
+    const auto added_again = append("n1", 3, first, 1, 2);
+    const auto acknowledged = [&] {
+        const auto output = append("n1", 3, last, 1, 0);
+        return std::get<append_entries_reply>(output.messages.at(0).body).index;
+    };
+    follower.persisted(last, synced.truncations);
+    CHECK(acknowledged() < last.index);
+    follower.persisted(last, added_again.truncations);
+    CHECK(acknowledged() == last.index);
+}
+
 // Guards against followers that look lost while their disks sync.
 TEST_CASE("raft_syncs_longer_than_the_election_timeout_keep_the_leader")
 {
--- a/tests/consensus/support/simulated_cluster.cpp
+++ b/tests/consensus/support/simulated_cluster.cpp
@@ -265,7 +265,8 @@
     }
     const raft::stored_state& disk = target.disk;
     target.core->persisted(disk.entries.empty() ? disk.snapshot.last
-                                                : disk.entries.back().position);
+                                                : disk.entries.back().position,
+                           done.back().truncations);
     for (auto& work : done) {
         for (const auto& each : work.messages_after_sync) {
             send(target, each);
