--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -179,6 +179,30 @@
         loop, [&] { return applied.back() == 6; }, 1500ms));
 }
 
+// Guards against configurations in force too late at gates whose home stores
+// none for a while, as with a stalled disk: the smallest bound in use is 2 s.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "gate_whose_home_lags_applies_frequent_changes_in_time")
+{
+    near.leader = far.address.text();
+    far.leader = far.address.text();
+    REQUIRE(run_until(
+        loop,
+        [&] {
+            return !applied.empty() &&
+                   feed->home().value() == near.address.text() &&
+                   feed->leader().value() == far.address.text();
+        },
+        3s));
+    net::timer changes(loop, [&] {
+        ++far.version;
+        far.send_view();
+    });
+    changes.start_periodic(100ms);
+    CHECK(run_until(
+        loop, [&] { return applied.back() > 5; }, 2s));
+}
+
 // Guards against a gate that applies a configuration only after its callers'
 // requests, for each of the messages that bring it.
 TEST_CASE_FIXTURE(control_feed_fixture,
