Log how long a gate was behind the versions that were offered to it

offered_ms of E1012 counts from the newest offer: a gate that had missed changes for 15.05 s logged 52 ms. behind_ms counts from the oldest version that the gate lacked, and home_version tells whether its home lacked them too. version_lag measures it without I/O; nothing is decided by it yet.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -7,6 +7,7 @@
 #include <bamboogate/relay/messages.hpp>
 #include <bamboogate/relay/protocol.hpp>
 #include <bamboogate/relay/rollout_messages.hpp>
+#include <bamboogate/relay/version_lag.hpp>
 
 #include <functional>
 #include <map>
@@ -147,6 +148,7 @@
     std::map<node_id, std::uint64_t> offered_;
     std::uint64_t target_version_ = 0;
     time_point target_since_;      ///< when `target_version_` was reported
+    version_lag lag_;              ///< of `version_` behind the reports
     bool leader_reported_ = false; ///< a leader has sent its own view
     std::optional<time_point> first_link_up_at_;
     bool fetching_ = false;
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -196,6 +196,7 @@
     gates_ = std::max<std::uint64_t>(view.gates, 1);
     update_links();
     offered_[peer.node] = view.version;
+    lag_.note_reported(view.version, loop_.now());
     if (view.version > target_version_) {
         target_version_ = view.version;
         target_since_ = loop_.now();
@@ -281,13 +282,17 @@
             return;
         }
         version_ = reply.value().version;
+        const auto home = offered_.find(home_.current());
         log(events::configuration_applied,
             {{"version", version_},
              {"from", from.value()},
              {"offered_ms", to_milliseconds(loop_.now() - target_since_)},
+             {"behind_ms", to_milliseconds(lag_.lag(loop_.now()))},
+             {"home_version", home != offered_.end() ? home->second : 0},
              {"routes", document.value().routes.size()},
              {"services", document.value().services.size()},
              {"accounts", document.value().accounts.size()}});
+        lag_.note_reached(version_);
         observers_.on_configuration(std::move(document).value());
     }
     fetch();
