Do not wait for the home again with each newer version

Callers of a gate whose home replica stored nothing got answers of an old configuration for as long as changes were less than 250 ms apart: added routes were refused with 404 for 15 s.

The gate fetches from another replica once its home lacks a version for 250 ms. Each newer report started that time again, so a series of changes postponed it without end. The time now counts from the oldest version that the gate lacks.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -36,9 +36,9 @@
         /// If a replica doesn't send its configuration within this time,
         /// another replica is asked.
         duration fetch_deadline = std::chrono::milliseconds(600);
-        /// A newer configuration is requested from another replica if the home
-        /// replica does not have it after this time. It usually lags behind the
-        /// leader by less than a heartbeat.
+        /// Another replica is asked if the home does not have a version this
+        /// long after its report. It usually lags behind the leader by less
+        /// than a heartbeat.
         duration home_lag = std::chrono::milliseconds(250);
         /// How long a gate without a configuration waits for the leader's
         /// view. Another replica may have restarted with an old snapshot.
@@ -146,8 +146,6 @@
     node_id leader_;
     /// The version that each replica has reported.
     std::map<node_id, std::uint64_t> offered_;
-    std::uint64_t target_version_ = 0;
-    time_point target_since_;      ///< when `target_version_` was reported
     version_lag lag_;              ///< of `version_` behind the reports
     bool leader_reported_ = false; ///< a leader has sent its own view
     std::optional<time_point> first_link_up_at_;
--- a/lib/include/bamboogate/relay/version_lag.hpp
+++ b/lib/include/bamboogate/relay/version_lag.hpp
@@ -22,6 +22,8 @@
 
     /// @brief The newest version that was reported.
     [[nodiscard]] std::uint64_t newest() const { return newest_; }
+    /// @brief When the newest version was first reported.
+    [[nodiscard]] time_point newest_at() const { return newest_at_; }
 
     /// @brief Time since the report of the oldest version that is still
     /// awaited;
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -197,11 +197,6 @@
     update_links();
     offered_[peer.node] = view.version;
     lag_.note_reported(view.version, loop_.now());
-    if (view.version > target_version_) {
-        target_version_ = view.version;
-        target_since_ = loop_.now();
-        fetch_timer_.start_once(settings_.home_lag);
-    }
     fetch();
 }
 
@@ -215,13 +210,13 @@
     }
     // Any newer version is an improvement on the one in use, but the first one
     // must not be older than what the leader has.
-    const std::uint64_t needed = first ? target_version_ : version_ + 1;
+    const std::uint64_t needed = first ? lag_.newest() : version_ + 1;
     const auto home = offered_.find(home_.current());
     if (home != offered_.end() && home->second >= needed &&
         home->first != failed_source_) {
         return home->first;
     }
-    if (failed_source_.empty() && now - target_since_ < settings_.home_lag) {
+    if (failed_source_.empty() && lag_.lag(now) < settings_.home_lag) {
         return {};
     }
     // The replica that did not answer is asked again if no other has it.
@@ -238,11 +233,15 @@
 
 void control_feed::fetch()
 {
-    if (fetching_ || target_version_ <= version_) {
+    if (fetching_ || lag_.newest() <= version_) {
         return;
     }
     const node_id from = fetch_source();
     if (from.empty()) {
+        const duration left = settings_.home_lag - lag_.lag(loop_.now());
+        if (left > duration::zero()) {
+            fetch_timer_.start_once(left);
+        }
         return;
     }
     fetching_ = true;
@@ -286,7 +285,7 @@
         log(events::configuration_applied,
             {{"version", version_},
              {"from", from.value()},
-             {"offered_ms", to_milliseconds(loop_.now() - target_since_)},
+             {"offered_ms", to_milliseconds(loop_.now() - lag_.newest_at())},
              {"behind_ms", to_milliseconds(lag_.lag(loop_.now()))},
              {"home_version", home != offered_.end() ? home->second : 0},
              {"routes", document.value().routes.size()},
