Use configurations that arrive later than a gate waits for them

Where the link of a gate is full, a document takes longer than the 600 ms after which the gate asks another replica. The reply was then discarded and the document requested again over the same link, so that the gate kept its old configuration for as long as the link was that slow.

A reply is used for 5 s after its request; the gate still asks another replica after 600 ms, with at most three requests open. gate_whose_replies_are_slow_applies_the_configuration, with replies after 900 ms, failed 3 of 3 times before and passes 3 of 3 times.

--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -35,7 +35,10 @@
         std::vector<net::address> seeds; ///< link addresses
         /// If a replica doesn't send its configuration within this time,
         /// another replica is asked.
-        duration fetch_deadline = std::chrono::milliseconds(600);
+        duration fetch_patience = std::chrono::milliseconds(600);
+        /// A reply that arrives within this time is still used. Answers to
+        /// callers may fill the link for longer than `fetch_patience`.
+        duration fetch_deadline = std::chrono::seconds(5);
         /// Another replica is asked if the home does not have a version this
         /// long after its report. It usually lags behind the leader by less
         /// than a heartbeat.
@@ -127,7 +130,11 @@
     /// The replica to request the configuration from; empty if it is better to
     /// wait.
     [[nodiscard]] node_id fetch_source() const;
-    void on_document(const node_id& from, result<configuration_document> reply);
+    /// @param number of the fetch that the reply belongs to
+    void on_document(const node_id& from, std::uint64_t number,
+                     result<configuration_document> reply);
+    /// Ends the wait for the newest fetch and tries again after a delay.
+    void on_fetch_failed(const node_id& source, errc code);
 
     net::event_loop& loop_;
     relay_protocol protocol_;
@@ -140,7 +147,8 @@
     std::set<node_id> subscribed_; ///< on the links that are up
     std::set<node_id> linked_;     ///< replicas that the hub connects to
     net::timer links_timer_;
-    net::timer fetch_timer_; ///< fetches from another replica than the home
+    net::timer fetch_timer_;    ///< fetches from another replica than the home
+    net::timer patience_timer_; ///< ends the wait for the newest fetch
     std::uint64_t version_ = 0;
     std::uint64_t gates_ = 1;
     node_id leader_;
@@ -149,8 +157,11 @@
     version_lag lag_;              ///< of `version_` behind the reports
     bool leader_reported_ = false; ///< a leader has sent its own view
     std::optional<time_point> first_link_up_at_;
-    bool fetching_ = false;
-    node_id failed_source_; ///< did not answer the last fetch
+    /// The replica whose reply to the newest fetch is awaited.
+    std::optional<node_id> fetching_from_;
+    std::uint64_t fetch_number_ = 0;
+    std::size_t open_fetches_ = 0; ///< without a reply, also earlier ones
+    node_id failed_source_;        ///< did not answer the last fetch
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -15,6 +15,9 @@
 constexpr duration links_interval = std::chrono::milliseconds(250);
 /// Delay after a fetch that got no reply.
 constexpr duration fetch_retry_delay = std::chrono::milliseconds(100);
+/// Fetches that may be unanswered at once: their replies share a link that may
+/// be the cause of the delay.
+constexpr std::size_t max_open_fetches = 3;
 
 } // namespace
 
@@ -37,7 +40,11 @@
           },
           net::loop_priority::control),
       fetch_timer_(
-          loop, [this] { fetch(); }, net::loop_priority::control)
+          loop, [this] { fetch(); }, net::loop_priority::control),
+      patience_timer_(
+          loop,
+          [this] { on_fetch_failed(*fetching_from_, errc::deadline_exceeded); },
+          net::loop_priority::control)
 {
     hub_.on_peer_lost(&log_link_lost);
     hub_.on_peer_state([this](const net::peer_info& peer, bool up) {
@@ -233,7 +240,8 @@
 
 void control_feed::fetch()
 {
-    if (fetching_ || lag_.newest() <= version_) {
+    if (fetching_from_ || open_fetches_ >= max_open_fetches ||
+        lag_.newest() <= version_) {
         return;
     }
     const node_id from = fetch_source();
@@ -244,27 +252,44 @@
         }
         return;
     }
-    fetching_ = true;
+    fetching_from_ = from;
+    patience_timer_.start_once(settings_.fetch_patience);
+    ++open_fetches_;
     hub_.call<fetch_configuration, configuration_document>(
         from, {.above = version_}, settings_.fetch_deadline,
-        [this, from, alive = alive_](result<configuration_document> reply) {
+        [this, from, number = ++fetch_number_,
+         alive = alive_](result<configuration_document> reply) {
             if (*alive) {
-                on_document(from, std::move(reply));
+                on_document(from, number, std::move(reply));
             }
         });
 }
 
-void control_feed::on_document(const node_id& from,
+void control_feed::on_fetch_failed(const node_id& source, errc code)
+{
+    log(events::configuration_rejected,
+        {{"from", source.value()}, {"error", name_of(code)}});
+    failed_source_ = source;
+    patience_timer_.stop();
+    fetching_from_.reset();
+    fetch_timer_.start_once(fetch_retry_delay);
+}
+
+void control_feed::on_document(const node_id& from, std::uint64_t number,
                                result<configuration_document> reply)
 {
-    fetching_ = false;
+    --open_fetches_;
+    const bool awaited = fetching_from_ && number == fetch_number_;
     if (!reply) {
-        log(events::configuration_rejected,
-            {{"from", from.value()}, {"error", name_of(reply.error().code)}});
-        failed_source_ = from;
-        fetch_timer_.start_once(fetch_retry_delay);
+        if (awaited) {
+            on_fetch_failed(from, reply.error().code);
+        }
         return;
     }
+    if (awaited) {
+        patience_timer_.stop();
+        fetching_from_.reset();
+    }
     failed_source_ = {};
     if (reply.value().version > version_) {
         auto document = protocol_.read_configuration(reply.value().text);
--- a/tests/platform/control_feed_test.cpp
+++ b/tests/platform/control_feed_test.cpp
@@ -23,6 +23,8 @@
     std::uint64_t version = 0;
     std::string leader;
     int ignored_fetches = 0; ///< that are left unanswered
+    duration reply_delay{};  ///< of documents
+    std::vector<std::unique_ptr<net::timer>> delayed;
     bool gate_linked = false;
     bool gate_subscribed = false;
     relay::control_view view;
@@ -35,15 +37,22 @@
                      .is_control = [](const node_id&) { return true; }})
     {
         hub.serve<relay::fetch_configuration, relay::configuration_document>(
-            [this](const net::peer_info&, relay::fetch_configuration,
-                   const auto& reply) {
+            [this, &loop](const net::peer_info&, relay::fetch_configuration,
+                          const auto& reply) {
                 if (ignored_fetches > 0) {
                     --ignored_fetches;
                     return;
                 }
-                reply(relay::configuration_document{
+                const relay::configuration_document document{
                     version,
-                    relay_fixture::configuration(static_cast<int>(version))});
+                    relay_fixture::configuration(static_cast<int>(version))};
+                if (reply_delay == duration::zero()) {
+                    reply(document);
+                    return;
+                }
+                delayed.push_back(std::make_unique<net::timer>(
+                    loop, [reply, document] { reply(document); }));
+                delayed.back()->start_once(reply_delay);
             });
         hub.on<relay::subscribe>(
             [this](const net::peer_info&, relay::subscribe subscription) {
@@ -179,6 +188,19 @@
         loop, [&] { return applied.back() == 6; }, 1500ms));
 }
 
+// Guards against documents that are discarded, and requested again, because a
+// full link delivers them later than the gate waits: the smallest bound is 2 s.
+TEST_CASE_FIXTURE(control_feed_fixture,
+                  "gate_whose_replies_are_slow_applies_the_configuration")
+{
+    settle();
+    near.reply_delay = 900ms;
+    near.version = 6;
+    near.send_view();
+    CHECK(run_until(
+        loop, [&] { return applied.back() == 6; }, 2s));
+}
+
 // Guards against configurations in force too late at gates whose home stores
 // none for a while, as with a stalled disk: the smallest bound in use is 2 s.
 TEST_CASE_FIXTURE(control_feed_fixture,
