Leave a home replica that does not follow the others

A gate took a replica that stores nothing for sound while that replica knew a leader. Configurations then came from the leader 250 ms late; rollouts and software versions of streams, which only the home passes on, did not come at all.

A replica that has lacked a version of another one for 1.5 s, the time also allowed without a leader, is no suitable home until it has caught up. home_replica_that_lags_is_replaced_until_it_has_caught_up covers it; before, the choice took no version.

--- a/lib/include/bamboogate/relay/home_replica.hpp
+++ b/lib/include/bamboogate/relay/home_replica.hpp
@@ -3,7 +3,9 @@
 
 #include <bamboogate/core/ids.hpp>
 #include <bamboogate/core/time.hpp>
+#include <bamboogate/relay/version_lag.hpp>
 
+#include <cstdint>
 #include <map>
 #include <set>
 
@@ -24,6 +26,9 @@
         /// A replica that has known no leader for this long is cut off from the
         /// others and misses their announcements. Longer than an election.
         duration max_leaderless = std::chrono::milliseconds(1500);
+        /// A replica that has lacked a configuration of another one for this
+        /// long passes on nothing that is replicated.
+        duration max_lag = std::chrono::milliseconds(1500);
         /// Links that are no longer needed are kept for this long, so that a
         /// short loss of the leader does not replace all of them.
         duration link_retention = std::chrono::seconds(2);
@@ -46,6 +51,10 @@
     void on_view(const node_id& replica, bool knows_leader, bool forwards,
                  time_point now);
 
+    /// @brief Records the version of the configuration that a replica has.
+    void on_version(const node_id& replica, std::uint64_t version,
+                    time_point now);
+
     /// @brief The replica to subscribe to; empty if no link is up. Stays the
     ///     same while that replica is suitable.
     [[nodiscard]] const node_id& choose(const node_id& leader, time_point now);
@@ -74,13 +83,16 @@
         bool forwards = true;
         bool knows_leader = false;
         time_point leaderless_since;
+        version_lag lag; ///< behind the other replicas
     };
 
-    [[nodiscard]] bool cut_off(const replica_state& replica,
-                               time_point now) const;
+    /// True if the replica is cut off from the others or does not follow them.
+    [[nodiscard]] bool is_unsuitable(const replica_state& replica,
+                                     time_point now) const;
 
     options settings_;
     std::map<node_id, replica_state> replicas_;
+    std::uint64_t newest_version_ = 0;
     node_id current_;
     /// Since when home and leader suffice; the epoch if they don't.
     time_point sufficient_since_{};
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -187,6 +187,7 @@
     }
     const node_id leader(view.leader);
     home_.on_view(peer.node, !leader.empty(), view.forwards, loop_.now());
+    home_.on_version(peer.node, view.version, loop_.now());
     // A replica is reliable about its own role; about others it may still
     // report the previous leader.
     const bool reports_itself = leader == peer.node;
--- a/lib/source/relay/home_replica.cpp
+++ b/lib/source/relay/home_replica.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/relay/home_replica.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace bamboogate::relay {
@@ -12,6 +13,7 @@
     state.up = true;
     state.knows_leader = false;
     state.leaderless_since = now;
+    state.lag = {};
 }
 
 void home_replica::on_link_down(const node_id& replica)
@@ -30,10 +32,25 @@
     state.knows_leader = knows_leader;
 }
 
-bool home_replica::cut_off(const replica_state& replica, time_point now) const
+void home_replica::on_version(const node_id& replica, std::uint64_t version,
+                              time_point now)
 {
-    return !replica.knows_leader &&
-           now - replica.leaderless_since >= settings_.max_leaderless;
+    newest_version_ = std::max(newest_version_, version);
+    replicas_[replica].lag.note_reached(version);
+    for (auto& [node, state] : replicas_) {
+        if (state.up) {
+            state.lag.note_reported(newest_version_, now);
+        }
+    }
+}
+
+bool home_replica::is_unsuitable(const replica_state& replica,
+                                 time_point now) const
+{
+    const bool cut_off =
+        !replica.knows_leader &&
+        now - replica.leaderless_since >= settings_.max_leaderless;
+    return cut_off || replica.lag.lag(now) >= settings_.max_lag;
 }
 
 const node_id& home_replica::choose(const node_id& leader, time_point now)
@@ -45,7 +62,7 @@
         if (!state.up) {
             continue;
         }
-        const std::tuple key{cut_off(state, now),
+        const std::tuple key{is_unsuitable(state, now),
                              state.domain != settings_.own_domain,
                              node != previous, node != leader};
         if (current_.empty() || key < best_key) {
--- a/tests/relay/home_replica_test.cpp
+++ b/tests/relay/home_replica_test.cpp
@@ -91,6 +91,26 @@
     CHECK(choose(r2) == r1);
 }
 
+// Guards against a gate that stays subscribed to a replica that stores nothing,
+// as with a stalled disk, and passes on no rollouts and no software versions.
+TEST_CASE_FIXTURE(home_replica_fixture,
+                  "home_replica_that_lags_is_replaced_until_it_has_caught_up")
+{
+    connect_all();
+    for (const auto& each : {r1, r2, r3}) {
+        home.on_version(each, 5, now);
+    }
+    for (std::uint64_t version = 6; version < 20; ++version) {
+        home.on_version(r2, version, now);
+        CHECK(choose(r2) == r1);
+        now += 100ms;
+    }
+    now += 100ms;
+    CHECK(choose(r2) == r2);
+    home.on_version(r1, 19, now);
+    CHECK(choose(r2) == r1);
+}
+
 // Guards against links of each gate to every replica.
 TEST_CASE_FIXTURE(home_replica_fixture,
                   "links_to_other_replicas_are_closed_after_the_retention")
