Add tunnels that connect to servers over another process

A tunnel passes bytes on and knows nothing of requests, so deadlines, attempts, retries, keys and cancellation stay with the gate that took the request; weighed against handing whole requests to another gate, which would need all of these in both.

path_dialer opens a connection over the first of several paths that works, before anything of a request is sent. Over a tunnel, an answer that ends with its connection counts as broken: a lost process between would look the same. Without a dialer the client connects as before.

--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -5,6 +5,7 @@
 #include <bamboogate/net/address.hpp>
 #include <bamboogate/net/event_loop.hpp>
 #include <bamboogate/net/http1.hpp>
+#include <bamboogate/net/path_dialer.hpp>
 
 #include <functional>
 #include <memory>
@@ -48,6 +49,9 @@
         /// A server that accepts no byte of an unsent request for this long
         /// fails the exchange with `connection_lost`.
         duration send_timeout = std::chrono::seconds(15);
+        /// Opens the connections; must outlive the client. Without one, they
+        /// are direct.
+        path_dialer* dialer = nullptr;
     };
 
     struct callbacks
@@ -122,6 +126,21 @@
     ///     server or the path to it has failed.
     void close_idle_connections(const address& server);
 
+    /// @brief Closes the idle connections of one kind of path: the direct ones,
+    ///     or those over tunnels.
+    void close_idle_paths(bool direct);
+
+    /// @brief The server of a request on a direct connection that has brought
+    /// no
+    ///     byte since the request was sent, for at least the time.
+    /// @return nothing if any direct connection has brought one within the time
+    [[nodiscard]] std::optional<address> quiet_server(duration time) const;
+
+    /// @brief Fails the exchanges on direct connections that have brought no
+    ///     byte for at least the time, with `connection_lost`. Their handlers
+    ///     are called from inside this function.
+    void fail_quiet_exchanges(duration time);
+
     /// @brief Number of connections opened since the start.
     [[nodiscard]] std::uint64_t connections_made() const;
     [[nodiscard]] std::size_t idle_connections() const;
--- a/lib/include/bamboogate/net/tcp_stream.hpp
+++ b/lib/include/bamboogate/net/tcp_stream.hpp
@@ -49,6 +49,10 @@
     /// @brief Shuts the output down once the queue is empty.
     void shutdown_output();
 
+    /// @brief Closes the connection so that the peer sees a reset. `on_end` is
+    ///     not called.
+    void reset();
+
     /// @brief Handles the input that has already arrived, without waiting for
     ///     the event loop. Does nothing while input is paused.
     /// @return whether any input was handled
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -47,6 +48,7 @@
 struct http1_client_connection
 {
     address server;
+    network_path path;
     std::unique_ptr<tcp_stream> stream;
     std::weak_ptr<http1_client::exchange::impl> owner;
     time_point idle_until;
@@ -58,11 +60,18 @@
     options settings;
     std::map<std::string, std::vector<std::shared_ptr<http1_client_connection>>>
         idle;
-    std::uint64_t connections_made = 0;
+    std::set<exchange::impl*> exchanges; ///< whose request was sent
+    time_point last_direct_input{};
     std::shared_ptr<std::size_t> unsent_bytes =
         std::make_shared<std::size_t>(0);
+    path_dialer direct_dialer;
+    path_dialer& dialer;
 
-    impl(event_loop& l, options o) : loop(l), settings(o) {}
+    impl(event_loop& l, options o)
+        : loop(l), settings(o),
+          direct_dialer(l, {.connect_timeout = o.connect_timeout}),
+          dialer(o.dialer != nullptr ? *o.dialer : direct_dialer)
+    {}
 
     std::shared_ptr<http1_client_connection> take_idle(const address& server)
     {
@@ -109,18 +118,26 @@
     std::size_t max_discarded_bytes = 0;
     std::size_t body_bytes = 0;
     std::size_t discarded_bytes = 0;
-    timer connect_timer;
+    std::unique_ptr<path_dialer::dial> dial; ///< until it is connected
+    time_point last_input{};                 ///< or when the request was sent
     event_loop& loop;
     duration send_timeout{};
     timer send_timer; ///< while a part of the request is unsent
 
     impl(event_loop& l, callbacks c)
-        : handlers(std::move(c)),
-          connect_timer(
-              l, [this] { fail_exchange(errc::connection_failed, false); }),
-          loop(l), send_timer(l, [this] { check_sending(); })
+        : handlers(std::move(c)), loop(l),
+          send_timer(l, [this] { check_sending(); })
     {}
 
+    ~impl() { untrack(); }
+
+    void untrack()
+    {
+        if (const auto owner = client.lock()) {
+            owner->exchanges.erase(this);
+        }
+    }
+
     void new_reader()
     {
         accepted = false;
@@ -152,8 +169,12 @@
 
     void send_request()
     {
-        connect_timer.stop();
+        dial.reset();
         sent = true;
+        last_input = loop.now();
+        if (const auto owner = client.lock()) {
+            owner->exchanges.insert(this);
+        }
         connection->stream->write(std::exchange(output, {}));
         send_body();
         check_sending();
@@ -196,6 +217,11 @@
     void on_data(std::string_view bytes)
     {
         const auto self = shared_from_this();
+        last_input = loop.now();
+        if (const auto owner = client.lock();
+            owner && connection && connection->path.direct()) {
+            owner->last_direct_input = last_input;
+        }
         while (!bytes.empty() && !ended) {
             const auto consumed = reader->read(bytes);
             if (ended) {
@@ -234,7 +260,11 @@
         if (ended) {
             return;
         }
-        if (reason == stream_end::closed && accepted && reader->read_end()) {
+        // The end of a process between closes its tunnels like the end of an
+        // answer.
+        const bool may_be_complete =
+            reason == stream_end::closed && connection->path.direct();
+        if (may_be_complete && accepted && reader->read_end()) {
             complete(false);
             return;
         }
@@ -248,6 +278,7 @@
     {
         const auto self = shared_from_this();
         ended = true;
+        untrack();
         // A server may respond before it has read the body, the rest of which
         // would be taken for the next request.
         const bool reusable =
@@ -273,8 +304,9 @@
             return;
         }
         ended = true;
-        connect_timer.stop();
+        untrack();
         send_timer.stop();
+        dial.reset();
         const http1_failure failure{.code = code,
                                     .request_sent = sent,
                                     .on_reused_connection = reused,
@@ -296,14 +328,7 @@
 handlers_for(const std::shared_ptr<http1_client_connection>& connection)
 {
     const std::weak_ptr<http1_client_connection> weak = connection;
-    return {.on_connected =
-                [weak] {
-                    const auto self = weak.lock();
-                    const auto owner = self ? self->owner.lock() : nullptr;
-                    if (owner) {
-                        owner->send_request();
-                    }
-                },
+    return {.on_connected = nullptr,
             .on_data =
                 [weak](std::string_view bytes) {
                     const auto self = weak.lock();
@@ -375,7 +400,8 @@
 {
     impl_->ended = true;
     impl_->handlers = {};
-    impl_->connect_timer.stop();
+    impl_->untrack();
+    impl_->dial.reset();
     impl_->send_timer.stop();
     if (impl_->connection) {
         impl_->connection->stream.reset();
@@ -457,20 +483,26 @@
     connection->server = server;
     connection->owner = state;
     state->connection = connection;
-    const auto descriptor = start_connect(server);
-    if (!descriptor) {
-        impl_->loop.post([weak = std::weak_ptr(state)] {
-            if (const auto self = weak.lock()) {
-                self->fail_exchange(errc::connection_failed, true);
+    const auto on_dialled =
+        [weak = std::weak_ptr(state), connection,
+         pool = std::weak_ptr(impl_)](const path_dialer::connection& dialled) {
+            const auto self = weak.lock();
+            const auto client = pool.lock();
+            if (!self || !client) {
+                return;
             }
-        });
-        return std::make_unique<exchange>(state);
-    }
-    ++impl_->connections_made;
-    connection->stream = std::make_unique<tcp_stream>(
-        impl_->loop, descriptor.value(), true, handlers_for(connection),
-        impl_->unsent_bytes);
-    state->connect_timer.start_once(impl_->settings.connect_timeout);
+            if (dialled.descriptor < 0) {
+                self->fail_exchange(errc::connection_failed,
+                                    dialled.outcome == dial_result::refused);
+                return;
+            }
+            connection->path = dialled.path;
+            connection->stream = std::make_unique<tcp_stream>(
+                client->loop, dialled.descriptor, false,
+                handlers_for(connection), client->unsent_bytes);
+            self->send_request();
+        };
+    state->dial = impl_->dialer.start(server, on_dialled);
     return std::make_unique<exchange>(state);
 }
 
@@ -479,9 +511,51 @@
     impl_->idle.erase(server.text());
 }
 
+void http1_client::close_idle_paths(bool direct)
+{
+    for (auto& [server, list] : impl_->idle) {
+        std::erase_if(list, [&](const auto& each) {
+            return each->path.direct() == direct;
+        });
+    }
+}
+
+std::optional<address> http1_client::quiet_server(duration time) const
+{
+    const time_point limit = impl_->loop.now() - time;
+    if (impl_->last_direct_input > limit) {
+        return std::nullopt;
+    }
+    const exchange::impl* quietest = nullptr;
+    for (const auto* each : impl_->exchanges) {
+        const bool quiet =
+            each->connection->path.direct() && each->last_input <= limit;
+        if (quiet &&
+            (quietest == nullptr || each->last_input < quietest->last_input)) {
+            quietest = each;
+        }
+    }
+    return quietest == nullptr ? std::nullopt
+                               : std::optional(quietest->connection->server);
+}
+
+void http1_client::fail_quiet_exchanges(duration time)
+{
+    const time_point limit = impl_->loop.now() - time;
+    std::vector<std::shared_ptr<exchange::impl>> quiet;
+    for (auto* each : impl_->exchanges) {
+        if (each->connection->path.direct() && each->last_input <= limit) {
+            quiet.push_back(each->shared_from_this());
+        }
+    }
+    for (const auto& each : quiet) {
+        each->fail_exchange(errc::connection_lost, false);
+    }
+}
+
 std::uint64_t http1_client::connections_made() const
 {
-    return impl_->connections_made;
+    return impl_->dialer.connections_made();
 }
 
 std::size_t http1_client::unsent_bytes() const
--- a/lib/source/net/tcp_stream.cpp
+++ b/lib/source/net/tcp_stream.cpp
@@ -291,6 +291,17 @@
     }
 }
 
+void tcp_stream::reset()
+{
+    if (!impl_->closed) {
+        // Without a time to linger, closing discards the output and resets.
+        const linger discard{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(impl_->descriptor, SOL_SOCKET, SO_LINGER, &discard,
+                     sizeof discard);
+        impl_->close();
+    }
+}
+
 bool tcp_stream::read_arrived()
 {
     const auto held = impl_;
