Reach upstreams over other gates while the direct paths are lost

Cause: a gate had one path to each upstream. It dialled hanging or refusing connections again and again, took its own partition for the fault of each upstream, and used up its retries. Class: a failure of the own path is taken for a failure of the peer.

An upstream that fails directly and accepts over another gate has a lost path; two of them without a direct success between are a partition: tunnels are tried first, idle direct connections are closed, requests on connections that hang as well are failed, and the gate reports no upstream as suspect.

--- a/lib/include/bamboogate/net/path_dialer.hpp
+++ b/lib/include/bamboogate/net/path_dialer.hpp
@@ -68,9 +68,11 @@
 
     struct connection
     {
-        dial_result outcome = dial_result::silent; ///< of the last server tried
+        /// If no path connected, that of the direct one, else of the first that
+        /// brought a result of the server.
+        dial_result outcome = dial_result::unavailable;
         int descriptor = -1; ///< owned by the receiver if connected
-        network_path path;
+        network_path path;   ///< that brought the outcome
     };
 
     /// Called once, from the event loop.
--- a/lib/include/bamboogate/net/tunnel_server.hpp
+++ b/lib/include/bamboogate/net/tunnel_server.hpp
@@ -6,11 +6,13 @@
 #include <bamboogate/core/time.hpp>
 #include <bamboogate/net/address.hpp>
 #include <bamboogate/net/event_loop.hpp>
+#include <bamboogate/net/path_dialer.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace bamboogate::net {
 
@@ -34,8 +36,11 @@
         duration handshake_timeout = std::chrono::milliseconds(500);
         /// Time for the target to accept; the longest round trip is 24 ms.
         duration connect_timeout = std::chrono::milliseconds(150);
-        /// Whether a tunnel may lead there. Unset: nowhere.
-        std::function<bool(const address&)> is_allowed;
+        /// The address to connect to for a requested one; nothing if no tunnel
+        /// may lead there. Unset: no tunnel is opened.
+        std::function<std::optional<address>(const address&)> resolve;
+        /// The result of each connection to a requested address; may be unset.
+        std::function<void(const address&, dial_result)> on_target_result;
     };
 
     struct totals
--- a/lib/include/bamboogate/relay/control_feed.hpp
+++ b/lib/include/bamboogate/relay/control_feed.hpp
@@ -72,6 +72,9 @@
         std::function<void(const rollout_lease&)> on_rollout_lease;
         /// The leader changed, or the link to it was established again.
         std::function<void()> on_new_leader;
+        /// Whether other gates may reach upstreams over this one; unset, or
+        /// without a value, if it opens no tunnels.
+        std::function<std::optional<bool>()> serves_tunnels = nullptr;
     };
 
     control_feed(net::event_loop& loop, relay_protocol protocol,
@@ -104,6 +107,15 @@
     /// @return false if there is no link to a leader
     [[nodiscard]] bool report_evidence(const rollout_evidence& evidence);
 
+    /// @brief Reports to all linked replicas whether other gates may reach
+    ///     upstreams over this one.
+    void report_reachability(bool reaches_upstreams);
+
+    /// @brief Requests gates that reach the upstreams from the leader, or
+    ///     without one from the home replica.
+    void find_gates(const relay::find_gates& request,
+                    std::function<void(result<gates_found>)> on_reply);
+
     /// @brief Number of control replicas whose link is up.
     [[nodiscard]] std::size_t links_up() const;
     /// @brief Version of the configuration in use; 0 if none was received.
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -13,6 +13,7 @@
 #include <bamboogate/relay/retry_reserve.hpp>
 #include <bamboogate/relay/rollout_director.hpp>
 #include <bamboogate/relay/suspicion_limiter.hpp>
+#include <bamboogate/relay/tunnel_gates.hpp>
 #include <bamboogate/rollout/order_rules.hpp>
 
 #include <filesystem>
@@ -308,6 +309,7 @@
     suspicion_limiter forwarded_suspicions_;
     /// The subscribed gates, and whether they read refreshes.
     std::map<node_id, bool> gates_;
+    tunnel_gates tunnel_gates_; ///< with a link to this replica
     /// The number of gates subscribed to each other replica.
     std::map<node_id, std::uint64_t> gates_of_replicas_;
     /// Upstreams with an unchanged announcement not yet sent to the replicas.
--- a/lib/include/bamboogate/relay/gate_metrics.hpp
+++ b/lib/include/bamboogate/relay/gate_metrics.hpp
@@ -47,6 +47,15 @@
           given_up_callers(registry.add_counter(
               "bamboogate_relay_readers_given_up_total",
               "Callers that were disconnected because they did not read.")),
+          tunnelled_connections(registry.add_counter(
+              "bamboogate_relay_tunnelled_connections_total",
+              "Connections to upstreams that were opened over another gate.")),
+          failed_tunnels(registry.add_counter(
+              "bamboogate_relay_failed_tunnels_total",
+              "Attempts to connect over another gate that failed.")),
+          partitioned(registry.add_gauge(
+              "bamboogate_relay_partitioned",
+              "1 while the gate connects to upstreams over other gates.")),
           unread_bytes(registry.add_gauge(
               "bamboogate_relay_unread_answer_bytes",
               "Bytes of answers that callers have not read.")),
@@ -74,6 +83,9 @@
     observability::counter& evidence_reports;
     observability::counter& paused_readings;
     observability::counter& given_up_callers;
+    observability::counter& tunnelled_connections;
+    observability::counter& failed_tunnels;
+    observability::gauge& partitioned;
     observability::gauge& unread_bytes;
     observability::gauge& unsent_bytes;
     observability::log_histogram& latency;
--- a/lib/include/bamboogate/relay/log_events.hpp
+++ b/lib/include/bamboogate/relay/log_events.hpp
@@ -135,6 +135,10 @@
 inline constexpr log_event attempt_started{
     1031, severity::info, "relay_attempt_started",
     "A request was sent to an upstream."};
+inline constexpr log_event upstream_paths_changed{
+    1045, severity::warning, "relay_upstream_paths_changed",
+    "The gate reaches no upstream directly any more and connects over other "
+    "gates, or reaches upstreams directly again."};
 inline constexpr log_event attempt_failed{
     1032, severity::warning, "relay_attempt_failed",
     "An attempt ended without a usable response."};
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -194,6 +194,32 @@
                                    pause_ms)
 };
 
+/// Gate to replicas: the gate opens tunnels to upstreams for other gates. Sent
+/// when a link comes up and at each change. Earlier builds don't send it.
+struct gate_reachability
+{
+    static constexpr std::string_view type = "relay_gate_reachability";
+    bool reaches_upstreams = true;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gate_reachability, reaches_upstreams)
+};
+
+/// Gate to replica: requests gates that reach the upstreams. Earlier builds
+/// don't serve it.
+struct find_gates
+{
+    static constexpr std::string_view type = "relay_find_gates";
+    std::uint64_t count = 0; ///< at most
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(find_gates, count)
+};
+
+/// The addresses at which these gates open tunnels.
+struct gates_found
+{
+    static constexpr std::string_view type = "relay_gates_found";
+    std::vector<std::string> gates;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gates_found, gates)
+};
+
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
 /// stalled.
 struct upstream_suspicion
--- a/lib/include/bamboogate/relay/relay_gate.hpp
+++ b/lib/include/bamboogate/relay/relay_gate.hpp
@@ -8,6 +8,7 @@
 #include <bamboogate/relay/client_limits.hpp>
 #include <bamboogate/relay/control_feed.hpp>
 #include <bamboogate/relay/exchange.hpp>
+#include <bamboogate/relay/gate_paths.hpp>
 #include <bamboogate/relay/startup_queue.hpp>
 #include <bamboogate/relay/suspicion_limiter.hpp>
 #include <bamboogate/relay/upstream_prober.hpp>
@@ -48,6 +49,9 @@
         /// An attempt whose upstream accepts no byte of its unsent request for
         /// this long fails.
         duration send_timeout = std::chrono::seconds(15);
+        /// Where this gate connects other gates to upstreams; without it, it
+        /// doesn't.
+        std::optional<net::address> tunnel_address = std::nullopt;
     };
 
     relay_gate(net::event_loop& loop, relay_protocol protocol,
@@ -103,7 +107,7 @@
     void on_suspicion(const upstream_id& id);
     void check_upstream(const instance& upstream);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> exchanges() const;
-    void on_probe_finished(const upstream_id& id, probe_result outcome);
+    void on_probe_finished(const upstream_id& id, probe_result observed);
     void fail_attempts_on(const upstream_id& id);
     void probe(const upstream_id& id,
                std::function<void(probe_result)> on_result);
@@ -111,6 +115,7 @@
     /// True if streams may begin at the version, as far as this gate knows.
     [[nodiscard]] bool is_recorded(const service_id& service,
                                    const software_version& version) const;
+    [[nodiscard]] gate_paths::observers path_observers();
     void on_new_leader();
     void on_rollouts(const rollout_update& update);
     /// Sends the evidence of the rollouts in progress that has changed.
@@ -133,6 +138,7 @@
     client_limit_monitor client_limits_;
     answer_room answers_;
     response_times response_times_;
+    gate_paths paths_;
     net::http1_client client_;
     upstream_directory directory_;
     std::map<service_id, stream_planner> planners_;
--- a/lib/include/bamboogate/relay/upstream_prober.hpp
+++ b/lib/include/bamboogate/relay/upstream_prober.hpp
@@ -2,10 +2,9 @@
 #define BAMBOOGATE_RELAY_UPSTREAM_PROBER_HPP
 
 #include <bamboogate/core/ids.hpp>
-#include <bamboogate/core/time.hpp>
 #include <bamboogate/net/address.hpp>
 #include <bamboogate/net/event_loop.hpp>
-#include <bamboogate/net/tcp_stream.hpp>
+#include <bamboogate/net/path_dialer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -32,40 +31,30 @@
 class upstream_prober
 {
 public:
-    struct options
-    {
-        /// Many times a round trip between failure domains (1 ms), and less
-        /// than the shortest pause that callers notice.
-        duration deadline = std::chrono::milliseconds(70);
-    };
-
     using finished_callback =
         std::function<void(const upstream_id&, probe_result)>;
 
     /// @param on_finished called from the event loop for each probe, after
     ///     input that has arrived by then: the connections of a crashed
     ///     upstream break together, and their owners have to see that first
-    upstream_prober(net::event_loop& loop, options settings,
+    /// @param dialer opens the connections, and bounds their time; must outlive
+    ///     the prober
+    upstream_prober(net::event_loop& loop, net::path_dialer& dialer,
                     finished_callback on_finished);
 
     /// @brief Starts a probe unless one of this upstream is in progress.
     void probe(const upstream_id& id, const net::address& address);
 
 private:
-    struct check
-    {
-        std::unique_ptr<net::tcp_stream> stream;
-        std::unique_ptr<net::timer> deadline;
-    };
-
-    void finish(const upstream_id& upstream, probe_result outcome);
+    void finish(const upstream_id& upstream,
+                const net::path_dialer::connection& dialled);
     /// Calls `on_finished_` in the next iteration of the loop.
     void report(const upstream_id& upstream, probe_result outcome);
 
     net::event_loop& loop_;
-    options settings_;
+    net::path_dialer& dialer_;
     finished_callback on_finished_;
-    std::map<upstream_id, check> checks_;
+    std::map<upstream_id, std::unique_ptr<net::path_dialer::dial>> checks_;
     /// Expires with the prober, for functions that were posted to the loop.
     std::shared_ptr<upstream_prober*> self_ =
         std::make_shared<upstream_prober*>(this);
--- a/lib/source/net/path_dialer.cpp
+++ b/lib/source/net/path_dialer.cpp
@@ -39,7 +39,8 @@
     std::size_t current = 0;
     callback on_end;
     time_point started;
-    dial_result server_outcome = dial_result::silent;
+    std::optional<dial_result> server_outcome;
+    network_path answered_path;
     int descriptor = -1;
     std::unique_ptr<io_watcher> watcher;
     timer path_timer;
@@ -191,10 +192,14 @@
         if (tunnel_failed) {
             outcome = dial_result::unavailable;
         }
-        if (outcome != dial_result::unavailable) {
+        const network_path tried = path();
+        const bool first_answer = !server_outcome;
+        if (outcome == dial_result::connected ||
+            (outcome != dial_result::unavailable &&
+             (first_answer || tried.direct()))) {
             server_outcome = outcome;
+            answered_path = tried;
         }
-        const network_path tried = path();
         const bool connected = outcome == dial_result::connected;
         const int open = connected ? std::exchange(descriptor, -1) : -1;
         close_descriptor();
@@ -218,9 +223,9 @@
             return;
         }
         const auto handler = std::exchange(on_end, nullptr);
-        handler({.outcome = connected ? outcome : server_outcome,
+        handler({.outcome = server_outcome.value_or(dial_result::unavailable),
                  .descriptor = open,
-                 .path = tried});
+                 .path = answered_path});
     }
 };
 
--- a/lib/source/net/tunnel_server.cpp
+++ b/lib/source/net/tunnel_server.cpp
@@ -26,6 +26,7 @@
     {
         std::string nonce = make_tunnel_nonce();
         std::string request;
+        address requested;
         std::unique_ptr<tcp_stream> client;
         std::unique_ptr<tcp_stream> target;
         /// Limits the handshake, the connect and the end.
@@ -136,17 +137,20 @@
     void connect_target(std::uint64_t id)
     {
         tunnel& used = tunnels.at(id);
-        const auto target = read_tunnel_request(settings.shared_secret,
-                                                used.nonce, used.request);
-        if (!target || !settings.is_allowed || !settings.is_allowed(*target)) {
+        const auto requested = read_tunnel_request(settings.shared_secret,
+                                                   used.nonce, used.request);
+        const auto target = requested && settings.resolve
+                                ? settings.resolve(*requested)
+                                : std::nullopt;
+        if (!target) {
             ++counts.refused;
             reply_failure(id, tunnel_reply::unavailable);
             return;
         }
+        used.requested = *requested;
         const auto descriptor = start_connect(*target);
         if (!descriptor) {
-            ++counts.failed;
-            reply_failure(id, tunnel_reply::refused);
+            fail_target(id, tunnel_reply::refused);
             return;
         }
         used.target = std::make_unique<tcp_stream>(
@@ -178,14 +182,31 @@
         ++counts.opened;
         used.client->write(
             std::string(1, static_cast<char>(tunnel_reply::connected)));
+        note_result(used.requested, dial_result::connected);
+    }
+
+    void fail_target(std::uint64_t id, tunnel_reply reply)
+    {
+        ++counts.failed;
+        const address requested = tunnels.at(id).requested;
+        reply_failure(id, reply);
+        note_result(requested, reply == tunnel_reply::silent
+                                   ? dial_result::silent
+                                   : dial_result::refused);
+    }
+
+    void note_result(const address& requested, dial_result outcome) const
+    {
+        if (settings.on_target_result) {
+            settings.on_target_result(requested, outcome);
+        }
     }
 
     void on_target_end(std::uint64_t id, stream_end reason)
     {
         tunnel& used = tunnels.at(id);
         if (!used.open) {
-            ++counts.failed;
-            reply_failure(id, tunnel_reply::refused);
+            fail_target(id, tunnel_reply::refused);
             return;
         }
         if (reason == stream_end::reset) {
@@ -201,8 +222,7 @@
     {
         tunnel& used = tunnels.at(id);
         if (used.target && !used.open && !used.ending) {
-            ++counts.failed;
-            reply_failure(id, tunnel_reply::silent);
+            fail_target(id, tunnel_reply::silent);
             return;
         }
         // Destroyed later, because its timer is on the call stack.
--- a/lib/source/relay/control_feed.cpp
+++ b/lib/source/relay/control_feed.cpp
@@ -15,6 +15,7 @@
 constexpr duration links_interval = std::chrono::milliseconds(250);
 /// Delay after a fetch that got no reply.
 constexpr duration fetch_retry_delay = std::chrono::milliseconds(100);
+constexpr duration find_gates_limit = std::chrono::milliseconds(500);
 /// Fetches that may be unanswered at once: their replies share a link that may
 /// be the cause of the delay.
 constexpr std::size_t max_open_fetches = 3;
@@ -119,6 +120,12 @@
         log_link_established(peer);
         home_.on_link_up(peer.node, peer.failure_domain, loop_.now());
         first_link_up_at_ = first_link_up_at_.value_or(loop_.now());
+        const auto serves = observers_.serves_tunnels
+                                ? observers_.serves_tunnels()
+                                : std::nullopt;
+        if (serves) {
+            hub_.send(peer.node, gate_reachability{*serves});
+        }
     } else {
         home_.on_link_down(peer.node);
         subscribed_.erase(peer.node);
@@ -356,6 +363,21 @@
     return hub_.send(leader_, evidence);
 }
 
+void control_feed::report_reachability(bool reaches_upstreams)
+{
+    for (const auto& peer : hub_.peers_up()) {
+        hub_.send(peer.node, gate_reachability{reaches_upstreams});
+    }
+}
+
+void control_feed::find_gates(const relay::find_gates& request,
+                              std::function<void(result<gates_found>)> on_reply)
+{
+    hub_.call<relay::find_gates, gates_found>(
+        hub_.is_up(leader_) ? leader_ : home_.current(), request,
+        find_gates_limit, std::move(on_reply));
+}
+
 template <typename Message>
 void control_feed::send_to_leader_or_home(const Message& message)
 {
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -20,6 +20,8 @@
 /// Number of configurations after which a snapshot replaces the log. The disk
 /// has enough space for the documents between two snapshots.
 constexpr std::uint64_t snapshot_interval_entries = 64;
+/// Bounds the reply to a gate that looks for others.
+constexpr std::size_t max_gates_found = 8;
 
 } // namespace
 
@@ -189,6 +191,18 @@
     hub_.serve<retry_request, retry_reply>(
         [this](const net::peer_info& peer, const retry_request& request,
                const auto& reply) { reply(on_retry_request(peer, request)); });
+    hub_.on<gate_reachability>(
+        [this](const net::peer_info& peer, const gate_reachability& state) {
+            tunnel_gates_.record(peer.node, peer.failure_domain,
+                                 state.reaches_upstreams);
+        });
+    hub_.serve<find_gates, gates_found>([this](const net::peer_info& peer,
+                                               const find_gates& request,
+                                               const auto& reply) {
+        reply(gates_found{tunnel_gates_.choose(
+            peer.node, peer.failure_domain,
+            std::min<std::size_t>(request.count, max_gates_found))});
+    });
     hub_.on<join_request>([this](const net::peer_info&, join_request request) {
         add_replica(request.node);
         if (!replica_ || !replica_->is_leader()) {
@@ -254,6 +268,7 @@
 {
     if (!up) {
         gates_.erase(peer.node);
+        tunnel_gates_.remove(peer.node);
         gates_of_replicas_.erase(peer.node);
         placements_.remove_gate(peer.node);
         return;
--- a/lib/source/relay/relay_gate.cpp
+++ b/lib/source/relay/relay_gate.cpp
@@ -46,7 +46,12 @@
     : loop_(loop), protocol_(std::move(protocol)),
       settings_(std::move(settings)), metrics_(registry_),
       client_limits_(registry_), answers_(loop, settings_.readers, metrics_),
-      client_(loop, {.send_timeout = settings_.send_timeout}),
+      paths_(loop,
+             {.shared_secret = settings_.control.shared_secret,
+              .tunnel_address = settings_.tunnel_address},
+             metrics_, path_observers()),
+      client_(loop, {.send_timeout = settings_.send_timeout,
+                     .dialer = &paths_.dialer()}),
       directory_(
           {.own_domain = settings_.control.failure_domain, .registry = {}}),
       retries_(settings_.retries),
@@ -91,9 +96,15 @@
                [this](const rollout_lease& lease) {
                    rollouts_.renew(lease.numbers, loop_.now());
                },
-           .on_new_leader = [this] { on_new_leader(); }}),
+           .on_new_leader = [this] { on_new_leader(); },
+           .serves_tunnels = [this]() -> std::optional<bool> {
+               if (!settings_.tunnel_address) {
+                   return std::nullopt;
+               }
+               return paths_.serves_tunnels();
+           }}),
       placer_(feed_.hub(), {}, [this] { return feed_.leader(); }),
-      prober_(loop, {},
+      prober_(loop, paths_.probe_dialer(),
               [this](const upstream_id& id, probe_result outcome) {
                   on_probe_finished(id, outcome);
               }),
@@ -211,10 +222,35 @@
                           }));
     server_ = std::move(server);
     answers_.attach(*server_);
+    BOOST_OUTCOME_TRYV(paths_.start(client_));
     tick_timer_.start_periodic(tick_interval);
     return outcome::success();
 }
 
+gate_paths::observers relay_gate::path_observers()
+{
+    return {.is_upstream =
+                [this](const net::address& asked) {
+                    const auto& known = directory_.registry().instances();
+                    return std::any_of(
+                        known.begin(), known.end(), [&](const auto& each) {
+                            return each.second.state != instance_state::lost &&
+                                   each.second.announced.address == asked;
+                        });
+                },
+            .find_gates =
+                [this](const find_gates& request,
+                       std::function<void(result<gates_found>)> on_reply) {
+                    feed_.find_gates(request, std::move(on_reply));
+                },
+            .report =
+                [this](bool reaches_upstreams) {
+                    if (settings_.tunnel_address) {
+                        feed_.report_reachability(reaches_upstreams);
+                    }
+                }};
+}
+
 bool relay_gate::ready() const
 {
     return table_ != nullptr && !stopping_;
@@ -457,7 +493,8 @@
     }
     client_.close_idle_connections(upstream->announced.address);
     // The streams of one engine are lost together; the first report is enough.
-    if (reported_suspicions_.admit(id, loop_.now())) {
+    // What a partitioned gate sees is no evidence against an upstream.
+    if (!paths_.partitioned() && reported_suspicions_.admit(id, loop_.now())) {
         log(events::upstream_suspended,
             {{"upstream", id.value()},
              {"state", name_of(upstream->state)},
@@ -511,8 +548,13 @@
     prober_.probe(id, upstream->announced.address);
 }
 
-void relay_gate::on_probe_finished(const upstream_id& id, probe_result outcome)
+void relay_gate::on_probe_finished(const upstream_id& id, probe_result observed)
 {
+    // The refusal may come from the partition.
+    const probe_result outcome =
+        observed == probe_result::refused && paths_.partitioned()
+            ? probe_result::silent
+            : observed;
     if (auto observers = probe_observers_.extract(id)) {
         for (const auto& observer : observers.mapped()) {
             observer(outcome);
@@ -631,6 +673,7 @@
     on_stopped_ = std::move(done);
     log(events::process_stopping, {{"active", exchanges_.size()}});
     server_->begin_drain();
+    paths_.begin_drain();
     startup_queue_.expire_all();
     stop_timer_.start_once(settings_.stop_limit - last_answers_time);
     tick();
@@ -654,7 +697,8 @@
         return;
     }
     const duration since = loop_.now() - stop_started_at_;
-    const bool idle = exchanges_.empty() && server_->connections() == 0;
+    const bool idle = exchanges_.empty() && server_->connections() == 0 &&
+                      paths_.open_tunnels() == 0;
     if (since < settings_.stop_limit &&
         (since < settings_.accept_after_stop || !idle)) {
         return;
--- /dev/null
+++ b/lib/source/relay/upstream_paths.cpp
@@ -0,0 +1,85 @@
+#include <bamboogate/relay/upstream_paths.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboogate::relay {
+
+void upstream_paths::use_gates(std::vector<net::address> gates)
+{
+    gates_ = std::move(gates);
+}
+
+std::vector<net::network_path> upstream_paths::paths(const net::address& server,
+                                                     time_point now)
+{
+    std::erase_if(failed_gates_, [&](const auto& each) {
+        return now - each.second >= settings_.gate_backoff;
+    });
+    std::vector<net::network_path> out;
+    const std::size_t wanted =
+        std::min(settings_.gates_per_dial, gates_.size());
+    // Connections are spread over the gates; those that failed come last.
+    for (const bool failed : {false, true}) {
+        for (std::size_t i = 0; i < gates_.size() && out.size() < wanted; ++i) {
+            const auto& gate = gates_[(next_gate_ + i) % gates_.size()];
+            if (failed_gates_.contains(gate.text()) == failed) {
+                out.push_back({.via = gate});
+            }
+        }
+    }
+    ++next_gate_;
+    const bool detour = partitioned() || detours_.contains(server.text());
+    out.insert(detour ? out.end() : out.begin(), net::network_path{});
+    return out;
+}
+
+void upstream_paths::note(const net::address& server,
+                          const net::network_path& path,
+                          net::dial_result outcome, time_point now)
+{
+    const std::string name = server.text();
+    const bool connected = outcome == net::dial_result::connected;
+    if (path.direct() && connected) {
+        if (partitioned()) {
+            // The others are tried directly as well; whatever is still lost is
+            // found again.
+            detours_.clear();
+        }
+        detours_.erase(name);
+        direct_failures_.erase(name);
+        lost_since_success_.clear();
+        return;
+    }
+    if (path.direct()) {
+        direct_failures_[name] = now;
+        hangs_ = outcome == net::dial_result::silent;
+        return;
+    }
+    if (!connected) {
+        failed_gates_[path.via->text()] = now;
+        return;
+    }
+    std::erase_if(direct_failures_, [&](const auto& each) {
+        return now - each.second > settings_.evidence_time;
+    });
+    if (direct_failures_.contains(name)) {
+        detours_.insert_or_assign(name, server);
+        lost_since_success_.insert(name);
+    }
+}
+
+std::optional<net::address> upstream_paths::next_check()
+{
+    if (detours_.empty()) {
+        return std::nullopt;
+    }
+    auto next = detours_.upper_bound(last_checked_);
+    if (next == detours_.end()) {
+        next = detours_.begin();
+    }
+    last_checked_ = next->first;
+    return next->second;
+}
+
+} // namespace bamboogate::relay
--- a/lib/source/relay/upstream_prober.cpp
+++ b/lib/source/relay/upstream_prober.cpp
@@ -1,5 +1,7 @@
 #include <bamboogate/relay/upstream_prober.hpp>
 
+#include <unistd.h>
+
 namespace bamboogate::relay {
 
 std::string_view name_of(probe_result result)
@@ -15,9 +17,10 @@
     return "unknown";
 }
 
-upstream_prober::upstream_prober(net::event_loop& loop, options settings,
+upstream_prober::upstream_prober(net::event_loop& loop,
+                                 net::path_dialer& dialer,
                                  finished_callback on_finished)
-    : loop_(loop), settings_(settings), on_finished_(std::move(on_finished))
+    : loop_(loop), dialer_(dialer), on_finished_(std::move(on_finished))
 {}
 
 void upstream_prober::probe(const upstream_id& id, const net::address& address)
@@ -25,40 +28,32 @@
     if (checks_.contains(id)) {
         return;
     }
-    const auto descriptor = net::start_connect(address);
-    if (!descriptor) {
-        report(id, probe_result::refused);
-        return;
-    }
-    check& added = checks_[id];
-    added.stream = std::make_unique<net::tcp_stream>(
-        loop_, descriptor.value(), true,
-        net::tcp_stream::callbacks{
-            .on_connected = [this, id] { finish(id, probe_result::accepted); },
-            .on_data = [](std::string_view) {},
-            .on_end =
-                [this, id](net::stream_end) {
-                    finish(id, probe_result::refused);
-                },
-            .on_drained = nullptr});
-    added.deadline = std::make_unique<net::timer>(
-        loop_, [this, id] { finish(id, probe_result::silent); });
-    added.deadline->start_once(settings_.deadline);
+    checks_[id] = dialer_.start(
+        address, [this, id](const net::path_dialer::connection& dialled) {
+            finish(id, dialled);
+        });
 }
 
-void upstream_prober::finish(const upstream_id& upstream, probe_result outcome)
+void upstream_prober::finish(const upstream_id& upstream,
+                             const net::path_dialer::connection& dialled)
 {
     const upstream_id id = upstream;
-    const auto found = checks_.find(id);
-    if (found == checks_.end()) {
+    if (dialled.descriptor >= 0) {
+        ::close(dialled.descriptor);
+    }
+    checks_.erase(id);
+    switch (dialled.outcome) {
+    case net::dial_result::connected:
+        report(id, probe_result::accepted);
+        return;
+    case net::dial_result::refused:
+        report(id, probe_result::refused);
         return;
+    case net::dial_result::silent:
+    case net::dial_result::unavailable:
+        break;
     }
-    // Destroyed later, because the stream or the timer is on the call stack.
-    auto ended = std::make_shared<check>(std::move(found->second));
-    checks_.erase(found);
-    ended->deadline->stop();
-    loop_.post([ended] {});
-    report(id, outcome);
+    report(id, probe_result::silent);
 }
 
 void upstream_prober::report(const upstream_id& upstream, probe_result outcome)
--- a/tests/net/tunnel_test.cpp
+++ b/tests/net/tunnel_test.cpp
@@ -59,9 +59,11 @@
         return net::tunnel_server::start(
                    loop, {.listen_address = any_port,
                           .shared_secret = secret("s"),
-                          .is_allowed =
-                              [this](const net::address& asked) {
-                                  return asked == allowed;
+                          .resolve =
+                              [this](const net::address& requested) {
+                                  return requested == allowed
+                                             ? std::optional(requested)
+                                             : std::nullopt;
                               }})
             .value();
     }
