Prefer gates of the own failure domain for tunnels

Traffic between failure domains is charged. The reply of a replica names gates of both kinds apart; those of other domains are used when no near one works.

--- a/lib/include/bamboogate/relay/gate_paths.hpp
+++ b/lib/include/bamboogate/relay/gate_paths.hpp
@@ -39,8 +39,8 @@
         /// with a need for them.
         duration refresh_interval = std::chrono::seconds(5);
         duration urgent_refresh_interval = std::chrono::milliseconds(500);
-        /// Gates that are requested.
-        std::size_t gates_requested = 4;
+        /// Gates that are requested, of the own and of other failure domains.
+        std::size_t gates_requested = 3;
         /// Tunnels that are quiet for this long are closed during a planned
         /// stop. Longer than most plain requests take.
         duration drain_quiet_time = std::chrono::milliseconds(500);
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -208,7 +208,7 @@
 struct find_gates
 {
     static constexpr std::string_view type = "relay_find_gates";
-    std::uint64_t count = 0; ///< at most
+    std::uint64_t count = 0; ///< at most, of the own and of other domains
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(find_gates, count)
 };
 
@@ -216,8 +216,9 @@
 struct gates_found
 {
     static constexpr std::string_view type = "relay_gates_found";
-    std::vector<std::string> gates;
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gates_found, gates)
+    std::vector<std::string> near; ///< of the requester's failure domain
+    std::vector<std::string> far;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(gates_found, near, far)
 };
 
 /// Gate to replicas, and replicas to gates: connections to an upstream broke or
--- a/lib/include/bamboogate/relay/tunnel_gates.hpp
+++ b/lib/include/bamboogate/relay/tunnel_gates.hpp
@@ -2,11 +2,10 @@
 #define BAMBOOGATE_RELAY_TUNNEL_GATES_HPP
 
 #include <bamboogate/core/ids.hpp>
+#include <bamboogate/relay/messages.hpp>
 
 #include <cstddef>
 #include <map>
-#include <string>
-#include <vector>
 
 namespace bamboogate::relay {
 
@@ -24,13 +23,13 @@
     }
     void remove(const node_id& gate) { gates_.erase(gate); }
 
-    /// @brief Chooses gates that reach the upstreams, of the own failure domain
-    ///     first, with one of another domain if there is one. Successive calls
-    ///     take turns, so that the load is spread.
-    /// @return the link addresses of at most `count` other gates
-    [[nodiscard]] std::vector<std::string>
-    choose(const node_id& requester, const failure_domain_id& domain,
-           std::size_t count);
+    /// @brief Chooses gates that reach the upstreams. Successive calls take
+    ///     turns, so that the load is spread.
+    /// @return the link addresses of at most `count` other gates of the failure
+    ///     domain, and as many of other domains
+    [[nodiscard]] gates_found choose(const node_id& requester,
+                                     const failure_domain_id& domain,
+                                     std::size_t count);
 
 private:
     struct state
--- a/lib/include/bamboogate/relay/upstream_paths.hpp
+++ b/lib/include/bamboogate/relay/upstream_paths.hpp
@@ -38,7 +38,10 @@
     explicit upstream_paths(options settings) : settings_(settings) {}
 
     /// @brief Replaces the gates that may be used.
-    void use_gates(std::vector<net::address> gates);
+    /// @param far of other failure domains; traffic to them is charged, so they
+    ///     are used if no near one works
+    void use_gates(std::vector<net::address> near,
+                   std::vector<net::address> far);
 
     /// @brief The paths to try for a connection, best first.
     [[nodiscard]] std::vector<net::network_path>
@@ -68,11 +71,15 @@
     ///     without a detour. Takes turns.
     [[nodiscard]] std::optional<net::address> next_check();
 
-    [[nodiscard]] std::size_t gates() const { return gates_.size(); }
+    [[nodiscard]] std::size_t gates() const
+    {
+        return near_.size() + far_.size();
+    }
 
 private:
     options settings_;
-    std::vector<net::address> gates_;
+    std::vector<net::address> near_;
+    std::vector<net::address> far_;
     std::size_t next_gate_ = 0;
     std::map<std::string, time_point> failed_gates_; ///< and when
     /// Upstreams that failed directly, and when.
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -20,7 +20,7 @@
 /// Number of configurations after which a snapshot replaces the log. The disk
 /// has enough space for the documents between two snapshots.
 constexpr std::uint64_t snapshot_interval_entries = 64;
-/// Bounds the reply to a gate that looks for others.
+/// Bounds each part of the reply to a gate that looks for others.
 constexpr std::size_t max_gates_found = 8;
 
 } // namespace
--- a/lib/source/relay/gate_paths.cpp
+++ b/lib/source/relay/gate_paths.cpp
@@ -16,6 +16,17 @@
 /// and less than the shortest pause that callers notice.
 constexpr duration probe_time = std::chrono::milliseconds(70);
 
+std::vector<net::address> read_addresses(const std::vector<std::string>& texts)
+{
+    std::vector<net::address> out;
+    for (const auto& text : texts) {
+        if (auto gate = net::parse_address(text)) {
+            out.push_back(std::move(gate).value());
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 gate_paths::gate_paths(net::event_loop& loop, options settings,
@@ -183,26 +194,22 @@
     }
     refreshed_at_ = now;
     refreshing_ = true;
-    observers_.find_gates({.count = settings_.gates_requested},
-                          [this, alive = std::weak_ptr(alive_)](
-                              const result<gates_found>& reply) {
-                              if (alive.expired()) {
-                                  return;
-                              }
-                              refreshing_ = false;
-                              if (!reply) {
-                                  // Those that are known may still work.
-                                  return;
-                              }
-                              gates_known_ = true;
-                              std::vector<net::address> gates;
-                              for (const auto& text : reply.value().gates) {
-                                  if (auto gate = net::parse_address(text)) {
-                                      gates.push_back(std::move(gate).value());
-                                  }
-                              }
-                              paths_.use_gates(std::move(gates));
-                          });
+    observers_.find_gates(
+        {.count = settings_.gates_requested},
+        [this,
+         alive = std::weak_ptr(alive_)](const result<gates_found>& reply) {
+            if (alive.expired()) {
+                return;
+            }
+            refreshing_ = false;
+            if (!reply) {
+                // Those that are known may still work.
+                return;
+            }
+            gates_known_ = true;
+            paths_.use_gates(read_addresses(reply.value().near),
+                             read_addresses(reply.value().far));
+        });
 }
 
 void gate_paths::begin_drain()
--- a/lib/source/relay/upstream_paths.cpp
+++ b/lib/source/relay/upstream_paths.cpp
@@ -5,9 +5,11 @@
 
 namespace bamboogate::relay {
 
-void upstream_paths::use_gates(std::vector<net::address> gates)
+void upstream_paths::use_gates(std::vector<net::address> near,
+                               std::vector<net::address> far)
 {
-    gates_ = std::move(gates);
+    near_ = std::move(near);
+    far_ = std::move(far);
 }
 
 std::vector<net::network_path> upstream_paths::paths(const net::address& server,
@@ -17,16 +19,19 @@
         return now - each.second >= settings_.gate_backoff;
     });
     std::vector<net::network_path> out;
-    const std::size_t wanted =
-        std::min(settings_.gates_per_dial, gates_.size());
-    // Connections are spread over the gates; those that failed come last.
-    for (const bool failed : {false, true}) {
-        for (std::size_t i = 0; i < gates_.size() && out.size() < wanted; ++i) {
-            const auto& gate = gates_[(next_gate_ + i) % gates_.size()];
-            if (failed_gates_.contains(gate.text()) == failed) {
+    const auto append = [&](const std::vector<net::address>& gates,
+                            bool failed) {
+        for (std::size_t i = 0; i < gates.size(); ++i) {
+            const auto& gate = gates[(next_gate_ + i) % gates.size()];
+            if (out.size() < settings_.gates_per_dial &&
+                failed_gates_.contains(gate.text()) == failed) {
                 out.push_back({.via = gate});
             }
         }
+    };
+    for (const bool failed : {false, true}) {
+        append(near_, failed);
+        append(far_, failed);
     }
     ++next_gate_;
     const bool detour = partitioned() || detours_.contains(server.text());
