Confirm a lost path by a second direct failure

A path counts as lost only if the upstream fails directly again after it has accepted over another gate; the gate tries that at once. upstreams_that_have_just_started_are_no_partition failed to be expressible before and covers it.

--- a/lib/include/bamboogate/relay/upstream_paths.hpp
+++ b/lib/include/bamboogate/relay/upstream_paths.hpp
@@ -15,10 +15,11 @@
 namespace bamboogate::relay {
 
 /// Decides over which paths a gate connects to upstreams: directly, or over
-/// other gates. An upstream that fails directly and accepts over another gate
-/// is not at fault, but the path to it. If that is seen at several upstreams
-/// and no direct connection succeeds meanwhile, the gate is partitioned from
-/// the upstreams. Performs no I/O. Not thread safe.
+/// other gates. If an upstream fails directly, accepts over another gate and
+/// fails directly once more, not it is at fault, but the path to it: the second
+/// failure rules out that it has just started. If that is seen at several
+/// upstreams and no direct connection succeeds meanwhile, the gate is
+/// partitioned from the upstreams. Performs no I/O. Not thread safe.
 class upstream_paths
 {
 public:
@@ -58,19 +59,21 @@
         return lost_since_success_.size() >= settings_.partitioned_after;
     }
 
-    /// @brief True if the newest direct connection that failed was not
-    /// answered:
+    /// @brief True if the newest direct connection that failed got no answer:
     ///     kept connections hang as well. After a refusal they may live on.
     [[nodiscard]] bool direct_path_hangs() const { return hangs_; }
 
     /// @brief True if any upstream is reached over another gate.
     [[nodiscard]] bool any_detour() const { return !detours_.empty(); }
 
-    /// @brief The next upstream whose direct path should be tried again;
-    /// nothing
-    ///     without a detour. Takes turns.
+    /// @brief The next upstream whose direct path should be tried again; none
+    ///     without a detour. Takes turns, unconfirmed ones first.
     [[nodiscard]] std::optional<net::address> next_check();
 
+    /// @brief True if an upstream has accepted over another gate after a direct
+    ///     failure, and its direct path was not tried since.
+    [[nodiscard]] bool needs_confirmation() const;
+
     [[nodiscard]] std::size_t gates() const
     {
         return near_.size() + far_.size();
@@ -84,8 +87,13 @@
     std::map<std::string, time_point> failed_gates_; ///< and when
     /// Upstreams that failed directly, and when.
     std::map<std::string, time_point> direct_failures_;
+    struct detour
+    {
+        net::address server;
+        bool confirmed = false; ///< failed directly after it had accepted
+    };
     /// Upstreams that are reached over other gates.
-    std::map<std::string, net::address> detours_;
+    std::map<std::string, detour> detours_;
     /// Those of them whose direct path was lost after the last success of any
     /// direct connection.
     std::set<std::string> lost_since_success_;
--- a/lib/source/relay/gate_paths.cpp
+++ b/lib/source/relay/gate_paths.cpp
@@ -157,12 +157,13 @@
 
 void gate_paths::check_direct_path(time_point now)
 {
-    if (!paths_.any_detour() ||
-        now - rechecked_at_ < settings_.recheck_interval) {
-        return;
+    const bool due = paths_.needs_confirmation() ||
+                     (paths_.any_detour() &&
+                      now - rechecked_at_ >= settings_.recheck_interval);
+    if (due && !trial_) {
+        rechecked_at_ = now;
+        try_paths(*paths_.next_check(), std::vector<net::network_path>(1));
     }
-    rechecked_at_ = now;
-    try_paths(*paths_.next_check(), std::vector<net::network_path>(1));
 }
 
 void gate_paths::try_paths(const net::address& server,
@@ -181,7 +182,7 @@
     if (!paths) {
         paths = paths_.paths(server, trial_started_);
     }
-    trial_ = dialer_.start(server, std::move(*paths), on_end);
+    trial_ = probe_dialer_.start(server, std::move(*paths), on_end);
 }
 
 void gate_paths::refresh_gates(time_point now)
--- a/lib/source/relay/upstream_paths.cpp
+++ b/lib/source/relay/upstream_paths.cpp
@@ -59,6 +59,11 @@
     if (path.direct()) {
         direct_failures_[name] = now;
         hangs_ = outcome == net::dial_result::silent;
+        const auto found = detours_.find(name);
+        if (found != detours_.end()) {
+            found->second.confirmed = true;
+            lost_since_success_.insert(name);
+        }
         return;
     }
     if (!connected) {
@@ -69,22 +74,32 @@
         return now - each.second > settings_.evidence_time;
     });
     if (direct_failures_.contains(name)) {
-        detours_.insert_or_assign(name, server);
-        lost_since_success_.insert(name);
+        detours_.try_emplace(name, detour{.server = server});
     }
 }
 
+bool upstream_paths::needs_confirmation() const
+{
+    return std::any_of(detours_.begin(), detours_.end(),
+                       [](const auto& each) { return !each.second.confirmed; });
+}
+
 std::optional<net::address> upstream_paths::next_check()
 {
     if (detours_.empty()) {
         return std::nullopt;
     }
-    auto next = detours_.upper_bound(last_checked_);
+    auto next =
+        std::find_if(detours_.begin(), detours_.end(),
+                     [](const auto& each) { return !each.second.confirmed; });
+    if (next == detours_.end()) {
+        next = detours_.upper_bound(last_checked_);
+    }
     if (next == detours_.end()) {
         next = detours_.begin();
     }
     last_checked_ = next->first;
-    return next->second;
+    return next->second.server;
 }
 
 } // namespace bamboogate::relay
--- a/tests/relay/upstream_paths_test.cpp
+++ b/tests/relay/upstream_paths_test.cpp
@@ -34,11 +34,12 @@
     {
         paths.note(server, {.via = gate}, outcome, now);
     }
-    /// The direct path fails and another gate reaches the upstream.
+    /// The direct path fails although another gate reaches the upstream.
     void lose(const net::address& server)
     {
         direct(server, net::dial_result::silent);
         over(g1, server, net::dial_result::connected);
+        direct(server, net::dial_result::silent);
     }
     bool direct_first(const net::address& server)
     {
@@ -77,6 +78,22 @@
     CHECK_FALSE(paths.any_detour());
 }
 
+// Guards against a gate that takes itself for partitioned because upstreams
+// that were down come back between two of its connections.
+TEST_CASE_FIXTURE(upstream_paths_fixture,
+                  "upstreams_that_have_just_started_are_no_partition")
+{
+    for (const auto& each : {e1, e2, e3}) {
+        direct(each, net::dial_result::silent);
+        over(g1, each, net::dial_result::connected);
+        CHECK(paths.needs_confirmation());
+        CHECK(paths.next_check() == each);
+        direct(each, net::dial_result::connected);
+    }
+    CHECK_FALSE(paths.partitioned());
+    CHECK_FALSE(paths.any_detour());
+}
+
 // Guards against a delay of each connection to an upstream whose path is lost.
 TEST_CASE_FIXTURE(upstream_paths_fixture,
                   "lost_path_to_one_upstream_leaves_the_others_direct")
