--- a/lib/include/bamboogate/net/http1_client.hpp
+++ b/lib/include/bamboogate/net/http1_client.hpp
@@ -126,14 +126,14 @@
     ///     server or the path to it has failed.
     void close_idle_connections(const address& server);
 
-    /// @brief Closes the idle connections of one kind of path: the direct ones,
-    ///     or those over tunnels.
+    /// @brief Closes the idle connections to all servers that are direct, or
+    ///     those over tunnels.
     void close_idle_paths(bool direct);
 
-    /// @brief The server of a request on a direct connection that has brought
-    /// no
-    ///     byte since the request was sent, for at least the time.
-    /// @return nothing if any direct connection has brought one within the time
+    /// @brief Finds a request on a direct connection that has brought no byte
+    ///     for at least the time since the request was sent.
+    /// @return its server; nothing if any direct connection has brought a byte
+    ///     within the time
     [[nodiscard]] std::optional<address> quiet_server(duration time) const;
 
     /// @brief Fails the exchanges on direct connections that have brought no
