Forget lost paths to upstreams that no longer exist

A gate that reached an upstream over another gate tried its direct path every 0.5 s, and asked for gates as often, also after the upstream was gone for good. forgotten_upstream_is_not_checked_again covers it; found by reading the diff.

--- a/lib/include/bamboogate/relay/gate_paths.hpp
+++ b/lib/include/bamboogate/relay/gate_paths.hpp
@@ -91,6 +91,7 @@
     }
 
 private:
+    [[nodiscard]] net::path_dialer::observers dial_observers();
     void on_result(const net::address& server, const net::network_path& path,
                    net::dial_result outcome);
     void on_change(const net::address& server);
--- a/lib/include/bamboogate/relay/upstream_paths.hpp
+++ b/lib/include/bamboogate/relay/upstream_paths.hpp
@@ -52,6 +52,9 @@
     void note(const net::address& server, const net::network_path& path,
               net::dial_result outcome, time_point now);
 
+    /// @brief Forgets an upstream that no longer exists.
+    void forget(const net::address& server);
+
     /// @brief True while new connections to upstreams succeed only over other
     ///     gates.
     [[nodiscard]] bool partitioned() const
--- a/lib/source/relay/gate_paths.cpp
+++ b/lib/source/relay/gate_paths.cpp
@@ -34,33 +34,31 @@
     : loop_(loop), settings_(std::move(settings)), metrics_(metrics),
       observers_(std::move(functions)), paths_(settings_.decisions),
       dialer_(loop, {.shared_secret = settings_.shared_secret},
-              {.paths =
-                   [this](const net::address& server) {
-                       return paths_.paths(server, loop_.now());
-                   },
-               .on_result =
-                   [this](const auto& server, const auto& path,
-                          net::dial_result outcome) {
-                       on_result(server, path, outcome);
-                   }}),
+              dial_observers()),
       probe_dialer_(loop,
                     {.shared_secret = settings_.shared_secret,
                      .connect_timeout = probe_time,
                      .direct_timeout = probe_time,
                      .tunnel_timeout = probe_time,
                      .total_timeout = 2 * probe_time},
-                    {.paths =
-                         [this](const net::address& server) {
-                             return paths_.paths(server, loop_.now());
-                         },
-                     .on_result =
-                         [this](const auto& server, const auto& path,
-                                net::dial_result outcome) {
-                             on_result(server, path, outcome);
-                         }}),
+                    dial_observers()),
       check_timer_(loop, [this] { check(); })
 {}
 
+net::path_dialer::observers gate_paths::dial_observers()
+{
+    return {.paths =
+                [this](const net::address& server) {
+                    return paths_.paths(server, loop_.now());
+                },
+            .on_result =
+                [this](const net::address& server,
+                       const net::network_path& path,
+                       net::dial_result outcome) {
+                    on_result(server, path, outcome);
+                }};
+}
+
 result<void> gate_paths::start(net::http1_client& client)
 {
     client_ = &client;
@@ -160,9 +158,15 @@
     const bool due = paths_.needs_confirmation() ||
                      (paths_.any_detour() &&
                       now - rechecked_at_ >= settings_.recheck_interval);
-    if (due && !trial_) {
-        rechecked_at_ = now;
-        try_paths(*paths_.next_check(), std::vector<net::network_path>(1));
+    if (!due || trial_) {
+        return;
+    }
+    rechecked_at_ = now;
+    const net::address server = *paths_.next_check();
+    if (observers_.is_upstream(server)) {
+        try_paths(server, std::vector<net::network_path>(1));
+    } else {
+        paths_.forget(server);
     }
 }
 
--- a/lib/source/relay/upstream_paths.cpp
+++ b/lib/source/relay/upstream_paths.cpp
@@ -45,6 +45,9 @@
 {
     const std::string name = server.text();
     const bool connected = outcome == net::dial_result::connected;
+    std::erase_if(direct_failures_, [&](const auto& each) {
+        return now - each.second > settings_.evidence_time;
+    });
     if (path.direct() && connected) {
         if (partitioned()) {
             // The others are tried directly as well; whatever is still lost is
@@ -70,14 +73,19 @@
         failed_gates_[path.via->text()] = now;
         return;
     }
-    std::erase_if(direct_failures_, [&](const auto& each) {
-        return now - each.second > settings_.evidence_time;
-    });
     if (direct_failures_.contains(name)) {
         detours_.try_emplace(name, detour{.server = server});
     }
 }
 
+void upstream_paths::forget(const net::address& server)
+{
+    const std::string name = server.text();
+    direct_failures_.erase(name);
+    detours_.erase(name);
+    lost_since_success_.erase(name);
+}
+
 bool upstream_paths::needs_confirmation() const
 {
     return std::any_of(detours_.begin(), detours_.end(),
--- a/tests/relay/upstream_paths_test.cpp
+++ b/tests/relay/upstream_paths_test.cpp
@@ -144,6 +144,16 @@
     }
 }
 
+// Guards against checks without end of an upstream that was removed.
+TEST_CASE_FIXTURE(upstream_paths_fixture,
+                  "forgotten_upstream_is_not_checked_again")
+{
+    lose(e1);
+    paths.forget(e1);
+    CHECK_FALSE(paths.any_detour());
+    CHECK(direct_first(e1));
+}
+
 TEST_CASE_FIXTURE(upstream_paths_fixture,
                   "direct_failure_of_long_ago_explains_no_success")
 {
