--- a/tests/net/tunnel_test.cpp
+++ b/tests/net/tunnel_test.cpp
@@ -70,7 +70,7 @@
     static net::address closed_address()
     {
         const int descriptor = net::listen_on(any_port).value();
-        const net::address out = net::local_address(descriptor);
+        net::address out = net::local_address(descriptor);
         ::close(descriptor);
         return out;
     }
