Simplify the dialer, and look addresses up by the registry's index

- The dialer keeps whether the tunnel server has replied, instead of deducing it from the state of its input.
- A dialled connection whose client is gone is closed instead of leaked.
- One default for the number of tunnels instead of two.

--- a/lib/include/bamboogate/relay/gate_paths.hpp
+++ b/lib/include/bamboogate/relay/gate_paths.hpp
@@ -26,7 +26,6 @@
         secret shared_secret;
         /// Where other gates request tunnels; without it, none are opened.
         std::optional<net::address> tunnel_address;
-        std::size_t max_tunnels = 128;
         upstream_paths::options decisions = {};
         /// Interval at which the connections are checked.
         duration check_interval = std::chrono::milliseconds(150);
--- a/lib/include/bamboogate/relay/instance_registry.hpp
+++ b/lib/include/bamboogate/relay/instance_registry.hpp
@@ -91,6 +91,9 @@
 
     /// @return null for unknown upstreams
     [[nodiscard]] const instance* find(const upstream_id& id) const;
+    /// @brief The upstream that the address belongs to; it may be lost.
+    /// @return null if no upstream has it
+    [[nodiscard]] const instance* find_at(const net::address& address) const;
     /// @brief The state of an upstream as a word for logs; "unknown" for
     ///     unknown ones.
     [[nodiscard]] std::string_view state_name(const upstream_id& id) const;
--- a/lib/include/bamboogate/relay/upstream_paths.hpp
+++ b/lib/include/bamboogate/relay/upstream_paths.hpp
@@ -16,8 +16,8 @@
 
 /// Decides over which paths a gate connects to upstreams: directly, or over
 /// other gates. If an upstream fails directly, accepts over another gate and
-/// fails directly once more, not it is at fault, but the path to it: the second
-/// failure rules out that it has just started. If that is seen at several
+/// fails directly once more, the path to it is lost: the second failure rules
+/// out that the upstream has just started. If that is seen at several
 /// upstreams and no direct connection succeeds meanwhile, the gate is
 /// partitioned from the upstreams. Performs no I/O. Not thread safe.
 class upstream_paths
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -1,6 +1,8 @@
 #include <bamboogate/net/http1_client.hpp>
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -489,6 +491,9 @@
             const auto self = weak.lock();
             const auto client = pool.lock();
             if (!self || !client) {
+                if (dialled.descriptor >= 0) {
+                    ::close(dialled.descriptor);
+                }
                 return;
             }
             if (dialled.descriptor < 0) {
--- a/lib/source/net/path_dialer.cpp
+++ b/lib/source/net/path_dialer.cpp
@@ -47,6 +47,7 @@
     bool connecting = false;
     std::string input; ///< of the tunnel's handshake
     std::size_t expected = 0;
+    bool replied = false; ///< the tunnel server told the server's result
     bool ended = false;
 
     impl(event_loop& l, const options& o, const observers& f,
@@ -88,6 +89,7 @@
         connecting = true;
         input.clear();
         expected = tunnel_nonce_chars;
+        replied = false;
         const auto opened = start_connect(path().via.value_or(server));
         if (!opened) {
             loop.post([weak = weak_from_this()] {
@@ -162,6 +164,7 @@
 
     void on_reply(tunnel_reply reply)
     {
+        replied = true;
         switch (reply) {
         case tunnel_reply::connected:
             finish_path(dial_result::connected);
@@ -185,11 +188,7 @@
             return;
         }
         path_timer.stop();
-        // The server was not asked if the tunnel server does not answer.
-        const bool tunnel_failed =
-            !path().direct() && outcome != dial_result::connected &&
-            (connecting || expected != 1 || input.empty());
-        if (tunnel_failed) {
+        if (!path().direct() && !replied) {
             outcome = dial_result::unavailable;
         }
         const network_path tried = path();
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -199,9 +199,9 @@
     hub_.serve<find_gates, gates_found>([this](const net::peer_info& peer,
                                                const find_gates& request,
                                                const auto& reply) {
-        reply(gates_found{tunnel_gates_.choose(
+        reply(tunnel_gates_.choose(
             peer.node, peer.failure_domain,
-            std::min<std::size_t>(request.count, max_gates_found))});
+            std::min<std::size_t>(request.count, max_gates_found)));
     });
     hub_.on<join_request>([this](const net::peer_info&, join_request request) {
         add_replica(request.node);
--- a/lib/source/relay/gate_paths.cpp
+++ b/lib/source/relay/gate_paths.cpp
@@ -65,8 +65,7 @@
     if (settings_.tunnel_address) {
         net::tunnel_server::options settings{
             .listen_address = *settings_.tunnel_address,
-            .shared_secret = settings_.shared_secret,
-            .max_tunnels = settings_.max_tunnels};
+            .shared_secret = settings_.shared_secret};
         settings.resolve = [this](const net::address& requested) {
             return observers_.is_upstream(requested) ? std::optional(requested)
                                                      : std::nullopt;
--- a/lib/source/relay/instance_registry.cpp
+++ b/lib/source/relay/instance_registry.cpp
@@ -54,22 +54,17 @@
 
 bool instance_registry::claim_address(const announcement& received)
 {
-    const std::string address = received.address.text();
-    const auto owner = by_address_.find(address);
-    if (owner != by_address_.end() && owner->second != received.id) {
-        const auto known = instances_.find(owner->second);
-        if (known != instances_.end() &&
-            known->second.announced.address == received.address) {
-            if (is_foreign(received, known->second.announced)) {
-                return true;
-            }
-            if (known->second.announced.started_at > received.started_at) {
-                return false;
-            }
-            known->second.state = instance_state::lost;
+    const instance* owner = find_at(received.address);
+    if (owner != nullptr && owner->announced.id != received.id) {
+        if (is_foreign(received, owner->announced)) {
+            return true;
         }
+        if (owner->announced.started_at > received.started_at) {
+            return false;
+        }
+        instances_.at(owner->announced.id).state = instance_state::lost;
     }
-    by_address_[address] = received.id;
+    by_address_[received.address.text()] = received.id;
     return true;
 }
 
@@ -181,6 +176,16 @@
     return found == instances_.end() ? nullptr : &found->second;
 }
 
+const instance* instance_registry::find_at(const net::address& address) const
+{
+    const auto owner = by_address_.find(address.text());
+    const instance* known =
+        owner == by_address_.end() ? nullptr : find(owner->second);
+    // The owner may have moved since.
+    return known != nullptr && known->announced.address == address ? known
+                                                                   : nullptr;
+}
+
 std::string_view instance_registry::state_name(const upstream_id& id) const
 {
     const instance* known = find(id);
