--- a/tests/platform/hostile_upstream_test.cpp
+++ b/tests/platform/hostile_upstream_test.cpp
@@ -1,7 +1,6 @@
 // Upstreams that break the protocol: bytes without end, answers that belong to
 // other requests, streams that stall.
-#include "platform/support/relay_fixture.hpp"
-#include "support/raw_server.hpp"
+#include "platform/support/raw_service_fixture.hpp"
 
 using namespace bamboogate;
 using namespace bamboogate::tests;
@@ -10,60 +9,6 @@
 
 constexpr std::size_t mebibyte = 1u << 20;
 
-/// A booking service whose bytes are chosen by the test.
-struct raw_service_fixture : relay_fixture
-{
-    std::function<void(raw_server::connection&)> respond;
-    raw_server upstream{loop, [this](raw_server::connection& from) {
-                            if (holds_request(from.received, "prompt")) {
-                                const std::string request =
-                                    std::exchange(from.received, {});
-                                last_request = request;
-                                ++requests;
-                                respond(from);
-                            }
-                        }};
-    std::string last_request;
-    int requests = 0;
-
-    void start()
-    {
-        wait_for_leader();
-        REQUIRE(control_call(1, "POST", "/Config.Replace", configuration(5))
-                    ->status() == 200);
-        REQUIRE(run_until(loop, [&] { return gate->ready(); }));
-        announce_raw("book", "raw");
-    }
-    void announce_raw(const char* service_name, const char* id)
-    {
-        const auto reply = control_call(
-            0, "POST", fmt::format("/Instances.Heartbeat/{}", id),
-            fmt::format(
-                R"({{"service":"{}","address":"{}","zone":"d1",)"
-                R"("slots":8,"state":"ready","coldLeftMs":0,"version":"",)"
-                R"("seqNo":1,"born":1000}})",
-                service_name, upstream.bound_address().text()));
-        CHECK(reply->status() == 200);
-        run_until(
-            loop, [] { return false; }, 50ms);
-    }
-    [[nodiscard]] std::size_t sent_bytes() const
-    {
-        std::size_t total = 0;
-        for (const auto& each : upstream.connections) {
-            total += each->sent_bytes();
-        }
-        return total;
-    }
-    static std::string answer_head(const std::string& attempt,
-                                   const std::string& framing)
-    {
-        return fmt::format("HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
-                           "X-Attempt-Id: {}\r\n{}\r\n\r\n",
-                           attempt, framing);
-    }
-};
-
 } // namespace
 
 // Guards against memory and time without a limit: a server in trouble may send
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -48,6 +48,24 @@
             repeated_ = std::move(text);
             flush();
         }
+        /// Leaves further input unread, so that a peer with much to send has
+        /// to wait.
+        void stop_reading()
+        {
+            reading_ = false;
+            flush();
+        }
+        /// Ends the output; the peer sees the end of the connection.
+        /// @pre nothing waits to be sent
+        void end_output() { ::shutdown(descriptor_, SHUT_WR); }
+        /// Closes the connection; the peer sees a reset.
+        void reset()
+        {
+            const linger discard{.l_onoff = 1, .l_linger = 0};
+            ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &discard,
+                         sizeof discard);
+            close();
+        }
         void close()
         {
             if (descriptor_ >= 0) {
@@ -64,7 +82,7 @@
     private:
         void on_ready(net::io_event events)
         {
-            if (net::has(events, net::io_event::read)) {
+            if (reading_ && net::has(events, net::io_event::read)) {
                 char buffer[16384];
                 const auto count =
                     ::recv(descriptor_, buffer, sizeof buffer, 0);
@@ -104,9 +122,9 @@
                 pending_.erase(0, static_cast<std::size_t>(count));
             }
             if (!closed()) {
-                watcher_.await(pending_.empty() && repeated_.empty()
-                                   ? net::io_event::read
-                                   : net::io_event::read_write);
+                const bool writing = !pending_.empty() || !repeated_.empty();
+                watcher_.await(static_cast<net::io_event>((reading_ ? 1 : 0) |
+                                                          (writing ? 2 : 0)));
             }
         }
 
@@ -115,6 +133,7 @@
         std::string pending_;
         std::string repeated_;
         std::size_t sent_ = 0;
+        bool reading_ = true;
         net::io_watcher watcher_;
     };
 
