Refuse answers whose status HTTP does not have

Cause: both readers of answers take any three digits, and nothing behind them looks at the range. plain_exchange passes on what is neither 2xx nor 5xx as a final answer. libcurl refuses 000 to 099 itself and lets 600 to 999 through, so a service call of the product's own interface was recorded as answered with 600.

The readers now end such an answer as malformed_input, before its head is reported. The upstream counts as failing and the request as possibly run: plain requests get 502 or run elsewhere if they are idempotent, streams run at the next engine, a call that runs at most once ends as outcome_unknown.

--- a/lib/source/net/http1.cpp
+++ b/lib/source/net/http1.cpp
@@ -1,4 +1,5 @@
 #include <bamboogate/net/http1.hpp>
+#include <bamboogate/net/http_syntax.hpp>
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
@@ -75,8 +76,11 @@
     void on_response_impl(int code, beast::string_view text, int,
                           beast::error_code& problem) override
     {
-        problem = {};
         status = static_cast<unsigned>(code);
+        problem = {};
+        if (!is_status_code(status)) {
+            problem = http::error::bad_status;
+        }
         reason = to_text(text);
     }
 
--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -1,4 +1,5 @@
 #include <bamboogate/net/http_client.hpp>
+#include <bamboogate/net/http_syntax.hpp>
 
 #include <curl/curl.h>
 
@@ -126,6 +127,11 @@
                 {errc::limit_exceeded, "response too large"}, true});
             return;
         }
+        if (malformed_) {
+            done(http_client::failure{{errc::malformed_input, "invalid status"},
+                                      true});
+            return;
+        }
         if (code == CURLE_OK) {
             done(std::move(response_));
             return;
@@ -199,7 +205,7 @@
             return 0;
         }
         self->parse_header({data, size * count});
-        return size * count;
+        return self->malformed_ ? 0 : size * count;
     }
 
     void parse_header(std::string_view line)
@@ -207,6 +213,7 @@
         line = trim(line);
         if (line.starts_with("HTTP/")) {
             response_ = {};
+            malformed_ = !is_status_code(status());
             return;
         }
         if (line.empty()) {
@@ -220,11 +227,16 @@
         }
     }
 
+    [[nodiscard]] unsigned status() const
+    {
+        long code = 0;
+        curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &code);
+        return static_cast<unsigned>(code);
+    }
+
     void on_headers_complete()
     {
-        long status = 0;
-        curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-        response_.status = static_cast<unsigned>(status);
+        response_.status = status();
         constexpr unsigned first_final_status = 200;
         if (response_.status >= first_final_status && handlers_.on_headers) {
             in_callback_ = true;
@@ -270,6 +282,7 @@
     bool paused_ = false;
     bool in_callback_ = false;
     bool too_large_ = false;
+    bool malformed_ = false;
     std::size_t head_bytes_ = 0;
 };
 
--- a/tests/net/http_fault_test.cpp
+++ b/tests/net/http_fault_test.cpp
@@ -1,16 +1,21 @@
+#include <bamboogate/net/http_client.hpp>
 #include <bamboogate/net/http_server.hpp>
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "support/loop_runner.hpp"
 #include "support/raw_client.hpp"
+#include "support/raw_server.hpp"
 
 using namespace bamboogate;
 using namespace bamboogate::net;
 using bamboogate::tests::raw_client;
+using bamboogate::tests::raw_server;
 using namespace std::chrono_literals;
 
 namespace {
@@ -170,3 +175,71 @@
     CHECK(handled == 0);
     CHECK(client.closed());
 }
+
+namespace {
+
+/// A client whose server sends bytes of the test's choice once it has the head
+/// of a request.
+struct broken_answer_fixture
+{
+    event_loop loop;
+    http_client client{loop};
+    std::function<void(raw_server::connection&)> respond;
+    raw_server server{loop, [this](raw_server::connection& from) {
+                          if (tests::holds_request(from.received, "")) {
+                              from.received.clear();
+                              respond(from);
+                          }
+                      }};
+
+    http_client::outcome_type fetch(std::string body = {})
+    {
+        std::optional<http_client::outcome_type> end;
+        const auto transfer =
+            client.start({.method = "POST",
+                          .url = "http://" + server.bound_address().text(),
+                          .body = std::move(body),
+                          .total_timeout = 1s},
+                         {.on_done = [&](http_client::outcome_type outcome) {
+                             end.emplace(std::move(outcome));
+                         }});
+        REQUIRE(tests::run_until(
+            loop, [&] { return end.has_value(); }, 3s));
+        return std::move(*end);
+    }
+};
+
+} // namespace
+
+// Guards against an answer that is no valid HTTP and reaches a caller.
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "http_client_broken_answer_is_a_failure")
+{
+    struct fault
+    {
+        std::string name;
+        std::string input;
+    };
+    const std::string length = "Content-Length: 2\r\n\r\nab";
+    const std::string good = "HTTP/1.1 200 OK\r\n";
+    const fault faults[] = {
+        {"status 000", "HTTP/1.1 000 Odd\r\n" + length},
+        {"status 099", "HTTP/1.1 099 Odd\r\n" + length},
+        {"status 600", "HTTP/1.1 600 Odd\r\n" + length},
+        {"status 999", "HTTP/1.1 999 Odd\r\n" + length},
+        {"status of two digits", "HTTP/1.1 20 Odd\r\n" + length},
+        {"status of four digits", "HTTP/1.1 2000 Odd\r\n" + length},
+        {"no HTTP", "\x01\x02\r\n\r\n"},
+    };
+    for (const auto& each : faults) {
+        CAPTURE(each.name);
+        respond = [&](raw_server::connection& to) {
+            to.send(each.input);
+            to.end_output();
+        };
+        const auto outcome = fetch();
+        CHECK_FALSE(outcome);
+        // The server may have run the request.
+        CHECK((outcome || outcome.error().request_may_have_been_sent));
+    }
+}
--- a/tests/orders/service_call_test.cpp
+++ b/tests/orders/service_call_test.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "support/loop_runner.hpp"
+#include "support/raw_server.hpp"
 
 using namespace bamboogate;
 using namespace bamboogate::orders;
@@ -66,6 +67,7 @@
     close_unanswered, ///< runs the call, then closes the connection
     refuse,           ///< no server listens
     silent,           ///< runs the call and never answers
+    invalid_status,   ///< runs the call and answers with status 600
 };
 
 class service_fixture
@@ -76,11 +78,30 @@
     scripted_journal journal{.loop = loop};
     int runs = 0;
     std::vector<std::unique_ptr<net::http_server>> servers;
+    std::vector<std::unique_ptr<tests::raw_server>> broken_servers;
     std::vector<std::shared_ptr<net::responder>> held;
     std::map<std::string, std::string> addresses;
 
+    /// Adds an upstream that runs the call and sends the head of the test.
+    void add_broken_upstream(const std::string& name, const std::string& head)
+    {
+        broken_servers.push_back(std::make_unique<tests::raw_server>(
+            loop, [this, head](tests::raw_server::connection& from) {
+                if (tests::holds_request(from.received, request().body)) {
+                    from.received.clear();
+                    ++runs;
+                    from.send(head + "Content-Length: 6\r\n\r\nbooked");
+                }
+            }));
+        addresses[name] = broken_servers.back()->bound_address().text();
+    }
+
     void add_upstream(const std::string& name, behaviour mode)
     {
+        if (mode == behaviour::invalid_status) {
+            add_broken_upstream(name, "HTTP/1.1 600 Odd\r\n");
+            return;
+        }
         auto started = net::http_server::start(
             loop, {.listen_address = {"127.0.0.1", 0}, .daemons = 1},
             [this, mode](const net::http_request&,
@@ -197,6 +218,11 @@
          errc::outcome_unknown,
          1,
          {"begin", "unknown"}},
+        {"answers with an invalid status",
+         {behaviour::invalid_status, behaviour::answer},
+         errc::outcome_unknown,
+         1,
+         {"begin", "unknown"}},
     };
     for (const auto& each : cases) {
         CAPTURE(std::string(each.name));
