Keep a reset that a write has found from looking like a plain end

Cause: Linux reports the error of a connection once. The write of the upload got ECONNRESET and posted the end as a reset; in the same turn the read that followed got 0, which ended the stream as closed, and http1_client takes that for the end of a body without a length. An engine that still accepts connections then passed the stream's check of its end.

tcp_stream remembers that a write has found the connection broken: an end that a read sees after that is a reset, nothing more is written, and the client does not keep such a connection for its next request.

Other places that ask for the error of a socket, or write before they read: finish_connect and path_dialer read SO_ERROR only until they are connected and fail then; link ends in the same way for both; http1_server does not use the reason; over a tunnel no answer without a length counts as complete.

--- a/lib/include/bamboogate/net/tcp_stream.hpp
+++ b/lib/include/bamboogate/net/tcp_stream.hpp
@@ -71,6 +71,7 @@
     /// @brief Since when the socket has accepted no byte of the unsent output;
     ///     nothing if all was sent.
     [[nodiscard]] std::optional<time_point> blocked_since() const;
+    /// @brief True until the connection ends or a write finds it broken.
     [[nodiscard]] bool connected() const;
     /// @brief True once any byte was passed to the socket.
     [[nodiscard]] bool any_bytes_sent() const;
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -286,6 +286,7 @@
         const bool reusable =
             clean && body_sent() && reuse_allowed && reader->keep_alive() &&
             !reader->ends_with_connection() && connection->stream &&
+            connection->stream->connected() &&
             connection->stream->queued_bytes() == 0;
         send_timer.stop();
         auto used = std::move(connection);
--- a/lib/source/net/tcp_stream.cpp
+++ b/lib/source/net/tcp_stream.cpp
@@ -26,6 +26,9 @@
     callbacks handlers;
     bool connecting;
     bool closed = false;
+    /// A write has found the connection broken. Linux reports the error once,
+    /// so that the next read sees a plain end.
+    bool broken = false;
     bool input_paused = false;
     bool output_ended = false;
     bool any_bytes_sent = false;
@@ -175,7 +178,7 @@
             return 0;
         }
         if (count == 0) {
-            end(stream_end::closed);
+            end(broken ? stream_end::reset : stream_end::closed);
             return 0;
         }
         const auto size = static_cast<std::size_t>(count);
@@ -216,6 +219,7 @@
             if (count < 0) {
                 // The end is reported from the event loop, never from inside a
                 // call of the owner.
+                broken = true;
                 drop_output();
                 const std::weak_ptr<impl> weak = shared_from_this();
                 loop.post([weak] {
@@ -258,7 +262,7 @@
 
 void tcp_stream::write(std::string_view bytes)
 {
-    if (impl_->closed || impl_->output_ended) {
+    if (impl_->closed || impl_->broken || impl_->output_ended) {
         return;
     }
     if (impl_->queued() == 0) {
@@ -336,7 +340,7 @@
 
 bool tcp_stream::connected() const
 {
-    return !impl_->closed && !impl_->connecting;
+    return !impl_->closed && !impl_->broken && !impl_->connecting;
 }
 
 bool tcp_stream::any_bytes_sent() const
