Refuse answers with an invalid header field in the product's interface

Callers of the product's own interface got an answer in whose head the name of a field held a blank, a tab or a control byte, and the line was passed on to them. With "Content-Length : 1" the length that the upstream may have meant did not count.

Cause: libcurl hands on almost any line of a head (it refuses NUL and a missing colon), and http_client split each at its first colon without a look at the two parts. It also took a line of the head that begins with "HTTP/" for the begin of another head.

http_client now checks that the name is a token and that the value has no control byte, and ends other answers as malformed_input, like those with an invalid status. Folded lines are refused with them.

The relay's plain requests, streams and copy calls read answers with another parser, which refuses such names: the tests stay, nothing else is changed there.

--- a/lib/include/bamboogate/net/http_syntax.hpp
+++ b/lib/include/bamboogate/net/http_syntax.hpp
@@ -1,6 +1,8 @@
 #ifndef BAMBOOGATE_NET_HTTP_SYNTAX_HPP
 #define BAMBOOGATE_NET_HTTP_SYNTAX_HPP
 
+#include <string_view>
+
 namespace bamboogate::net {
 
 /// @brief Whether HTTP has the status code: 100 to 599 (RFC 9110, section 15).
@@ -12,6 +14,14 @@
     return status >= first && status <= last;
 }
 
+/// @brief Whether a text can be the name of a header field: a token (RFC 9110,
+///     section 5.6.2). Thread safe.
+[[nodiscard]] bool is_field_name(std::string_view text) noexcept;
+
+/// @brief Whether a text can be the value of a header field: no control byte
+///     but tabs (RFC 9110, section 5.5). Thread safe.
+[[nodiscard]] bool is_field_value(std::string_view text) noexcept;
+
 } // namespace bamboogate::net
 
 #endif
--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -128,8 +128,9 @@
             return;
         }
         if (malformed_) {
-            done(http_client::failure{{errc::malformed_input, "invalid status"},
-                                      true});
+            done(http_client::failure{
+                {errc::malformed_input, "invalid status or header field"},
+                true});
             return;
         }
         if (code == CURLE_OK) {
@@ -208,23 +209,30 @@
         return self->malformed_ ? 0 : size * count;
     }
 
+    /// Takes a line of the head or of the trailer, as it was received.
     void parse_header(std::string_view line)
     {
-        line = trim(line);
-        if (line.starts_with("HTTP/")) {
+        const bool first = !std::exchange(in_head_, true);
+        if (first && line.starts_with("HTTP/")) {
             response_ = {};
             malformed_ = !is_status_code(status());
             return;
         }
-        if (line.empty()) {
+        if (line == "\r\n" || line == "\n") {
+            in_head_ = false;
             on_headers_complete();
             return;
         }
+        // libcurl passes on any line. Without a colon, the end of the line is
+        // part of the name.
         const auto colon = line.find(':');
-        if (colon != std::string_view::npos) {
-            response_.headers.add(std::string(line.substr(0, colon)),
-                                  std::string(trim(line.substr(colon + 1))));
+        const auto name = line.substr(0, colon);
+        const auto value = trim(line.substr(colon + 1));
+        if (!is_field_name(name) || !is_field_value(value)) {
+            malformed_ = true;
+            return;
         }
+        response_.headers.add(std::string(name), std::string(value));
     }
 
     [[nodiscard]] unsigned status() const
@@ -283,6 +291,7 @@
     bool in_callback_ = false;
     bool too_large_ = false;
     bool malformed_ = false;
+    bool in_head_ = false;
     std::size_t head_bytes_ = 0;
 };
 
--- /dev/null
+++ b/lib/source/net/http_syntax.cpp
@@ -0,0 +1,46 @@
+#include <bamboogate/net/http_syntax.hpp>
+
+#include <algorithm>
+
+namespace bamboogate::net {
+
+namespace {
+
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+bool is_token_character(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           marks.find(c) != std::string_view::npos;
+}
+
+bool is_value_character(char c)
+{
+    constexpr unsigned char first_visible = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return c == '\t' || (byte >= first_visible && byte != del);
+}
+
+bool all_of(std::string_view text, bool (*condition)(char))
+{
+    return std::all_of(text.begin(), text.end(), condition);
+}
+
+} // namespace
+
+bool is_field_name(std::string_view text) noexcept
+{
+    return !text.empty() && all_of(text, is_token_character);
+}
+
+bool is_field_value(std::string_view text) noexcept
+{
+    return all_of(text, is_value_character);
+}
+
+} // namespace bamboogate::net
--- a/tests/orders/service_call_test.cpp
+++ b/tests/orders/service_call_test.cpp
@@ -68,6 +68,7 @@
     refuse,           ///< no server listens
     silent,           ///< runs the call and never answers
     invalid_status,   ///< runs the call and answers with status 600
+    invalid_field,    ///< runs the call and answers with a blank in a name
 };
 
 class service_fixture
@@ -102,6 +103,10 @@
             add_broken_upstream(name, "HTTP/1.1 600 Odd\r\n");
             return;
         }
+        if (mode == behaviour::invalid_field) {
+            add_broken_upstream(name, "HTTP/1.1 201 Created\r\nX Odd: a\r\n");
+            return;
+        }
         auto started = net::http_server::start(
             loop, {.listen_address = {"127.0.0.1", 0}, .daemons = 1},
             [this, mode](const net::http_request&,
@@ -223,6 +228,11 @@
          errc::outcome_unknown,
          1,
          {"begin", "unknown"}},
+        {"answers with an invalid field",
+         {behaviour::invalid_field, behaviour::answer},
+         errc::outcome_unknown,
+         1,
+         {"begin", "unknown"}},
     };
     for (const auto& each : cases) {
         CAPTURE(std::string(each.name));
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -63,6 +63,13 @@
 constexpr std::array invalid_statuses{"000 Odd", "001 Odd", "099 Odd",
                                       "600 Odd", "999 Odd"};
 
+/// Header lines whose name holds a blank or a control byte.
+const std::array<std::string, 6> invalid_fields{
+    "X Odd: a\r\n",    "X\tOdd: a\r\n",
+    "X\x01Odd: a\r\n", std::string("X\0Odd: a\r\n", 10),
+    "X-Odd : a\r\n",   "X\x7fOdd: a\r\n",
+};
+
 } // namespace
 
 // Guards against an answer with a status that HTTP does not have, which reached
@@ -86,3 +93,26 @@
         check_stream_runs_at_the_next_engine(answer(status, "", broken_event));
     }
 }
+
+// Guards against a line of the head that is passed on although it is no header
+// field, and against a body that begins elsewhere than the upstream's.
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "answer_with_an_invalid_field_does_not_reach_the_caller")
+{
+    start();
+    for (const auto& line : invalid_fields) {
+        CAPTURE(line);
+        check_plain_answer_is_lost(answer("200 OK", line, "hello"));
+    }
+}
+
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "stream_with_an_invalid_field_runs_at_the_next_engine")
+{
+    start_engines();
+    for (const auto& line : invalid_fields) {
+        CAPTURE(line);
+        check_stream_runs_at_the_next_engine(
+            answer("200 OK", line, broken_event));
+    }
+}
