Refuse answers whose head leaves the end of the body open

Callers got an answer with "Transfer-Encoding: gzip" without that field and with the coded bytes, up to the end of the connection or as many as a Content-Length beside it stated; under "gzip, chunked" and the like they got part of the body. In the product's own interface, answers with two lengths, with a length that is no number, with an empty coding and with a length beside chunks passed.

Cause: Beast understands `chunked` as the last coding alone and takes a message with any other for one that ends with its connection; the reader of requests refused these, the reader of responses did not. libcurl takes the first number that it finds.

framing_check holds the rule once: `chunked` and no other coding, one length at most. Both parsers of Beast and http_client apply it to each field, so the request reader's own check goes.

--- a/lib/include/bamboogate/net/http_syntax.hpp
+++ b/lib/include/bamboogate/net/http_syntax.hpp
@@ -1,6 +1,8 @@
 #ifndef BAMBOOGATE_NET_HTTP_SYNTAX_HPP
 #define BAMBOOGATE_NET_HTTP_SYNTAX_HPP
 
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace bamboogate::net {
@@ -22,6 +24,21 @@
 ///     but tabs (RFC 9110, section 5.5). Thread safe.
 [[nodiscard]] bool is_field_value(std::string_view text) noexcept;
 
+/// Checks that the fields of one head leave no doubt about the end of its body:
+/// no transfer coding but `chunked`, and one length at most (RFC 9112, section
+/// 6.3). Not thread safe.
+class framing_check
+{
+public:
+    /// @brief Takes the next field of the head.
+    /// @return false if the end of the body cannot be known with this field
+    [[nodiscard]] bool accept(std::string_view name, std::string_view value);
+
+private:
+    bool chunked_ = false;
+    std::optional<std::string> length_; ///< as written
+};
+
 } // namespace bamboogate::net
 
 #endif
--- a/lib/source/net/http1.cpp
+++ b/lib/source/net/http1.cpp
@@ -61,6 +61,7 @@
     /// Memory of the fields, whose list grows by doubling.
     std::size_t field_bytes = 0;
     bool head_read = false;
+    framing_check framing;
     std::function<void(std::string_view)> on_body;
 
 private:
@@ -89,6 +90,13 @@
                        beast::error_code& problem) override
     {
         problem = {};
+        // Beast takes a message with another transfer coding for one that ends
+        // with its connection.
+        if (!framing.accept({name.data(), name.size()},
+                            {value.data(), value.size()})) {
+            problem = http::error::bad_transfer_encoding;
+            return;
+        }
         headers.add(to_text(name), to_text(value));
         field_bytes +=
             name.size() + value.size() + 2 * sizeof(header_list::field);
@@ -292,13 +300,6 @@
         impl_->unparsed.size() > impl_->limits.header_bytes) {
         return fail(errc::limit_exceeded, "header");
     }
-    if (impl_->parser->is_header_done()) {
-        // With any other transfer coding the length of the body is ambiguous.
-        const auto coding = impl_->parser->headers.find("Transfer-Encoding");
-        if (coding && !equal_ignoring_case(*coding, "chunked")) {
-            return fail(errc::malformed_input, "transfer coding");
-        }
-    }
     return consumed;
 }
 
--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -215,6 +215,7 @@
         const bool first = !std::exchange(in_head_, true);
         if (first && line.starts_with("HTTP/")) {
             response_ = {};
+            framing_ = {};
             malformed_ = !is_status_code(status());
             return;
         }
@@ -228,7 +229,8 @@
         const auto colon = line.find(':');
         const auto name = line.substr(0, colon);
         const auto value = trim(line.substr(colon + 1));
-        if (!is_field_name(name) || !is_field_value(value)) {
+        if (!is_field_name(name) || !is_field_value(value) ||
+            !framing_.accept(name, value)) {
             malformed_ = true;
             return;
         }
@@ -292,6 +294,7 @@
     bool too_large_ = false;
     bool malformed_ = false;
     bool in_head_ = false;
+    framing_check framing_;
     std::size_t head_bytes_ = 0;
 };
 
--- a/lib/source/net/http_syntax.cpp
+++ b/lib/source/net/http_syntax.cpp
@@ -1,6 +1,8 @@
+#include <bamboogate/net/http1.hpp>
 #include <bamboogate/net/http_syntax.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboogate::net {
 
@@ -43,4 +45,21 @@
     return all_of(text, is_value_character);
 }
 
+bool framing_check::accept(std::string_view name, std::string_view value)
+{
+    if (equal_ignoring_case(name, "Transfer-Encoding")) {
+        const bool repeated = std::exchange(chunked_, true);
+        return !repeated && !length_ && equal_ignoring_case(value, "chunked");
+    }
+    if (equal_ignoring_case(name, "Content-Length")) {
+        const bool known = length_.has_value();
+        if (!known) {
+            length_ = std::string(value);
+        }
+        return !chunked_ && length_ == value && !value.empty() &&
+               all_of(value, is_digit);
+    }
+    return true;
+}
+
 } // namespace bamboogate::net
--- a/tests/net/http_fault_test.cpp
+++ b/tests/net/http_fault_test.cpp
@@ -243,6 +243,20 @@
         {"NUL in a value", good + std::string("X-Odd: a\0\r\n", 11) + length},
         {"blank after the name of the length",
          good + "Content-Length : 1\r\n" + length},
+        {"two lengths", good + "Content-Length: 1\r\n" + length},
+        {"length that is no number", good + "Content-Length: 1x\r\n\r\nab"},
+        {"negative length", good + "Content-Length: -1\r\n\r\nab"},
+        {"coding gzip", good + "Transfer-Encoding: gzip\r\n" + length},
+        {"codings gzip and chunked",
+         good + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+        {"coding after chunked",
+         good + "Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+        {"empty coding", good + "Transfer-Encoding:\r\n" + length},
+        {"length and chunks", good + "Transfer-Encoding: chunked\r\n"
+                                     "Content-Length: 2\r\n\r\n"
+                                     "2\r\nab\r\n0\r\n\r\n"},
+        {"bad chunk size",
+         good + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n"},
         {"no HTTP", "\x01\x02\r\n\r\n"},
     };
     for (const auto& each : faults) {
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -116,3 +116,25 @@
             answer("200 OK", line, broken_event));
     }
 }
+
+// Guards against a body whose end is not known, of which callers got a part or
+// its coded bytes: only the transfer coding `chunked` is understood.
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "answer_with_an_unknown_coding_does_not_reach_the_caller")
+{
+    start();
+    for (const std::string_view coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "identity", ""}) {
+        CAPTURE(coding);
+        const auto field = fmt::format("Transfer-Encoding: {}\r\n", coding);
+        check_plain_answer_is_lost(answer("200 OK", field, "hello"));
+    }
+}
+
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "stream_with_an_unknown_coding_runs_at_the_next_engine")
+{
+    start_engines();
+    check_stream_runs_at_the_next_engine(
+        answer("200 OK", "Transfer-Encoding: gzip\r\n", broken_event));
+}
