Take no answer for complete that ends before the request has arrived

Callers got part of an answer as a complete 200 when its upstream ended the connection, without a reset, while a long upload was unread; a stream ended as complete in the same way.

Cause: a body without a length ends with its connection, and nothing asked whether the server had received the request by then. Linux closes a process's connection with a plain end if the process has read all that had arrived, so the loss of an upstream in the middle of an upload looks like the end of its answer. libcurl ends such a transfer as complete, too, and leaves the upload.

tcp_stream tells an end before the peer has acknowledged all output from other ends (closed_early): what its own queue holds and, by SIOCOUTQ, what the kernel holds. A server that has read the request has acknowledged it with its answer at the latest, so sound answers are not affected. http_client compares the bytes that libcurl has sent with the size of the body; it can't see what the kernel holds. An answer with a length or chunks is complete by itself, as before.

--- a/lib/include/bamboogate/net/http_syntax.hpp
+++ b/lib/include/bamboogate/net/http_syntax.hpp
@@ -34,6 +34,12 @@
     /// @return false if the end of the body cannot be known with this field
     [[nodiscard]] bool accept(std::string_view name, std::string_view value);
 
+    /// @brief Whether a field has stated how the body ends.
+    [[nodiscard]] bool states_end() const
+    {
+        return chunked_ || length_.has_value();
+    }
+
 private:
     bool chunked_ = false;
     std::optional<std::string> length_; ///< as written
--- a/lib/include/bamboogate/net/tcp_stream.hpp
+++ b/lib/include/bamboogate/net/tcp_stream.hpp
@@ -16,7 +16,9 @@
 enum class stream_end : std::uint8_t
 {
     closed, ///< the peer closed its side of the connection
-    reset,  ///< reset, refused or unreachable
+    /// The same before the peer had received all output.
+    closed_early,
+    reset, ///< reset, refused or unreachable
 };
 
 /// A non-blocking TCP socket with an output queue. It reads continuously, so
--- a/lib/source/net/http1_client.cpp
+++ b/lib/source/net/http1_client.cpp
@@ -262,8 +262,9 @@
         if (ended) {
             return;
         }
-        // The end of a process between closes its tunnels like the end of an
-        // answer.
+        // An answer that ends before the server has received the request may
+        // be cut, and the end of a process between closes its tunnels like the
+        // end of an answer.
         const bool may_be_complete =
             reason == stream_end::closed && connection->path.direct();
         if (may_be_complete && accepted && reader->read_end()) {
--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -133,6 +133,14 @@
                 true});
             return;
         }
+        // Such a response may be cut.
+        if (code == CURLE_OK && ends_with_connection() && !request_sent()) {
+            done(http_client::failure{
+                {errc::connection_lost,
+                 "connection closed before the request was sent"},
+                true});
+            return;
+        }
         if (code == CURLE_OK) {
             done(std::move(response_));
             return;
@@ -143,6 +151,23 @@
     }
 
 private:
+    /// Whether only the end of the connection ends the response.
+    [[nodiscard]] bool ends_with_connection() const
+    {
+        constexpr unsigned no_content = 204;
+        constexpr unsigned not_modified = 304;
+        return !framing_.states_end() && response_.status != no_content &&
+               response_.status != not_modified;
+    }
+
+    /// Whether the socket has taken the whole request.
+    [[nodiscard]] bool request_sent() const
+    {
+        curl_off_t sent = 0;
+        curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+        return sent >= static_cast<curl_off_t>(request_.body.size());
+    }
+
     void set_request()
     {
         curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
--- a/lib/source/net/tcp_stream.cpp
+++ b/lib/source/net/tcp_stream.cpp
@@ -1,5 +1,6 @@
 #include <bamboogate/net/tcp_stream.hpp>
 
+#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -165,6 +166,20 @@
         return !closed;
     }
 
+    /// Why the input has ended without an error.
+    [[nodiscard]] stream_end reason_of_end() const
+    {
+        if (broken) {
+            return stream_end::reset;
+        }
+        int unacknowledged = 0;
+        if (::ioctl(descriptor, SIOCOUTQ, &unacknowledged) != 0) {
+            unacknowledged = 0;
+        }
+        return queued() > 0 || unacknowledged > 0 ? stream_end::closed_early
+                                                  : stream_end::closed;
+    }
+
     /// @return number of bytes handled; 0 if there were none or at the end
     std::size_t read_input()
     {
@@ -178,7 +193,7 @@
             return 0;
         }
         if (count == 0) {
-            end(broken ? stream_end::reset : stream_end::closed);
+            end(reason_of_end());
             return 0;
         }
         const auto size = static_cast<std::size_t>(count);
--- a/tests/net/http_fault_test.cpp
+++ b/tests/net/http_fault_test.cpp
@@ -271,3 +271,34 @@
         CHECK((outcome || outcome.error().request_may_have_been_sent));
     }
 }
+
+// Guards against a part of an answer without a length that looks complete,
+// because its connection ended while the request was being sent.
+TEST_CASE_FIXTURE(broken_answer_fixture,
+                  "http_client_answer_cut_in_an_upload_is_a_failure")
+{
+    std::function<void(raw_server::connection&)> end;
+    SUBCASE("reset")
+    {
+        end = [](raw_server::connection& from) { from.reset(); };
+    }
+    SUBCASE("closed")
+    {
+        end = [](raw_server::connection& from) { from.close(); };
+    }
+    SUBCASE("ended")
+    {
+        end = [](raw_server::connection& from) { from.end_output(); };
+    }
+    raw_server::connection* broken = nullptr;
+    timer pause(loop, [&] { end(*broken); });
+    respond = [&](raw_server::connection& to) {
+        to.stop_reading();
+        to.send("HTTP/1.1 200 OK\r\n\r\nhello");
+        broken = &to;
+        pause.start_once(50ms);
+    };
+    const auto outcome = fetch(std::string(8u << 20, 'u'));
+    REQUIRE_FALSE(outcome);
+    CHECK(outcome.error().request_may_have_been_sent);
+}
--- a/tests/net/tcp_stream_test.cpp
+++ b/tests/net/tcp_stream_test.cpp
@@ -88,3 +88,24 @@
     REQUIRE(wait([&] { return end.has_value(); }));
     CHECK(*end == stream_end::reset);
 }
+
+// Guards against an end that looks regular although the peer cannot have read
+// what it was sent.
+TEST_CASE_FIXTURE(tcp_stream_fixture,
+                  "stream_closed_before_its_output_arrived_ends_closed_early")
+{
+    std::size_t bytes = 0;
+    SUBCASE("with output in the queue")
+    {
+        bytes = more_than_kernel_takes;
+    }
+    SUBCASE("with output in the kernel")
+    {
+        bytes = 2u << 20;
+    }
+    accepted().stop_reading();
+    stream->write(std::string(bytes, 'u'));
+    accepted().end_output();
+    REQUIRE(wait([&] { return end.has_value(); }));
+    CHECK(*end == stream_end::closed_early);
+}
--- a/tests/platform/early_answer_test.cpp
+++ b/tests/platform/early_answer_test.cpp
@@ -79,6 +79,17 @@
         pause_before_end = 50ms;
         end = [](raw_server::connection& from) { from.close(); };
     }
+    SUBCASE("ended while the upload is unread")
+    {
+        pause_before_end = 50ms;
+        end = [](raw_server::connection& from) { from.end_output(); };
+    }
+    SUBCASE("ended while the kernel holds the rest of the upload")
+    {
+        upload_bytes = 2u << 20;
+        pause_before_end = 50ms;
+        end = [](raw_server::connection& from) { from.end_output(); };
+    }
     start_for_uploads();
     answer_part("hello");
     for (int i = 0; i < 5; ++i) {
@@ -99,6 +110,11 @@
     {
         pause_before_end = 50ms;
     }
+    SUBCASE("ended while the upload is unread")
+    {
+        pause_before_end = 50ms;
+        end = [](raw_server::connection& from) { from.end_output(); };
+    }
     start_for_uploads();
     engine1.server->change_limits({.body_bytes = max_body_bytes}, 5s, 5s);
     announce_raw("gen", "raw-engine");
