Play broken heads and cut uploads in the fault soak

Every 1.3 s, drawn apart from the other faults, a back end sends heads with an invalid status, field or coding for some time, or the services answer long requests without a length and reset them while they are unread.

--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -88,7 +88,9 @@
     listening_ = true;
     statements_.back_end_started(id_);
     server_ = net::http1_server::start(
-                  loop_, {.listen_address = {"127.0.0.1", 0}},
+                  loop_,
+                  {.listen_address = {"127.0.0.1", 0},
+                   .limits = {.body_bytes = 2 * upload_bytes}},
                   [this](const net::http1_request& request,
                          const net::http1_responder_ptr& responder) {
                       handle(request, responder);
@@ -114,7 +116,7 @@
     server_.reset();
     proxy_.change_target({"127.0.0.1", 1});
     proxy_.reset();
-    silent = loses_answers = truncates = states_leave = false;
+    silent = loses_answers = truncates = breaks_heads = states_leave = false;
     slowdown = 1;
     refusals_left = 0;
     leaving_ = false;
@@ -330,7 +332,9 @@
     }
     const net::header_list fields = response_fields(each.attempt);
     if (!settings_.streams) {
-        if (loses_answers) {
+        if (breaks_heads) {
+            break_head(each, plain_answer(each.attempt));
+        } else if (loses_answers) {
             each.responder->abort();
         } else if (truncates) {
             each.responder->begin_stream(200, "OK", fields);
@@ -342,6 +346,11 @@
         }
         return;
     }
+    if (!each.begun && breaks_heads) {
+        ledger_.add(each.attempt);
+        break_head(each, event_text(each.prompt, each.next, version_));
+        return;
+    }
     if (!each.begun) {
         each.begun = true;
         ledger_.add(each.attempt);
@@ -373,6 +382,23 @@
     }
 }
 
+void backend::break_head(const run& each, std::string_view body)
+{
+    net::header_list fields = response_fields(each.attempt);
+    unsigned status = 200;
+    switch (broken_heads_++ % 3) {
+    case 0:
+        status = 600;
+        break;
+    case 1:
+        fields.add("X Odd", "a");
+        break;
+    default:
+        fields.add("Transfer-Encoding", "gzip");
+    }
+    each.responder->respond(status, fields, body);
+}
+
 void backend::announce()
 {
     announcements_.clear();
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -19,6 +19,9 @@
 
 /// Tokens per event, the stride of the soak's configuration.
 inline constexpr unsigned tokens_per_event = 6;
+/// Length of a long request, below the limit that gates have before their first
+/// configuration.
+inline constexpr std::size_t upload_bytes = 4'000'000;
 
 /// @brief The text of an event, which depends on the software version of the
 ///     engine that writes it, so that callers can check each one.
@@ -90,6 +93,8 @@
     ///     network had delayed it.
     void repeat_announcement();
     [[nodiscard]] bool streams() const { return settings_.streams; }
+    /// @brief Responses whose head was broken.
+    [[nodiscard]] unsigned broken_heads() const { return broken_heads_; }
     /// @brief Runs whose callers disconnected after it had stopped listening.
     [[nodiscard]] unsigned runs_left() const { return runs_left_; }
 
@@ -111,6 +116,7 @@
     bool silent = false;        ///< streams produce no events
     bool loses_answers = false; ///< plain: executes, drops responses
     bool truncates = false;     ///< cuts responses inside an event or body
+    bool breaks_heads = false;  ///< sends heads that are no valid HTTP
     double slowdown = 1;        ///< factor on all times
     bool states_leave = false;  ///< in all responses, while it announces ready
     /// Asked for in the refusals of the next requests.
@@ -145,6 +151,8 @@
                    const net::http1_responder_ptr& responder);
     void make_copy(const net::http1_request& request,
                    const net::http1_responder_ptr& responder);
+    /// Answers with a sound body under a head that is no valid HTTP.
+    void break_head(const run& each, std::string_view body);
     void refuse(const net::http1_responder_ptr& responder,
                 const std::string& attempt, unsigned status);
     /// @return header fields of every response
@@ -186,6 +194,7 @@
     bool draining_ = false; ///< the state that it announces
     bool listening_ = false;
     unsigned runs_left_ = 0;
+    unsigned broken_heads_ = 0;
     time_point last_run_; ///< when it last had one
     std::unique_ptr<net::http1_server> server_;
     std::vector<std::shared_ptr<run>> runs_;
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -55,8 +55,10 @@
 class caller_pool::call : public std::enable_shared_from_this<call>
 {
 public:
-    call(caller_pool& pool, request_kind kind, bool must_succeed)
+    call(caller_pool& pool, request_kind kind, bool must_succeed,
+         std::size_t padding = 0)
         : pool_(pool), kind_(kind), must_succeed_(must_succeed),
+          padding_(padding),
           prompt_(fmt::format("{}-{:08x}", name_of(kind), pool.random_())),
           events_(min_events + static_cast<unsigned>(
                                    pool.random_() %
@@ -109,7 +111,7 @@
             {.method = "POST",
              .target = pool_.settings_.paths.at(kind_) + "x",
              .headers = std::move(fields),
-             .body = prompt_,
+             .body = prompt_ + std::string(padding_, 'u'),
              .fresh_connection = attempts_.size() > 1},
             {.on_head =
                  [this](const net::http1_response_head& head) {
@@ -325,6 +327,7 @@
     caller_pool& pool_;
     request_kind kind_;
     bool must_succeed_;
+    std::size_t padding_; ///< of the body, in bytes
     std::string prompt_;
     unsigned events_;
     time_point end_;
@@ -359,6 +362,13 @@
     calls_.back()->send();
 }
 
+void caller_pool::start_upload(request_kind kind)
+{
+    ++counts_[kind].started;
+    calls_.push_back(std::make_shared<call>(*this, kind, false, upload_bytes));
+    calls_.back()->send();
+}
+
 void caller_pool::step()
 {
     const time_point now = loop_.now();
--- a/tests/platform/soak/callers.hpp
+++ b/tests/platform/soak/callers.hpp
@@ -62,6 +62,9 @@
     /// @param must_succeed a failure counts as a violated guarantee
     void start(request_kind kind, bool must_succeed);
 
+    /// @brief Starts a plain request with a long body.
+    void start_upload(request_kind kind);
+
     /// @brief Ends requests whose deadline has passed.
     void step();
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -52,7 +52,7 @@
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
       departure_random_(settings_.seed + 7),
       take_up_random_(settings_.seed + 9), restart_random_(settings_.seed + 11),
-      client_(loop_, {}),
+      broken_answer_random_(settings_.seed + 12), client_(loop_, {}),
       take_ups_(
           violations_, settings_.seed + 10,
           {.disturbed_at =
@@ -179,7 +179,7 @@
     json out{{"version", version},
              {"limits",
               {{"maxHeaderBytes", 8192},
-               {"maxBodyBytes", 1048576},
+               {"maxBodyBytes", 2 * upload_bytes},
                {"headerTimeoutMs", 2500},
                {"idleTimeoutMs", version % 2 == 0 ? 12000 : 4000}}},
              {"tenants", {{{"name", "acc"}, {"apiKeys", {"k1"}}}}}};
@@ -355,6 +355,11 @@
         next_statement_ = now + statement_interval;
         inject_statement();
     }
+    if (injects_faults_ && now >= next_broken_answer_) {
+        constexpr duration broken_answer_interval = 1300ms;
+        next_broken_answer_ = now + broken_answer_interval;
+        inject_broken_answer();
+    }
     if (reloads_ && now >= next_reload_) {
         constexpr duration reload_interval = 400ms;
         next_reload_ = now + reload_interval;
@@ -522,6 +527,16 @@
                         "checked against them",
                         restarts_after_departures_, attempts_after_departures_);
     }
+    if (settings_.faults) {
+        unsigned heads = 0;
+        unsigned uploads = 0;
+        for (const auto& each : backends_) {
+            heads += each->broken_heads();
+            uploads += each->proxy().uploads_cut();
+        }
+        line +=
+            fmt::format("; {} heads broken, {} uploads cut", heads, uploads);
+    }
     if (settings_.core_replacement) {
         line += fmt::format("; {} replicas replaced", replaced_replicas_);
     }
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -139,6 +139,11 @@
     void inject_disk_refusal();
     /// Lets a back end state that it leaves, or ask for a pause.
     void inject_statement();
+    /// Lets a back end send invalid heads, or cuts uploads.
+    void inject_broken_answer();
+    /// Sends long requests and lets the services answer such with a part of an
+    /// answer before they reset the connection.
+    void cut_uploads(duration time);
     void end_faults();
     /// Starts a killed or stopping program again after `delay`.
     void restart(machine& program, duration delay);
@@ -164,6 +169,7 @@
     std::mt19937 departure_random_;
     std::mt19937 take_up_random_;
     std::mt19937 restart_random_;
+    std::mt19937 broken_answer_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
@@ -182,6 +188,7 @@
     time_point next_read_;
     time_point next_fault_;
     time_point next_statement_;
+    time_point next_broken_answer_;
     time_point next_disk_refusal_;
     time_point next_reload_;
     time_point next_break_;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -15,6 +15,8 @@
 /// (`catchUpS`); no further disk is lost before, so that the tolerated
 /// number of losses is never exceeded.
 constexpr duration disk_loss_spacing = 5s;
+/// Requests beyond this are cut, far below `upload_bytes`.
+constexpr std::size_t longest_request_bytes = 64u << 10;
 
 } // namespace
 
@@ -304,6 +306,39 @@
     });
 }
 
+void soak::inject_broken_answer()
+{
+    backend& victim = *backends_[broken_answer_random_() % backends_.size()];
+    const bool cuts_uploads = broken_answer_random_() % 2 == 0;
+    const duration time =
+        std::chrono::milliseconds(200 + broken_answer_random_() % 1000);
+    if (cuts_uploads) {
+        cut_uploads(time);
+    } else if (victim.running()) {
+        violations_.print("breaks heads", victim.id());
+        victim.breaks_heads = true;
+        schedule(time, [&victim] { victim.breaks_heads = false; });
+    }
+}
+
+void soak::cut_uploads(duration time)
+{
+    violations_.print("cut uploads", "every service");
+    for (const auto& each : backends_) {
+        if (each->streams()) {
+            continue;
+        }
+        each->proxy().cut_uploads(
+            fmt::format("HTTP/1.1 200 OK\r\nX-Response-Seal: seal-{}\r\n\r\ndo",
+                        each->id()),
+            longest_request_bytes);
+        schedule(time, [&each] { each->proxy().cut_uploads({}, 0); });
+    }
+    for (const auto kind : {request_kind::booking, request_kind::lookup}) {
+        callers_->start_upload(kind);
+    }
+}
+
 void soak::kill(machine& program, duration downtime)
 {
     violations_.print("kill", program.name());
@@ -363,7 +398,9 @@
             each->crash();
             each->start(false);
         }
-        each->silent = each->loses_answers = each->truncates = false;
+        each->silent = each->loses_answers = each->truncates =
+            each->breaks_heads = false;
+        each->proxy().cut_uploads({}, 0);
         each->slowdown = 1;
         each->refusals_left = 0;
     }
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -123,6 +123,16 @@
         }
     }
 
+    /// @brief Answers requests that are longer than `longest` with these bytes
+    ///     before they have arrived, and resets their connections some
+    ///     milliseconds later. Empty bytes end this.
+    void cut_uploads(std::string answer, std::size_t longest)
+    {
+        early_answer_ = std::move(answer);
+        longest_request_ = longest;
+    }
+    [[nodiscard]] unsigned uploads_cut() const { return uploads_cut_; }
+
     [[nodiscard]] std::size_t connections() const { return pipes_.size(); }
 
 private:
@@ -162,9 +172,16 @@
             }
         }
 
-        /// Forwards buffered bytes whose delay has elapsed.
+        /// Forwards buffered bytes whose delay has elapsed, or resets a
+        /// connection whose upload was cut.
         void forward_due(time_point now)
         {
+            if (cut_) {
+                constexpr linger reset_on_close{.l_onoff = 1, .l_linger = 0};
+                set_linger(reset_on_close);
+                proxy_.remove(this);
+                return;
+            }
             for (std::size_t i = 0; i < 2; ++i) {
                 auto& buffered = ends_[i].buffered;
                 bool forwarded = false;
@@ -232,6 +249,12 @@
             }
             std::string_view bytes(buffer.data(),
                                    static_cast<std::size_t>(size));
+            request_bytes_ = i == 0 ? request_bytes_ + bytes.size() : 0;
+            if (!proxy_.early_answer_.empty() &&
+                request_bytes_ > proxy_.longest_request_) {
+                cut_upload();
+                return;
+            }
             if (!ends_[i].buffered.empty() || proxy_.holds(i) ||
                 proxy_.delay_ > duration::zero()) {
                 ends_[i].buffered.emplace_back(proxy_.loop_.now(), bytes);
@@ -241,6 +264,18 @@
             flush(1 - i);
         }
 
+        /// Answers the client and leaves the rest of its request unread.
+        void cut_upload()
+        {
+            cut_ = true;
+            ++proxy_.uploads_cut_;
+            ends_[0].output = proxy_.early_answer_;
+            flush(0);
+            for (auto& each : ends_) {
+                each.watcher->await(net::io_event::none);
+            }
+        }
+
         void flush(std::size_t i)
         {
             end& target = ends_[i];
@@ -259,6 +294,8 @@
 
         fault_proxy& proxy_;
         std::array<end, 2> ends_;
+        std::size_t request_bytes_ = 0; ///< since the last answer
+        bool cut_ = false;
     };
 
     /// True if bytes read at this end are held.
@@ -311,6 +348,9 @@
     alive_flag alive_flag_;
     std::shared_ptr<bool> alive_ = alive_flag_.value;
     std::vector<std::unique_ptr<pipe>> pipes_;
+    std::string early_answer_; ///< to long requests; empty for none
+    std::size_t longest_request_ = 0;
+    unsigned uploads_cut_ = 0;
     std::optional<direction> held_;
     duration delay_{};
     std::unique_ptr<net::io_watcher> accept_watcher_; ///< while it listens
