Reset the sockets of a fault proxy in one place

- The proxy's reset and its cut of an upload set the same socket option, each with its own value; pipe::reset_on_close serves both.
- broken_answer_test.cpp named what early_answer_test.cpp holds.
- A comment in http_client.cpp says why a response without a length is refused while the request is unsent.

--- a/lib/source/net/http_client.cpp
+++ b/lib/source/net/http_client.cpp
@@ -133,7 +133,7 @@
                 true});
             return;
         }
-        // Such a response may be cut.
+        // A server that has not received the request may have been lost.
         if (code == CURLE_OK && ends_with_connection() && !request_sent()) {
             done(http_client::failure{
                 {errc::connection_lost,
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -1,4 +1,4 @@
-// Upstreams whose answers are no valid HTTP, or end before they are complete.
+// Upstreams whose answers have heads that are no valid HTTP.
 #include <array>
 
 #include "platform/support/raw_service_fixture.hpp"
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -107,9 +107,8 @@
     ///     buffered bytes.
     void reset()
     {
-        constexpr linger reset_on_close{.l_onoff = 1, .l_linger = 0};
         for (auto& each : pipes_) {
-            each->set_linger(reset_on_close);
+            each->reset_on_close();
         }
         pipes_.clear();
     }
@@ -164,11 +163,13 @@
         pipe(const pipe&) = delete;
         pipe& operator=(const pipe&) = delete;
 
-        void set_linger(const linger& value)
+        /// Both peers see a reset when the pipe is destroyed.
+        void reset_on_close()
         {
+            const linger discard{.l_onoff = 1, .l_linger = 0};
             for (const auto& each : ends_) {
-                setsockopt(each.descriptor, SOL_SOCKET, SO_LINGER, &value,
-                           sizeof value);
+                setsockopt(each.descriptor, SOL_SOCKET, SO_LINGER, &discard,
+                           sizeof discard);
             }
         }
 
@@ -177,8 +178,7 @@
         void forward_due(time_point now)
         {
             if (cut_) {
-                constexpr linger reset_on_close{.l_onoff = 1, .l_linger = 0};
-                set_linger(reset_on_close);
+                reset_on_close();
                 proxy_.remove(this);
                 return;
             }
