--- a/review/11/case.py
+++ b/review/11/case.py
@@ -45,12 +45,7 @@
         await asyncio.sleep(3.0)  # until all five of the core have a vote
         lost, stopped = system.core[4], system.core[3]
         seeds = [f"{ip}:{CONTROL}" for ip in system.core_ips[:3]]
-        # Later starts are no first starts.
-        for index, each in enumerate(system.core):
-            text = open(each.settings, encoding="ascii").read()
-            with open(each.settings, "w", encoding="ascii") as file:
-                file.write(text.replace("bootstrap = true",
-                                        "bootstrap = false"))
+        system.end_first_start()
         lost.signal(signal.SIGKILL)
         lost.child.wait()
         record(f"{lost.name} is gone for good")
--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec timeout -k 5 118 python3 "$(dirname "$0")/case.py"
+exec timeout -k 5 118 python3 -B "$(dirname "$0")/case.py"
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -180,6 +180,15 @@
             each.start()
             self.record(f"started {each.name} pid {each.child.pid}")
 
+    def end_first_start(self):
+        """Later starts find `bootstrap = false`."""
+        for each in self.core + self.edge:
+            with open(each.settings, encoding="ascii") as file:
+                text = file.read()
+            with open(each.settings, "w", encoding="ascii") as file:
+                file.write(text.replace("bootstrap = true",
+                                        "bootstrap = false"))
+
     def stop(self):
         for each in self.core + self.edge:
             each.kill()
