--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -502,6 +502,8 @@
         if not os.access(os.path.join(ROOT, "target/bin", program), os.X_OK):
             record(f"target/bin/{program} is missing")
             sys.exit(2)
+    # The end of asyncio.run cancels the case, which ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), 112))
     except (CannotRun, asyncio.TimeoutError) as problem:
