Replace lost voters before those that only stop

When two disks were lost later, as many as is tolerated, no replica led any more: the acknowledged configuration could not be read and no request was served.

Cause: a leader that replaces a stopping voter looked at that one alone and spent the only learner on it, so that the lost voter remained in the group. The stopped replica was back as a learner after 0.3 s, but counted as about to stop for 10 s, since the record held its name and a time, not its process.

Change: - next_hand_over_step: learners replace voters that are away first, and a group below its target size is completed first; then the stopping one goes. - The record of a stopping replica holds its incarnation and ends with the next one. Replicas state it in their views, so that all of them know it, also if there is no learner to ask for and after a change of the leader.

--- a/lib/include/bamboogate/net/link.hpp
+++ b/lib/include/bamboogate/net/link.hpp
@@ -77,6 +77,10 @@
         return received_;
     }
 
+    /// @brief Writes the queued output as far as the socket accepts it. Closes
+    ///     the link if that fails.
+    void flush_output();
+
 private:
     enum class state
     {
@@ -88,7 +92,6 @@
 
     void on_ready(io_event events);
     void read_input();
-    void flush_output();
     void on_frame(std::string_view frame);
     void on_hello(std::string_view body);
     void on_proof(std::string_view body);
--- a/lib/include/bamboogate/net/link_hub.hpp
+++ b/lib/include/bamboogate/net/link_hub.hpp
@@ -189,6 +189,10 @@
                       });
     }
 
+    /// @brief Writes the messages that were sent as far as the sockets accept
+    ///     them, for a process that may end before the next loop iteration.
+    void flush();
+
     /// @brief Adds an observer of peers that become reachable or unreachable.
     void on_peer_state(std::function<void(const peer_info&, bool up)> handler);
 
--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -153,6 +154,12 @@
     void stop(std::function<void()> done);
 
     [[nodiscard]] bool is_leader() const;
+    /// @brief The members of the group as this replica sees them. Only the
+    ///     leader knows which ones have caught up.
+    [[nodiscard]] std::span<const replica_status> replicas() const
+    {
+        return replicas_;
+    }
     /// @brief False while the disk refuses writes and this replica takes no
     ///     part in the replication.
     [[nodiscard]] bool storage_works() const;
@@ -197,13 +204,19 @@
     void tick();
     void update_membership();
     [[nodiscard]] membership_policy membership() const;
+    /// As the leader, changes the membership.
+    void apply_step(const membership_step& step,
+                    const acknowledge_callback& callback);
+    /// Records whether a replica is about to stop. The record ends with the
+    /// process, since its next start may vote.
+    void note_stopping(const net::peer_info& peer, bool stopping);
     /// As the leader, replaces a voter that is about to stop by a learner.
     void replace_leaving_replica(const node_id& node,
                                  const acknowledge_callback& callback);
-    /// As the leader, lets a learner vote in place of a voter that is about to
-    /// stop; `in_progress` if one may be able to soon, else `not_found`.
-    void promote_successor(const std::vector<replica_status>& statuses,
-                           const acknowledge_callback& callback);
+    /// Why no learner can take a vote: `in_progress` if one may be able to
+    /// soon, else `not_found`.
+    [[nodiscard]] error
+    no_successor(const std::vector<replica_status>& statuses) const;
     [[nodiscard]] std::vector<node_id> leaving_replicas() const;
     /// As a leader that is about to stop, passes leadership on, if possible to
     /// a voter that stays. Calls back with an error always, since the vote is
@@ -318,8 +331,9 @@
     time_point traffic_logged_at_;
     std::set<std::string> known_replicas_;
     std::map<node_id, time_point> last_reachable_;
-    /// Replicas that have asked the leader to be replaced, and when.
-    std::map<node_id, time_point> leaving_replicas_;
+    std::vector<replica_status> replicas_; ///< of the last tick
+    /// Replicas that are about to stop, with the process that stops.
+    std::map<node_id, incarnation> leaving_replicas_;
     std::string published_view_;
     time_point published_at_;
     time_point last_join_;
--- a/lib/include/bamboogate/relay/messages.hpp
+++ b/lib/include/bamboogate/relay/messages.hpp
@@ -45,9 +45,11 @@
     /// The replica passes on what other replicas have received, so that one
     /// subscription is enough. Earlier builds don't and don't send the field.
     bool forwards = false;
+    /// The replica is about to stop. Earlier builds don't send the field.
+    bool stopping = false;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(control_view, replicas, leader,
                                                 version, gates, subscribed,
-                                                forwards)
+                                                forwards, stopping)
 };
 
 /// Requests the newest configuration that a replica has applied.
--- a/lib/source/net/link_hub.cpp
+++ b/lib/source/net/link_hub.cpp
@@ -394,6 +394,16 @@
     }
 }
 
+void link_hub::flush()
+{
+    // A link that closes is destroyed later, see `on_closed`.
+    for (std::size_t i = 0; i < impl_->links.size(); ++i) {
+        if (impl_->links[i]->up()) {
+            impl_->links[i]->flush_output();
+        }
+    }
+}
+
 void link_hub::on_peer_state(
     std::function<void(const peer_info&, bool up)> handler)
 {
--- a/lib/source/relay/control_node.cpp
+++ b/lib/source/relay/control_node.cpp
@@ -153,6 +153,7 @@
         });
     hub_.on<control_view>(
         [this](const net::peer_info& peer, control_view received) {
+            note_stopping(peer, received.stopping);
             for (const auto& node : received.replicas) {
                 add_replica(node);
             }
@@ -218,9 +219,11 @@
             });
         }
     });
-    hub_.serve<leave_group, group_left>([this](const net::peer_info&,
+    hub_.serve<leave_group, group_left>([this](const net::peer_info& peer,
                                                const leave_group& request,
                                                const auto& reply) {
+        // An earlier build states it here only.
+        note_stopping(peer, true);
         replace_leaving_replica(
             node_id(request.node),
             [reply, node = request.node](const result<void>& outcome) {
@@ -274,6 +277,7 @@
         return;
     }
     log_link_established(peer);
+    note_stopping(peer, false);
     hub_.send(peer.node, view());
     if (known_replicas_.contains(peer.node.value())) {
         // A restarted replica knows no upstream, departure or quarantine.
@@ -336,6 +340,7 @@
         out.gates += subscribed;
     }
     out.forwards = true;
+    out.stopping = stopping_;
     return out;
 }
 
@@ -478,6 +483,8 @@
         done();
         return;
     }
+    publish_view(true);
+    hub_.flush();
     const time_point deadline = loop_.now() + settings_.hand_over_limit;
     if (!replica_->is_leader()) {
         hand_over_vote(deadline, std::move(done));
--- a/lib/source/relay/control_node_membership.cpp
+++ b/lib/source/relay/control_node_membership.cpp
@@ -14,8 +14,6 @@
 namespace events = log_events;
 
 constexpr duration join_interval = std::chrono::milliseconds(400);
-/// A replica that stopped and is a member again may vote after this time.
-constexpr duration leaving_expiry = std::chrono::seconds(10);
 
 void log_members_changed(std::string_view action, const node_id& node,
                          const result<void>& outcome)
@@ -58,7 +56,7 @@
     std::erase_if(last_reachable_,
                   [&](const auto& each) { return !is_member(each.first); });
     std::erase_if(leaving_replicas_, [&](const auto& each) {
-        return now - each.second >= leaving_expiry;
+        return !is_member(each.first) && !hub_.is_up(each.first);
     });
     std::vector<replica_status> out;
     for (const auto& each : members) {
@@ -87,53 +85,61 @@
 {
     // Every replica keeps the times of contact, so that a change of leader does
     // not restart the wait for the replacement of a lost voter.
-    const auto statuses = replica_statuses();
+    replicas_ = replica_statuses();
     if (!replica_->is_leader()) {
         return;
     }
-    const auto step = next_membership_step(statuses, self_, membership());
-    if (!step) {
-        return;
+    if (const auto step =
+            next_membership_step(replicas_, self_, membership())) {
+        apply_step(*step, [](const result<void>&) {});
     }
-    const bool promote = step->kind == membership_step::action::promote;
-    const auto done = [node = step->node, promote](const result<void>& result) {
-        log_members_changed(promote ? "promote" : "remove", node, result);
+}
+
+void control_node::apply_step(const membership_step& step,
+                              const acknowledge_callback& callback)
+{
+    const bool promote = step.kind == membership_step::action::promote;
+    const auto done = [node = step.node, promote,
+                       callback](const result<void>& outcome) {
+        log_members_changed(promote ? "promote" : "remove", node, outcome);
+        callback(outcome);
     };
     if (promote) {
-        replica_->promote(step->node, done);
+        replica_->promote(step.node, done);
     } else {
-        replica_->remove(step->node, done);
+        replica_->remove(step.node, done);
     }
 }
 
-void control_node::promote_successor(
-    const std::vector<replica_status>& statuses,
-    const acknowledge_callback& callback)
+void control_node::note_stopping(const net::peer_info& peer, bool stopping)
 {
-    const replica_status* successor = find_successor(statuses);
-    if (successor == nullptr) {
-        callback(is_successor_expected(statuses, membership())
-                     ? fail(errc::in_progress, "no learner has caught up")
-                     : fail(errc::not_found, "no replica can take the vote"));
+    if (stopping) {
+        leaving_replicas_.insert_or_assign(peer.node, peer.incarnation);
         return;
     }
-    replica_->promote(successor->node, [callback, node = successor->node](
-                                           const result<void>& outcome) {
-        log_members_changed("promote", node, outcome);
-        callback(outcome);
-    });
+    // An earlier build doesn't state in its views that it stops.
+    const auto found = leaving_replicas_.find(peer.node);
+    if (found != leaving_replicas_.end() && found->second != peer.incarnation) {
+        leaving_replicas_.erase(found);
+    }
+}
+
+error control_node::no_successor(
+    const std::vector<replica_status>& statuses) const
+{
+    return is_successor_expected(statuses, membership())
+               ? error{errc::in_progress, "no learner has caught up"}
+               : error{errc::not_found, "no replica can take the vote"};
 }
 
 void control_node::replace_leaving_replica(const node_id& node,
                                            const acknowledge_callback& callback)
 {
-    leaving_replicas_.insert_or_assign(node, loop_.now());
     if (!replica_ || !replica_->is_leader()) {
         callback(fail(errc::not_leader, "another replica leads"));
         return;
     }
     const auto statuses = replica_statuses();
-    const auto is_voter = [](const auto& each) { return each.voter; };
     const bool votes =
         std::any_of(statuses.begin(), statuses.end(), [&](const auto& each) {
             return each.node == node && each.voter;
@@ -142,34 +148,24 @@
         callback(outcome::success());
         return;
     }
-    const auto remove = [this, node, callback] {
-        replica_->remove(node, [node, callback](const result<void>& outcome) {
-            log_members_changed("replace", node, outcome);
-            callback(outcome);
-        });
-    };
-    const auto voters = static_cast<std::size_t>(
-        std::count_if(statuses.begin(), statuses.end(), is_voter));
-    if (voters > membership().voters) {
-        remove();
+    const auto step = next_hand_over_step(statuses, node, membership());
+    if (!step) {
+        callback(no_successor(statuses));
         return;
     }
-    // The successor votes first: without the leaving replica, the group might
-    // have no majority to accept a new voter.
-    promote_successor(statuses,
-                      [callback, remove](const result<void>& outcome) {
-                          if (!outcome) {
-                              callback(outcome);
-                              return;
-                          }
-                          remove();
-                      });
+    apply_step(*step, [this, node, callback](const result<void>& outcome) {
+        if (!outcome) {
+            callback(outcome);
+            return;
+        }
+        replace_leaving_replica(node, callback);
+    });
 }
 
 std::vector<node_id> control_node::leaving_replicas() const
 {
     std::vector<node_id> out;
-    for (const auto& [node, since] : leaving_replicas_) {
+    for (const auto& [node, incarnation] : leaving_replicas_) {
         out.push_back(node);
     }
     return out;
@@ -195,14 +191,24 @@
         return;
     }
     // If all voters are about to stop, leadership would only move between them.
-    promote_successor(
-        statuses, [callback, transfer, retried](const result<void>& outcome) {
-            if (!outcome && outcome.error().code != errc::not_found) {
-                callback(outcome);
-                return;
-            }
-            transfer(outcome ? retried : outcome.error());
-        });
+    const replica_status* successor = find_successor(statuses);
+    if (successor == nullptr) {
+        const error problem = no_successor(statuses);
+        if (problem.code == errc::in_progress) {
+            callback(problem);
+        } else {
+            transfer(problem);
+        }
+        return;
+    }
+    apply_step({membership_step::action::promote, successor->node},
+               [callback, transfer, retried](const result<void>& outcome) {
+                   if (!outcome) {
+                       callback(outcome);
+                       return;
+                   }
+                   transfer(retried);
+               });
 }
 
 void control_node::hand_over_vote(time_point deadline,
--- a/tests/platform/core_replacement_test.cpp
+++ b/tests/platform/core_replacement_test.cpp
@@ -7,15 +7,19 @@
 
 namespace {
 
+/// `catchUpS` of the bounds: a machine that started counts again after it.
+constexpr duration catch_up_time = 4s;
+/// A leader without a majority answers reads for less than this time.
+constexpr duration lease_time = 1500ms;
+
 struct replacement_fixture : relay_fixture
 {
     std::vector<std::unique_ptr<relay::control_node>> successors;
 
-    /// Starts as many replicas as there are, and waits until they have the
-    /// configuration.
-    void start_successors()
+    /// Starts further replicas, and waits until they have the configuration.
+    void start_successors(std::size_t count = 3)
     {
-        for (std::size_t i = 0; i < seeds.size(); ++i) {
+        for (std::size_t i = 0; i < count; ++i) {
             auto node = std::make_unique<relay::control_node>(
                 loop, relay::make_relay_protocol<platform::wire>(),
                 relay::control_node::options{
@@ -51,14 +55,37 @@
             });
         return static_cast<std::size_t>(found - nodes.begin());
     }
+    /// Ends a replica's process, without a planned stop.
+    void kill(std::size_t i)
+    {
+        apis[i].reset();
+        nodes[i].reset();
+    }
+    void stop(std::size_t i)
+    {
+        bool stopped = false;
+        nodes[i]->stop([&] { stopped = true; });
+        CHECK(wait([&] { return stopped; }));
+        kill(i);
+    }
+    [[nodiscard]] std::size_t follower() const { return leader() == 0 ? 1 : 0; }
+    /// The replica that is neither `one` nor `other`.
+    [[nodiscard]] static std::size_t third(std::size_t one, std::size_t other)
+    {
+        return 3 - one - other;
+    }
     /// Checks that a successor reads the configuration within some time.
     void check_configuration_is_read()
+    {
+        check_configuration_is_read(*successors.front());
+    }
+    void check_configuration_is_read(relay::control_node& reader)
     {
         std::uint64_t version = 0;
         std::optional<errc> problem;
         for (int tries = 0; tries < 20 && version == 0; ++tries) {
             bool answered = false;
-            successors.front()->read_configuration([&](const auto& read) {
+            reader.read_configuration([&](const auto& read) {
                 answered = true;
                 if (read) {
                     version = read.value()->version;
@@ -85,11 +112,7 @@
     start_successors();
     pass(500ms);
     for (std::size_t i = 0; i < nodes.size(); ++i) {
-        bool stopped = false;
-        nodes[i]->stop([&] { stopped = true; });
-        CHECK(wait([&] { return stopped; }));
-        apis[i].reset();
-        nodes[i].reset();
+        stop(i);
     }
     check_configuration_is_read();
 }
@@ -108,8 +131,7 @@
     }
     REQUIRE(wait([&] { return stopped == nodes.size(); }));
     for (std::size_t i = 0; i < nodes.size(); ++i) {
-        apis[i].reset();
-        nodes[i].reset();
+        kill(i);
     }
     check_configuration_is_read();
 }
@@ -119,12 +141,92 @@
                   "replica_without_a_successor_stops_at_once")
 {
     start_system();
-    const std::size_t follower = leader() == 0 ? 1 : 0;
     bool stopped = false;
-    nodes[follower]->stop([&] { stopped = true; });
+    nodes[follower()]->stop([&] { stopped = true; });
     CHECK(stopped);
 }
 
+// Guards against a restart that takes the successor of a lost voter, which then
+// remains in the group: the loss of one more disk ends the majority.
+TEST_CASE_FIXTURE(replacement_fixture,
+                  "replica_restarts_beside_a_replacement_one_loss_is_tolerated")
+{
+    start_system();
+    const std::size_t first = leader();
+    const std::size_t restarted = follower();
+    const std::size_t lost = third(first, restarted);
+    kill(lost);
+    start_successors(1);
+    pass(300ms);
+    stop(restarted);
+    pass(400ms);
+    add_node(restarted, false);
+    pass(catch_up_time);
+    successors.clear();
+    pass(lease_time);
+    check_configuration_is_read(*nodes[restarted]);
+}
+
+// Guards against a replica that may not vote for some time after its restart,
+// so that it can't replace a voter that is lost meanwhile.
+TEST_CASE_FIXTURE(replacement_fixture,
+                  "restarted_replica_replaces_a_lost_one_in_time")
+{
+    start_system();
+    start_successors(1);
+    pass(300ms);
+    const std::size_t first = leader();
+    const std::size_t restarted = follower();
+    stop(restarted);
+    add_node(restarted, false);
+    pass(500ms);
+    kill(third(first, restarted));
+    pass(catch_up_time);
+    successors.clear();
+    pass(lease_time);
+    check_configuration_is_read(*nodes[restarted]);
+}
+
+// Guards against a vote for a learner that is about to stop and has told the
+// last leader only, or none because there was no other learner.
+TEST_CASE_FIXTURE(replacement_fixture,
+                  "stopping_learner_gets_no_vote_from_the_next_leader")
+{
+    start_system();
+    start_successors(1);
+    pass(300ms);
+    successors.front()->stop([] {});
+    pass(100ms);
+    kill(leader());
+    pass(catch_up_time);
+    REQUIRE(leader() < nodes.size());
+    const auto replicas = nodes[leader()]->replicas();
+    const auto learner =
+        std::find_if(replicas.begin(), replicas.end(),
+                     [](const auto& each) { return !each.voter; });
+    REQUIRE(learner != replicas.end());
+    CHECK(learner->leaving);
+    CHECK(learner->caught_up);
+}
+
+// Guards against a replica that stops before its successor has joined and then
+// counts as a voter for as long as one that may only be unreachable.
+TEST_CASE_FIXTURE(replacement_fixture,
+                  "replica_stopped_without_a_successor_is_replaced_at_once")
+{
+    start_system();
+    const std::size_t first = leader();
+    const time_point stopped_at = loop.now();
+    stop(follower());
+    start_successors(1);
+    const auto complete = [&] {
+        const auto replicas = nodes[first]->replicas();
+        return replicas.size() == 3 && relay::spare_voters(replicas) == 1;
+    };
+    REQUIRE(wait(complete));
+    CHECK(loop.now() - stopped_at < 2s); // a voter that is lost: 2.5 s
+}
+
 // Guards against a wait for the replacement of a lost voter that every change
 // of the leader restarts.
 TEST_CASE_FIXTURE(replacement_fixture,
