Bound what an engine may send without completing an event

Cause: event_splitter searched its whole buffer for a blank line again with each part that arrived, so that the cost grew with the square of the lines, inside one callback. Besides, complete events without an id had no limit, and before the first event the gate waited for as long as an engine may read a prompt although it had begun to answer, so that a stream took up to 16 s.

Change: the search goes on where it ended. An attempt ends after 256 KiB since the last event that was passed on, and 0.7 s after the first byte of an event that remains unfinished; the stream goes on at another engine. Whole comments are no stall.

Why this works: the work for each byte is constant, and no engine keeps an attempt with bytes that carry no part of the answer.

--- a/lib/include/bamboogate/relay/event_stream.hpp
+++ b/lib/include/bamboogate/relay/event_stream.hpp
@@ -24,23 +24,12 @@
 class event_splitter
 {
 public:
-    /// A longer event is no event of a generation; an engine in trouble may
-    /// send bytes without an end of event.
-    static constexpr std::size_t max_event_bytes = 256u << 10;
-
     /// @brief Appends a part of the body. @return the events that it completes
     [[nodiscard]] std::vector<stream_event> read(std::string_view part);
 
     /// @brief True while bytes of an incomplete event are buffered.
     [[nodiscard]] bool inside_event() const { return !buffer_.empty(); }
 
-    /// @brief True if the incomplete event exceeds `max_event_bytes`; the
-    ///     stream is unusable then.
-    [[nodiscard]] bool overflowed() const
-    {
-        return buffer_.size() > max_event_bytes;
-    }
-
 private:
     std::string buffer_;
 };
--- a/lib/source/relay/event_stream.cpp
+++ b/lib/source/relay/event_stream.cpp
@@ -83,10 +83,13 @@
 
 std::vector<stream_event> event_splitter::read(std::string_view part)
 {
+    // The blank line may begin with the last two bytes of the input so far.
+    const std::size_t searched =
+        buffer_.size() - std::min<std::size_t>(buffer_.size(), 2);
     buffer_.append(part);
     std::vector<stream_event> events;
     std::size_t begin = 0;
-    for (std::size_t end = end_of_event(buffer_, begin);
+    for (std::size_t end = end_of_event(buffer_, searched);
          end != std::string_view::npos; end = end_of_event(buffer_, begin)) {
         stream_event event;
         event.text = buffer_.substr(begin, end - begin);
--- a/lib/source/relay/stream_exchange.cpp
+++ b/lib/source/relay/stream_exchange.cpp
@@ -17,6 +17,9 @@
 constexpr unsigned misdirected_status = 421;
 /// Largest body of an answer that is no stream.
 constexpr std::size_t max_error_body_bytes = 64u << 10;
+/// An engine in trouble may send bytes without an end that complete no event,
+/// or events that carry no part of the response.
+constexpr std::size_t max_bytes_without_event = 256u << 10;
 
 /// Longest time per token of a live engine: a decode step that also prefills a
 /// chunk of a prompt takes 28 to 30 ms.
@@ -24,6 +27,10 @@
 /// Network allowance on top of 1.5 times the slowest event.
 constexpr duration silence_margin = std::chrono::milliseconds(50);
 
+/// Engines write an event at once. Covers two retransmissions of a lost part of
+/// it, after 200 ms and 400 ms.
+constexpr duration max_event_time = std::chrono::milliseconds(700);
+
 /// Upper bound of the silence limit, below the pause after which callers leave.
 constexpr duration max_silence_limit = std::chrono::seconds(4);
 
@@ -145,6 +152,8 @@
         }
     }
     splitter_ = {};
+    bytes_without_event_ = 0;
+    event_begun_at_.reset();
     error_body_.clear();
     head_ = {};
     answer_ = {};
@@ -224,11 +233,13 @@
         error_body_.append(part);
         return;
     }
-    const auto events = splitter_.read(part);
-    if (splitter_.overflowed()) {
-        lose_unusable_attempt("event_too_large");
+    bytes_without_event_ += part.size();
+    if (bytes_without_event_ > max_bytes_without_event) {
+        lose_unusable_attempt("too_much_without_event");
         return;
     }
+    const auto events = splitter_.read(part);
+    note_unfinished_event(!events.empty());
     for (const auto& event : events) {
         if (!attempt_) {
             return;
@@ -254,6 +265,26 @@
     }
 }
 
+void stream_exchange::note_unfinished_event(bool completed_others)
+{
+    if (!splitter_.inside_event()) {
+        event_begun_at_.reset();
+        return;
+    }
+    if (!event_begun_at_ || completed_others) {
+        event_begun_at_ = context_.loop.now();
+        arm_silence_timer();
+    }
+}
+
+time_point stream_exchange::silence_deadline() const
+{
+    const time_point deadline = detector_.deadline();
+    return event_begun_at_
+               ? std::min(deadline, *event_begun_at_ + max_event_time)
+               : deadline;
+}
+
 void stream_exchange::lose_unusable_attempt(std::string_view cause)
 {
     attempt_.reset();
@@ -309,6 +340,7 @@
         longest_pause_attempt_ = attempts_;
     }
     last_event_at_ = now;
+    bytes_without_event_ = 0;
     engine_lost_ = false;
     detector_.on_token(now);
     if (!reading_paused_) {
@@ -320,7 +352,7 @@
 {
     // A deadline that was extended is re-evaluated when the timer fires; only
     // an earlier one, as after the first event, requires a restart.
-    const time_point deadline = detector_.deadline();
+    const time_point deadline = silence_deadline();
     if (silence_timer_.active() && silence_check_at_ <= deadline) {
         return;
     }
@@ -342,7 +374,9 @@
     if (ended_ || !attempt_) {
         return;
     }
-    if (!engine_lost_ && !detector_.is_silent(context_.loop.now())) {
+    const bool silent =
+        !reading_paused_ && context_.loop.now() >= silence_deadline();
+    if (!engine_lost_ && !silent) {
         arm_silence_timer();
         return;
     }
@@ -364,8 +398,10 @@
     context_.directory.health(engine_).note_failure(context_.loop.now());
     silent_losses_ += event_seen_ ? 1 : 0;
     context_.report_suspicion(engine_);
-    on_attempt_lost(event_seen_ ? "silent" : "silent_before_first_event", true,
-                    retry_taken);
+    on_attempt_lost(event_begun_at_ ? "unfinished_event"
+                    : event_seen_   ? "silent"
+                                    : "silent_before_first_event",
+                    true, retry_taken);
 }
 
 void stream_exchange::on_complete()
--- a/lib/source/relay/stream_exchange.hpp
+++ b/lib/source/relay/stream_exchange.hpp
@@ -75,6 +75,10 @@
     /// True if the body of the current answer is a part of the stream.
     [[nodiscard]] bool carries_events() const;
     void on_body(std::string_view part);
+    /// Limits the time that the engine takes to send the rest of an event.
+    void note_unfinished_event(bool completed_others);
+    /// When the engine counts as silent if it completes no event until then.
+    [[nodiscard]] time_point silence_deadline() const;
     /// Ends an attempt whose answer cannot be used.
     void lose_unusable_attempt(std::string_view cause);
     void on_complete();
@@ -166,6 +170,8 @@
     net::http1_response_head head_;
     response_description answer_;
     event_splitter splitter_;
+    std::size_t bytes_without_event_ = 0;      ///< since the last one passed on
+    std::optional<time_point> event_begun_at_; ///< of the unfinished event
     std::string error_body_;
     std::optional<std::uint64_t> last_event_; ///< last one that the caller has
     bool head_sent_ = false;
--- a/lib/source/relay/stream_reading.cpp
+++ b/lib/source/relay/stream_reading.cpp
@@ -56,6 +56,9 @@
     }
     // The engine could not send meanwhile.
     last_event_at_ = now;
+    if (event_begun_at_) {
+        event_begun_at_ = now;
+    }
     detector_.resume(now);
     attempt_->resume_reading();
     arm_silence_timer();
--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -283,6 +283,118 @@
     CHECK(runs == 2);
 }
 
+// Guards against an engine in trouble that keeps the gate busy with bytes that
+// have no end and carry no part of the stream, one chunk a line.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "bytes_without_an_event_end_the_attempt")
+{
+    std::string piece;
+    SUBCASE("lines without a blank one")
+    {
+        piece = chunk("a\n");
+    }
+    SUBCASE("fields without a blank line")
+    {
+        piece = chunk("id: 7\n");
+    }
+    SUBCASE("bytes without a line end")
+    {
+        piece = chunk("a");
+    }
+    SUBCASE("blank lines")
+    {
+        piece = chunk("\n");
+    }
+    SUBCASE("comments")
+    {
+        piece = chunk(":\n\n");
+    }
+    SUBCASE("events without an id")
+    {
+        piece = chunk("data: x\n\n");
+    }
+    raw_server* sick = nullptr;
+    steps = {[&](raw_server::connection& to) {
+                 sick = serving;
+                 to.send(head("200 OK", chunked));
+                 to.send_without_end(piece);
+             },
+             send(head("200 OK", chunked) + chunk(event1) + chunk(event2) +
+                  "0\r\n\r\n")};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2);
+    CHECK(runs == 2);
+    REQUIRE(sick != nullptr);
+    std::size_t sent = 0;
+    for (const auto& each : sick->connections) {
+        sent += each->sent_bytes();
+    }
+    // 256 KiB in chunks of one byte, and what the sockets hold.
+    constexpr std::size_t most = 10u << 20;
+    CHECK(sent < most);
+}
+
+// Guards against an engine that stalls inside its first event, where the limit
+// for the whole prompt held, not the one between two parts of the answer.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "stall_inside_the_first_event_ends_the_attempt")
+{
+    raw_server::connection* stalled = nullptr;
+    const auto begin_event = [&](raw_server::connection& to) {
+        to.send(head("200 OK", chunked) + chunk("id: 1\nda"));
+        stalled = &to;
+    };
+    net::timer trickle(loop, [&] {
+        if (stalled != nullptr && !stalled->closed()) {
+            stalled->send(chunk("t"));
+        }
+    });
+    SUBCASE("without a further byte") {}
+    SUBCASE("with a byte now and then")
+    {
+        trickle.start_periodic(50ms);
+    }
+    steps = {begin_event, send(head("200 OK", chunked) + chunk(event1) +
+                               chunk(event2) + "0\r\n\r\n")};
+    start();
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2);
+    CHECK(runs == 2);
+}
+
+// Guards against a sound engine that is abandoned because it sends comments
+// while it reads a long prompt.
+TEST_CASE_FIXTURE(broken_stream_fixture,
+                  "comments_before_the_first_event_are_no_stall")
+{
+    raw_server::connection* engine = nullptr;
+    net::timer comments(loop, [&] {
+        if (engine != nullptr) {
+            // In two parts, as the network may split it.
+            engine->send(chunk(": wa"));
+            engine->send(chunk("it\n\n"));
+        }
+    });
+    comments.start_periodic(100ms);
+    steps = {[&](raw_server::connection& to) {
+        to.send(head("200 OK", chunked));
+        engine = &to;
+    }};
+    start();
+    run_until(
+        loop, [] { return false; }, 1500ms);
+    REQUIRE(engine != nullptr);
+    comments.stop();
+    engine->send(chunk(event1) + chunk(event2) + "0\r\n\r\n");
+    REQUIRE(wait([&] { return request->ended(); }));
+    CHECK(request->complete);
+    CHECK(request->body == std::string(event1) + event2);
+    CHECK(runs == 1);
+}
+
 // Guards against a stream without a length whose engine is killed: the end of
 // its connection was taken for the end of the stream.
 TEST_CASE_FIXTURE(broken_stream_fixture,
--- a/tests/relay/event_stream_and_configuration_store_test.cpp
+++ b/tests/relay/event_stream_and_configuration_store_test.cpp
@@ -5,6 +5,10 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <string>
+#include <vector>
+
 using namespace bamboogate;
 using namespace bamboogate::relay;
 using namespace std::chrono_literals;
@@ -75,6 +79,50 @@
     CHECK(joined == text);
 }
 
+// Guards against a search that starts anew with each part of an event, whose
+// cost grows with the square of its lines.
+TEST_CASE("event_splitter_long_event_in_small_parts_is_searched_once")
+{
+    constexpr std::size_t lines = 60000;
+    const auto begin = std::chrono::steady_clock::now();
+    event_splitter splitter;
+    for (std::size_t i = 0; i < lines; ++i) {
+        REQUIRE(splitter.read("a\n").empty());
+    }
+    CHECK(std::chrono::steady_clock::now() - begin < 1s);
+    const auto events = splitter.read("\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].text.size() == 2 * lines + 1);
+}
+
+// Guards against a blank line that is missed because its bytes arrive in
+// several parts.
+TEST_CASE("event_splitter_blank_line_in_parts_ends_the_event")
+{
+    const std::string text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\n"
+                             "id: 3\ndata: z\n\r\nid: 4\n\n";
+    for (std::size_t first = 0; first < text.size(); ++first) {
+        for (std::size_t second = first; second < text.size(); ++second) {
+            CAPTURE(first);
+            CAPTURE(second);
+            event_splitter splitter;
+            std::vector<stream_event> events;
+            std::size_t at = 0;
+            for (const std::size_t end : {first, second, text.size()}) {
+                for (auto& each : splitter.read(
+                         std::string_view(text).substr(at, end - at))) {
+                    events.push_back(std::move(each));
+                }
+                at = end;
+            }
+            REQUIRE(events.size() == 4);
+            CHECK(events[0].text == "id: 1\r\ndata: x\r\n\r\n");
+            CHECK(events[2].id == 3);
+            CHECK_FALSE(splitter.inside_event());
+        }
+    }
+}
+
 // Guards against gates whose retries add up to an overload.
 TEST_CASE("retry_limiter_shares_the_slack_and_slides_its_window")
 {
