Play replacements beside restarts, and streams without events, in the soak

- Among the broken answers of the faults, an engine begins streams that hold lines, comments or events without an id and have no end.

--- a/tests/platform/soak/backend.cpp
+++ b/tests/platform/soak/backend.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace bamboogate::tests {
@@ -116,7 +117,8 @@
     server_.reset();
     proxy_.change_target({"127.0.0.1", 1});
     proxy_.reset();
-    silent = loses_answers = truncates = breaks_heads = states_leave = false;
+    silent = loses_answers = truncates = breaks_heads = fills_streams =
+        states_leave = false;
     slowdown = 1;
     refusals_left = 0;
     leaving_ = false;
@@ -355,6 +357,15 @@
         each.begun = true;
         ledger_.add(each.attempt);
         each.responder->begin_stream(200, "OK", fields);
+        if (fills_streams) {
+            static constexpr std::array<std::string_view, 4> pieces{
+                "a\n", "id: 7\n", ":\n\n", "data: x\n\n"};
+            each.filling = pieces.at(filled_streams_++ % pieces.size());
+        }
+    }
+    if (!each.filling.empty()) {
+        fill(each);
+        return;
     }
     if (each.next > each.last) {
         // The caller already had all events and only missed the end of the
@@ -382,6 +393,17 @@
     }
 }
 
+void backend::fill(const run& each)
+{
+    constexpr std::size_t queued_limit = 64u << 10;
+    constexpr int pieces_at_once = 2000;
+    for (int i = 0; i < pieces_at_once && !each.disconnected &&
+                    each.responder->queued_bytes() < queued_limit;
+         ++i) {
+        each.responder->write(each.filling);
+    }
+}
+
 void backend::break_head(const run& each, std::string_view body)
 {
     net::header_list fields = response_fields(each.attempt);
--- a/tests/platform/soak/backend.hpp
+++ b/tests/platform/soak/backend.hpp
@@ -95,6 +95,8 @@
     [[nodiscard]] bool streams() const { return settings_.streams; }
     /// @brief Responses whose head was broken.
     [[nodiscard]] unsigned broken_heads() const { return broken_heads_; }
+    /// @brief Streams whose callers closed them because they held no events.
+    [[nodiscard]] unsigned filled_streams() const { return filled_streams_; }
     /// @brief Runs whose callers disconnected after it had stopped listening.
     [[nodiscard]] unsigned runs_left() const { return runs_left_; }
 
@@ -117,8 +119,10 @@
     bool loses_answers = false; ///< plain: executes, drops responses
     bool truncates = false;     ///< cuts responses inside an event or body
     bool breaks_heads = false;  ///< sends heads that are no valid HTTP
-    double slowdown = 1;        ///< factor on all times
-    bool states_leave = false;  ///< in all responses, while it announces ready
+    /// Streams that begin hold bytes without an event and without an end.
+    bool fills_streams = false;
+    double slowdown = 1;       ///< factor on all times
+    bool states_leave = false; ///< in all responses, while it announces ready
     /// Asked for in the refusals of the next requests.
     duration stated_pause{};
     unsigned refusals_left = 0; ///< with the stated pause
@@ -135,6 +139,7 @@
         time_point due;
         time_point copied_at;
         bool begun = false;
+        std::string_view filling;  ///< sent in place of events, if not empty
         bool disconnected = false; ///< its caller
     };
     struct copy
@@ -151,6 +156,8 @@
                    const net::http1_responder_ptr& responder);
     void make_copy(const net::http1_request& request,
                    const net::http1_responder_ptr& responder);
+    /// Sends bytes that have no end and complete no event with an id.
+    static void fill(const run& each);
     /// Answers with a sound body under a head that is no valid HTTP.
     void break_head(const run& each, std::string_view body);
     void refuse(const net::http1_responder_ptr& responder,
@@ -195,6 +202,7 @@
     bool listening_ = false;
     unsigned runs_left_ = 0;
     unsigned broken_heads_ = 0;
+    unsigned filled_streams_ = 0;
     time_point last_run_; ///< when it last had one
     std::unique_ptr<net::http1_server> server_;
     std::vector<std::shared_ptr<run>> runs_;
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -53,6 +53,11 @@
             "replace all replicas in series, the new ones first; implies "
             "--no-faults",
             command);
+        TCLAP::SwitchArg losing_core_disks(
+            "", "core-losses",
+            "replace replicas while others restart, then kill the core and "
+            "lose as many disks as is tolerated; implies --no-faults",
+            command);
         TCLAP::ValueArg<unsigned> disk_writers(
             "", "disk-writers",
             "threads that write and sync on the disk of the replicas", false, 0,
@@ -88,12 +93,14 @@
                  .engines = engines.getValue(),
                  .fault_time = std::chrono::seconds(seconds.getValue()),
                  .faults = !calm.getValue() && !replacing_core.getValue() &&
+                           !losing_core_disks.getValue() &&
                            pressing.getValue() == 0,
                  .versions = std::max(1U, versions.getValue()),
                  .replacements = replacing.getValue(),
                  .take_ups = taking_up.getValue(),
                  .restarts = restarting.getValue(),
                  .core_replacement = replacing_core.getValue(),
+                 .core_losses = losing_core_disks.getValue(),
                  .disk_writers = disk_writers.getValue(),
                  .retry_slack = retry_slack.getValue(),
                  .pressing_streams = pressing.getValue(),
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -52,7 +52,8 @@
       reload_random_(settings_.seed + 6), load_random_(settings_.seed + 1),
       departure_random_(settings_.seed + 7),
       take_up_random_(settings_.seed + 9), restart_random_(settings_.seed + 11),
-      broken_answer_random_(settings_.seed + 12), client_(loop_, {}),
+      broken_answer_random_(settings_.seed + 12),
+      core_random_(settings_.seed + 13), client_(loop_, {}),
       take_ups_(
           violations_, settings_.seed + 10,
           {.disturbed_at =
@@ -80,9 +81,9 @@
             violations_);
     };
     std::vector<net::address> control_addresses;
+    const bool replaces = settings_.core_replacement || settings_.core_losses;
     const std::size_t replicas =
-        settings_.replicas +
-        (settings_.core_replacement ? settings_.replicas : 0);
+        settings_.replicas + (replaces ? settings_.replicas : 0);
     for (std::size_t i = 0; i < replicas; ++i) {
         replicas_.push_back(make(false, i));
         control_addresses.push_back(replicas_.back()->control_address());
@@ -236,13 +237,18 @@
     schedule_.push_back({loop_.now() + delay, std::move(function)});
 }
 
-duration soak::random_time(duration least, duration most)
+duration soak::draw_time(std::mt19937& random, duration least, duration most)
 {
     return std::uniform_int_distribution<duration::rep>(least.count(),
-                                                        most.count())(random_) *
+                                                        most.count())(random) *
            duration(1);
 }
 
+duration soak::random_time(duration least, duration most)
+{
+    return draw_time(random_, least, most);
+}
+
 std::size_t soak::replicas_down() const
 {
     return static_cast<std::size_t>(
@@ -446,13 +452,20 @@
         disk_load_ = std::make_unique<disk_load>(settings_.folder,
                                                  settings_.disk_writers);
     }
-    run_for(settings_.fault_time);
+    if (settings_.core_losses) {
+        lose_core_disks();
+    } else {
+        run_for(settings_.fault_time);
+    }
     reloads_ = replaces_engines_ = breaks_processes_ = false;
     if (disk_load_) {
         disk_load_->stop();
     }
     if (disturbs()) {
-        end_faults();
+        // Replaced replicas remain away.
+        if (!settings_.core_losses) {
+            end_faults();
+        }
         run_for(recovery_time);
     } else if (std::exchange(presses_, false)) {
         run_for(recovery_time);
@@ -476,7 +489,8 @@
     }
     const unsigned acknowledged = operators_->acknowledged();
     // A read may go to a replica that has been replaced.
-    const int reads = settings_.core_replacement ? 20 : 1;
+    const bool replaced = settings_.core_replacement || settings_.core_losses;
+    const int reads = replaced ? 20 : 1;
     for (int i = 0; i < reads && operators_->newest_read() < acknowledged;
          ++i) {
         operators_->read();
@@ -530,16 +544,22 @@
     if (settings_.faults) {
         unsigned heads = 0;
         unsigned uploads = 0;
+        unsigned streams = 0;
         for (const auto& each : backends_) {
             heads += each->broken_heads();
             uploads += each->proxy().uploads_cut();
+            streams += each->filled_streams();
         }
         line +=
-            fmt::format("; {} heads broken, {} uploads cut", heads, uploads);
+            fmt::format("; {} heads broken, {} uploads cut, {} streams filled",
+                        heads, uploads, streams);
     }
     if (settings_.core_replacement) {
         line += fmt::format("; {} replicas replaced", replaced_replicas_);
     }
+    if (settings_.core_losses) {
+        line += fmt::format("; {} disks lost at once", disks_lost_);
+    }
     if (disk_load_) {
         line += disk_load_->summary();
     }
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -56,6 +56,10 @@
         /// All replicas are replaced in series by others with empty disks, the
         /// new ones first. Only without faults.
         bool core_replacement = false;
+        /// Replicas are replaced while others restart. Once all of them count,
+        /// the core is killed, and as many disks are lost as is tolerated. No
+        /// other fault is played.
+        bool core_losses = false;
         /// Threads that write and sync in the folder of the run, whose disk
         /// the replicas use as well.
         unsigned disk_writers = 0;
@@ -121,12 +125,17 @@
     void check_departure(const backend& target, const std::string& attempt);
     /// Starts the new replicas, and stops the old ones one after the other.
     void step_core_replacement();
+    /// Replaces replicas while others restart, and then loses disks.
+    void lose_core_disks();
+    void replace_replica(std::size_t replaced, std::size_t successor,
+                         bool planned);
     /// Removes all accounts and checks that the gates refuse their keys.
     void remove_accounts();
     /// True if requests may fail and changes may be late.
     [[nodiscard]] bool disturbs() const
     {
-        return settings_.faults || settings_.take_ups || settings_.restarts;
+        return settings_.faults || settings_.take_ups || settings_.restarts ||
+               settings_.core_losses;
     }
     void fault_gate();
     void fault_replica();
@@ -139,7 +148,8 @@
     void inject_disk_refusal();
     /// Lets a back end state that it leaves, or ask for a pause.
     void inject_statement();
-    /// Lets a back end send invalid heads, or cuts uploads.
+    /// Lets a back end send invalid heads or streams without events, or cuts
+    /// uploads.
     void inject_broken_answer();
     /// Sends long requests and lets the services answer such with a part of an
     /// answer before they reset the connection.
@@ -152,6 +162,8 @@
     void run_for(duration time);
     void report() const;
     [[nodiscard]] duration random_time(duration least, duration most);
+    [[nodiscard]] static duration draw_time(std::mt19937& random,
+                                            duration least, duration most);
     [[nodiscard]] std::size_t replicas_down() const;
     [[nodiscard]] std::string document(unsigned version) const;
 
@@ -170,6 +182,7 @@
     std::mt19937 take_up_random_;
     std::mt19937 restart_random_;
     std::mt19937 broken_answer_random_;
+    std::mt19937 core_random_;
     net::http1_client client_;
     std::vector<std::unique_ptr<machine>> replicas_;
     std::vector<gate_entry> gates_;
@@ -197,6 +210,7 @@
     time_point next_leave_;
     time_point next_core_stop_;
     std::size_t replaced_replicas_ = 0;
+    std::size_t disks_lost_ = 0;
     unsigned restarts_after_departures_ = 0;
     unsigned attempts_after_departures_ = 0; ///< that were checked
     bool accounts_removed_ = false;
--- a/tests/platform/soak/soak_faults.cpp
+++ b/tests/platform/soak/soak_faults.cpp
@@ -309,11 +309,15 @@
 void soak::inject_broken_answer()
 {
     backend& victim = *backends_[broken_answer_random_() % backends_.size()];
-    const bool cuts_uploads = broken_answer_random_() % 2 == 0;
+    const auto kind = broken_answer_random_() % 3;
     const duration time =
         std::chrono::milliseconds(200 + broken_answer_random_() % 1000);
-    if (cuts_uploads) {
+    if (kind == 0) {
         cut_uploads(time);
+    } else if (kind == 1 && victim.running() && victim.streams()) {
+        violations_.print("fills streams", victim.id());
+        victim.fills_streams = true;
+        schedule(time, [&victim] { victim.fills_streams = false; });
     } else if (victim.running()) {
         violations_.print("breaks heads", victim.id());
         victim.breaks_heads = true;
@@ -399,7 +403,7 @@
             each->start(false);
         }
         each->silent = each->loses_answers = each->truncates =
-            each->breaks_heads = false;
+            each->breaks_heads = each->fills_streams = false;
         each->proxy().cut_uploads({}, 0);
         each->slowdown = 1;
         each->refusals_left = 0;
