--- a/lib/include/bamboogate/relay/control_node.hpp
+++ b/lib/include/bamboogate/relay/control_node.hpp
@@ -213,10 +213,10 @@
     /// As the leader, replaces a voter that is about to stop by a learner.
     void replace_leaving_replica(const node_id& node,
                                  const acknowledge_callback& callback);
-    /// Why no learner can take a vote: `in_progress` if one may be able to
-    /// soon, else `not_found`.
+    /// The error if no learner can take a vote: `in_progress` if one may be
+    /// able to soon, else `not_found`.
     [[nodiscard]] error
-    no_successor(const std::vector<replica_status>& statuses) const;
+    successor_error(const std::vector<replica_status>& statuses) const;
     [[nodiscard]] std::vector<node_id> leaving_replicas() const;
     /// As a leader that is about to stop, passes leadership on, if possible to
     /// a voter that stays. Calls back with an error always, since the vote is
@@ -332,7 +332,8 @@
     std::set<std::string> known_replicas_;
     std::map<node_id, time_point> last_reachable_;
     std::vector<replica_status> replicas_; ///< of the last tick
-    /// Replicas that are about to stop, with the process that stops.
+    /// Replicas whose process, with this incarnation, is about to stop or has
+    /// stopped.
     std::map<node_id, incarnation> leaving_replicas_;
     std::string published_view_;
     time_point published_at_;
--- a/lib/include/bamboogate/relay/membership_plan.hpp
+++ b/lib/include/bamboogate/relay/membership_plan.hpp
@@ -18,7 +18,8 @@
     bool voter = false;
     bool caught_up = false; ///< learners: holds all committed entries
     duration unreachable{}; ///< 0 while it is reachable
-    bool leaving = false;   ///< its process stops, or has not started again
+    /// Its process is about to stop, or has stopped and not started again.
+    bool leaving = false;
 };
 
 /// One change of the membership.
@@ -42,8 +43,8 @@
     std::size_t voters = 5;
     /// A voter that is unreachable for this long is replaced by a learner that
     /// has caught up. Longer than a restart or an election takes. One that
-    /// stopped as planned is replaced at once: a learner only had to be there
-    /// to take its vote.
+    /// stopped as planned is replaced at once: it would have handed its vote
+    /// over if a learner had been there.
     duration replace_voter_after = std::chrono::milliseconds(2500);
     /// An unreachable learner is removed after this time.
     duration remove_learner_after = std::chrono::seconds(10);
--- a/lib/source/relay/control_node_membership.cpp
+++ b/lib/source/relay/control_node_membership.cpp
@@ -117,14 +117,15 @@
         leaving_replicas_.insert_or_assign(peer.node, peer.incarnation);
         return;
     }
-    // An earlier build doesn't state in its views that it stops.
+    // Views of the same process don't end the record, because earlier builds
+    // state only in `leave_group` that they stop.
     const auto found = leaving_replicas_.find(peer.node);
     if (found != leaving_replicas_.end() && found->second != peer.incarnation) {
         leaving_replicas_.erase(found);
     }
 }
 
-error control_node::no_successor(
+error control_node::successor_error(
     const std::vector<replica_status>& statuses) const
 {
     return is_successor_expected(statuses, membership())
@@ -150,7 +151,7 @@
     }
     const auto step = next_hand_over_step(statuses, node, membership());
     if (!step) {
-        callback(no_successor(statuses));
+        callback(successor_error(statuses));
         return;
     }
     apply_step(*step, [this, node, callback](const result<void>& outcome) {
@@ -165,7 +166,7 @@
 std::vector<node_id> control_node::leaving_replicas() const
 {
     std::vector<node_id> out;
-    for (const auto& [node, incarnation] : leaving_replicas_) {
+    for (const auto& [node, process] : leaving_replicas_) {
         out.push_back(node);
     }
     return out;
@@ -193,7 +194,7 @@
     // If all voters are about to stop, leadership would only move between them.
     const replica_status* successor = find_successor(statuses);
     if (successor == nullptr) {
-        const error problem = no_successor(statuses);
+        const error problem = successor_error(statuses);
         if (problem.code == errc::in_progress) {
             callback(problem);
         } else {
