--- a/tests/platform/broken_stream_test.cpp
+++ b/tests/platform/broken_stream_test.cpp
@@ -313,9 +313,9 @@
     {
         piece = chunk("data: x\n\n");
     }
-    raw_server* sick = nullptr;
+    raw_server* hostile = nullptr;
     steps = {[&](raw_server::connection& to) {
-                 sick = serving;
+                 hostile = serving;
                  to.send(head("200 OK", chunked));
                  to.send_without_end(piece);
              },
@@ -326,9 +326,9 @@
     CHECK(request->complete);
     CHECK(request->body == std::string(event1) + event2);
     CHECK(runs == 2);
-    REQUIRE(sick != nullptr);
+    REQUIRE(hostile != nullptr);
     std::size_t sent = 0;
-    for (const auto& each : sick->connections) {
+    for (const auto& each : hostile->connections) {
         sent += each->sent_bytes();
     }
     // 256 KiB in chunks of one byte, and what the sockets hold.
--- a/tests/platform/soak/soak.hpp
+++ b/tests/platform/soak/soak.hpp
@@ -23,6 +23,9 @@
 
 namespace bamboogate::tests {
 
+/// `catchUpS` of the bounds: a replica that started counts again after it.
+constexpr duration catch_up_time = std::chrono::seconds(4);
+
 /// Runs the real programs under random external faults, with callers, back ends
 /// and operators that check the guarantees. The seed determines the faults and
 /// their times; the programs' behaviour between them is not reproducible.
--- a/tests/platform/soak/soak_core_losses.cpp
+++ b/tests/platform/soak/soak_core_losses.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr duration catch_up_time = 4s;     ///< `catchUpS` of the bounds
 constexpr std::size_t tolerated_disks = 2; ///< `faultTolerance.machines`
 
 } // namespace
--- a/tests/platform/soak/soak_restarts.cpp
+++ b/tests/platform/soak/soak_restarts.cpp
@@ -86,7 +86,6 @@
             violations_.print("start", replicas_[i]->name());
             replicas_[i]->start(false);
         }
-        constexpr duration catch_up_time = 4s; // `catchUpS`
         next_core_stop_ = now + catch_up_time;
     }
     if (now < next_core_stop_ || replaced_replicas_ == settings_.replicas) {
